--- /dev/null
+++ b/src/config/distributor.h
@@ -0,0 +1,112 @@
+#ifndef CONFIG_DISTRIBUTOR_H_
+#define CONFIG_DISTRIBUTOR_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "config/manifest.h"
+#include "framework/random.h"
+#include "framework/time.h"
+
+namespace limpetrudder {
+
+// What the distributor asks its owner to do.
+struct FetchManifest {
+  std::string peer;
+};
+struct FetchParts {
+  std::string peer;  // Empty: from the platform.
+  std::vector<std::string> names;
+};
+struct AnnounceRevision {
+  std::string peer;
+  std::uint64_t revision = 0;
+};
+struct ApplyConfig {
+  std::shared_ptr<const ConfigInForce> config;
+};
+// Something an operator has to know.
+struct ConfigAlarm {
+  ResultCode code = ResultCode::kOk;
+  std::string message;
+};
+using DistributorAction = std::variant<FetchManifest,
+                                       FetchParts,
+                                       AnnounceRevision,
+                                       ApplyConfig,
+                                       ConfigAlarm>;
+
+// The instances that a change is announced to.
+struct DistributionPeers {
+  std::vector<std::string> local;          // In this data centre.
+  std::vector<std::string> remote_relays;  // One for each other data centre.
+};
+
+// Brings accepted configurations into force on one instance and passes them on.
+// A revision spreads by announcement to a few peers; whoever is behind pulls
+// the manifest and the parts that it lacks. A lower revision is never applied,
+// whoever offers it.
+//
+// Holds no clock and does no I/O. Not thread safe.
+class Distributor {
+ public:
+  explicit Distributor(std::uint64_t seed) : random_(seed) {}
+
+  void SetPeers(DistributionPeers peers) { peers_ = std::move(peers); }
+
+  // The platform's root was read.
+  void OnPlatformRoot(const Manifest& manifest, Time now);
+
+  // A message from `peer` carried the revision that is in force there.
+  void OnPeerRevision(const std::string& peer, std::uint64_t revision,
+                      Time now);
+
+  // `peer` sent its manifest, as asked by FetchManifest.
+  void OnManifest(const std::string& peer, const Manifest& manifest, Time now);
+
+  // Parts arrived, as asked by FetchParts. Texts that don't match their names
+  // are dropped and counted as a failure.
+  void OnParts(const std::string& peer, const PartTexts& texts, Time now);
+
+  // A fetch from `peer` (or the platform, if empty) failed.
+  void OnFetchFailed(const std::string& peer);
+
+  // Compares revisions with one random peer; call it about once a second.
+  void Turn(Time now);
+
+  // Returns and clears the actions due.
+  std::vector<DistributorAction> TakeActions();
+
+  // The revision in force, or 0.
+  std::uint64_t revision() const { return manifest_.revision; }
+  const Manifest& manifest() const { return manifest_; }
+  const PartTexts& texts() const { return texts_; }
+
+ private:
+  struct Pull {
+    std::string source;
+    Time started{};
+    std::optional<Manifest> manifest;  // Set once known.
+  };
+
+  void Offer(const Manifest& manifest, const std::string& source, Time now);
+  void Apply(Manifest manifest);
+  void Announce();
+  bool IsPullStale(Time now) const;
+
+  Random random_;
+  DistributionPeers peers_;
+  Manifest manifest_;
+  PartTexts texts_;
+  DocumentAssembler assembler_;
+  std::optional<Pull> pull_;
+  std::vector<DistributorAction> actions_;
+};
+
+}  // namespace limpetrudder
+
+#endif  // CONFIG_DISTRIBUTOR_H_
--- /dev/null
+++ b/src/framework/duty_thread.h
@@ -0,0 +1,103 @@
+#ifndef FRAMEWORK_DUTY_THREAD_H_
+#define FRAMEWORK_DUTY_THREAD_H_
+
+#include <atomic>
+#include <concepts>
+#include <functional>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include <asio.hpp>
+
+#include "framework/bounded_ring.h"
+#include "framework/time.h"
+
+namespace limpetrudder {
+
+// What a duty does with its events: handle one, then, when the queue is empty
+// or a timer fires, act and say when to be called next.
+template <typename H, typename Event>
+concept DutyHandler = requires(H handler, Event event, Time now) {
+  handler.Handle(std::move(event), now);
+  { handler.Turn(now) } -> std::convertible_to<Time>;
+};
+
+// One thread with one duty, fed through a bounded ring. `Handler` runs on that
+// thread only.
+template <typename Event, DutyHandler<Event> Handler>
+class DutyThread {
+ public:
+  // `handler` must outlive this object.
+  DutyThread(std::size_t capacity, Handler* handler)
+      : ring_(capacity), handler_(handler), timer_(context_) {}
+  ~DutyThread() { Stop(); }
+
+  DutyThread(const DutyThread&) = delete;
+  DutyThread& operator=(const DutyThread&) = delete;
+
+  // Starts the thread. Call once.
+  void Start() {
+    thread_ = std::thread([this] {
+      asio::post(context_, [this] { Drain(); });
+      auto work = asio::make_work_guard(context_);
+      context_.run();
+    });
+  }
+
+  // Ends the thread; queued events are not handled. Idempotent. Must not be
+  // called from the duty's own thread.
+  void Stop() {
+    context_.stop();
+    if (thread_.joinable())
+      thread_.join();
+  }
+
+  // Queues `event`. Returns false, leaving `event` as it is, if the ring is
+  // full. Thread safe.
+  bool Post(Event&& event) {
+    bool was_empty = false;
+    if (!ring_.TryPush(std::move(event), &was_empty))
+      return false;
+    if (was_empty)
+      asio::post(context_, [this] { Drain(); });
+    return true;
+  }
+
+ private:
+  static Time Now() {
+    return std::chrono::time_point_cast<Duration>(
+        std::chrono::steady_clock::now());
+  }
+
+  void Drain() {
+    ring_.Drain(&batch_);
+    for (auto& event : batch_)
+      handler_->Handle(std::move(event), Now());
+    Turn();
+  }
+
+  void Turn() {
+    const Time next = handler_->Turn(Now());
+    if (next == kNever) {
+      timer_.cancel();
+      return;
+    }
+    timer_.expires_at(next);
+    timer_.async_wait([this](const asio::error_code& error) {
+      if (!error)
+        Turn();
+    });
+  }
+
+  BoundedRing<Event> ring_;
+  std::vector<Event> batch_;
+  Handler* const handler_;
+  asio::io_context context_{1};
+  asio::steady_timer timer_;
+  std::thread thread_;
+};
+
+}  // namespace limpetrudder
+
+#endif  // FRAMEWORK_DUTY_THREAD_H_
--- /dev/null
+++ b/src/framework/logger.h
@@ -0,0 +1,31 @@
+#ifndef FRAMEWORK_LOGGER_H_
+#define FRAMEWORK_LOGGER_H_
+
+#include <string>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+namespace limpetrudder {
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+struct LogSettings {
+  std::string instance;
+  std::string data_centre;
+  LogLevel level = LogLevel::kInfo;
+};
+
+// Sends JSON lines to standard error. Call once, before any other thread
+// starts.
+void StartLogging(const LogSettings& settings);
+
+// Writes one JSON line with the time, level, instance, data centre, `event` and
+// `fields` (an object). Thread safe; does nothing before StartLogging().
+void Log(LogLevel level,
+         std::string_view event,
+         const nlohmann::json& fields = nlohmann::json::object());
+
+}  // namespace limpetrudder
+
+#endif  // FRAMEWORK_LOGGER_H_
--- /dev/null
+++ b/src/framework/metrics.cc
@@ -0,0 +1,82 @@
+#include "framework/metrics.h"
+
+#include <algorithm>
+
+#include <boost/histogram.hpp>
+
+namespace limpetrudder {
+namespace {
+
+namespace bh = boost::histogram;
+
+constexpr unsigned kBuckets = 200;
+constexpr double kLowestMs = 0.05;
+constexpr double kHighestMs = 60000.0;
+
+using LogAxis = bh::axis::regular<double, bh::axis::transform::log>;
+using LatencyHistogram =
+    decltype(bh::make_histogram(LogAxis(kBuckets, kLowestMs, kHighestMs)));
+
+double Quantile(const LatencyHistogram& histogram,
+                std::uint64_t count,
+                double q) {
+  double seen = 0;
+  for (auto&& cell : bh::indexed(histogram, bh::coverage::all)) {
+    seen += *cell;
+    if (seen >= q * static_cast<double>(count))
+      return std::min(cell.bin().upper(), kHighestMs);
+  }
+  return kHighestMs;
+}
+
+}  // namespace
+
+struct Metrics::Latency {
+  LatencyHistogram histogram =
+      bh::make_histogram(LogAxis(kBuckets, kLowestMs, kHighestMs));
+  std::uint64_t count = 0;
+  double max_ms = 0;
+};
+
+Metrics::Metrics() = default;
+Metrics::~Metrics() = default;
+
+void Metrics::Add(const std::string& name, std::uint64_t amount) {
+  std::lock_guard lock(mutex_);
+  counters_[name] += amount;
+}
+
+void Metrics::Set(const std::string& name, std::int64_t value) {
+  std::lock_guard lock(mutex_);
+  gauges_[name] = value;
+}
+
+void Metrics::Record(const std::string& name, Duration latency) {
+  std::lock_guard lock(mutex_);
+  auto& entry = latencies_[name];
+  if (!entry)
+    entry = std::make_unique<Latency>();
+  const double ms = ToMillis(latency);
+  entry->histogram(ms);
+  ++entry->count;
+  entry->max_ms = std::max(entry->max_ms, ms);
+}
+
+nlohmann::json Metrics::Snapshot() const {
+  std::lock_guard lock(mutex_);
+  nlohmann::json result;
+  result["counters"] = counters_;
+  result["gauges"] = gauges_;
+  result["latencies_ms"] = nlohmann::json::object();
+  for (const auto& [name, entry] : latencies_) {
+    result["latencies_ms"][name] = {
+        {"count", entry->count},
+        {"p50", Quantile(entry->histogram, entry->count, 0.5)},
+        {"p99", Quantile(entry->histogram, entry->count, 0.99)},
+        {"p999", Quantile(entry->histogram, entry->count, 0.999)},
+        {"max", entry->max_ms}};
+  }
+  return result;
+}
+
+}  // namespace limpetrudder
--- /dev/null
+++ b/src/membership/internal/update_queue.h
@@ -0,0 +1,34 @@
+#ifndef MEMBERSHIP_INTERNAL_UPDATE_QUEUE_H_
+#define MEMBERSHIP_INTERNAL_UPDATE_QUEUE_H_
+
+#include <cstddef>
+#include <list>
+#include <vector>
+
+#include "membership/membership_types.h"
+
+namespace limpetrudder::detail {
+
+// News that ride on messages. Each is passed on a number of times that grows
+// with the logarithm of the group, the least passed on first. Not thread safe.
+class UpdateQueue {
+ public:
+  // Queues `update` in place of older news about the same instance.
+  void Push(const MemberUpdate& update);
+
+  // Returns up to `count` updates to send to one of `members` instances.
+  std::vector<MemberUpdate> Take(std::size_t count, std::size_t members);
+
+  std::size_t size() const { return entries_.size(); }
+
+ private:
+  struct Entry {
+    MemberUpdate update;
+    std::size_t sent = 0;
+  };
+  std::list<Entry> entries_;  // In the order of `sent`.
+};
+
+}  // namespace limpetrudder::detail
+
+#endif  // MEMBERSHIP_INTERNAL_UPDATE_QUEUE_H_
--- /dev/null
+++ b/src/query/internal/adaptive_strategy.h
@@ -0,0 +1,61 @@
+#ifndef QUERY_INTERNAL_ADAPTIVE_STRATEGY_H_
+#define QUERY_INTERNAL_ADAPTIVE_STRATEGY_H_
+
+#include <optional>
+
+#include "limits/token_budget.h"
+#include "query/internal/strategy.h"
+#include "routing/latency_window.h"
+
+namespace limpetrudder::detail {
+
+// Chooses servers by this instance's own observations, queues here rather than
+// at the servers, refuses early what can't be in time, and hedges stragglers
+// within a budget. Not thread safe.
+class AdaptiveStrategy {
+ public:
+  explicit AdaptiveStrategy(const Collection& collection);
+
+  void Reconfigure(const Collection& collection);
+
+  Admission Admit(const ShardPlan& plan,
+                  const SearchRequest& request,
+                  Time now);
+  ServerChoice Choose(const ChoiceInput& input, Time now, Random* random);
+
+  // Returns another server with room that is likely to answer before a
+  // straggler does, or null. Null also while sub-queries wait for the shard:
+  // the cause is then load, and a hedge would add to it.
+  std::shared_ptr<ServerState> ChooseHedge(const ChoiceInput& input,
+                                           Time now,
+                                           Random* random);
+
+  std::optional<Duration> HedgeAfter() const;
+  Duration SilenceAfter(const ServerState& server, Duration time_left) const;
+  std::optional<Duration> TailCutAfter() const;
+  bool TrySpendHedge() { return hedges_.TrySpend(); }
+  bool TrySpendRetry() { return retries_.TrySpend(); }
+  bool MayRetry(std::uint32_t attempts) const;
+  void OnFirstSend();
+  void OnAnswer(Duration latency);
+  void OnQueryDone(Duration took);
+
+ private:
+  Duration Typical() const;
+  Duration EstimateWait(const ShardState& shard,
+                        CallerClass caller_class,
+                        Time now) const;
+
+  double extra_load_;
+  CoveragePolicy policy_;
+  TokenBudget hedges_;
+  TokenBudget retries_;
+  LatencyWindow sub_query_latency_;
+  LatencyWindow query_latency_;
+};
+
+static_assert(QueryStrategy<AdaptiveStrategy>);
+
+}  // namespace limpetrudder::detail
+
+#endif  // QUERY_INTERNAL_ADAPTIVE_STRATEGY_H_
--- /dev/null
+++ b/src/query/internal/baseline_strategy.h
@@ -0,0 +1,40 @@
+#ifndef QUERY_INTERNAL_BASELINE_STRATEGY_H_
+#define QUERY_INTERNAL_BASELINE_STRATEGY_H_
+
+#include <optional>
+
+#include "query/internal/strategy.h"
+
+namespace limpetrudder::detail {
+
+// What one would build first: round robin, a fixed time-out, one retry, no
+// hedge and no limit. Measurements compare with it. Not thread safe.
+class BaselineStrategy {
+ public:
+  explicit BaselineStrategy(const Collection&) {}
+
+  void Reconfigure(const Collection&) {}
+
+  Admission Admit(const ShardPlan&, const SearchRequest&, Time) { return {}; }
+  ServerChoice Choose(const ChoiceInput& input, Time now, Random* random);
+  std::shared_ptr<ServerState> ChooseHedge(const ChoiceInput&, Time, Random*) {
+    return nullptr;
+  }
+  std::optional<Duration> HedgeAfter() const { return std::nullopt; }
+  Duration SilenceAfter(const ServerState&, Duration time_left) const {
+    return time_left;
+  }
+  std::optional<Duration> TailCutAfter() const { return std::nullopt; }
+  bool TrySpendHedge() { return false; }
+  bool TrySpendRetry() { return true; }
+  bool MayRetry(std::uint32_t attempts) const { return attempts < 2; }
+  void OnFirstSend() {}
+  void OnAnswer(Duration) {}
+  void OnQueryDone(Duration) {}
+};
+
+static_assert(QueryStrategy<BaselineStrategy>);
+
+}  // namespace limpetrudder::detail
+
+#endif  // QUERY_INTERNAL_BASELINE_STRATEGY_H_
--- /dev/null
+++ b/src/query/internal/collection_runner.cc
@@ -0,0 +1,875 @@
+#include "query/internal/collection_runner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "query/internal/snapshot_choice.h"
+
+namespace limpetrudder::detail {
+namespace {
+
+constexpr Duration kQueueTurn = Millis(5);
+constexpr Duration kProbeRound = Millis(100);
+constexpr Duration kRetryAfterPartial = Seconds(1);
+constexpr std::uint32_t kMaxRepins = 3;
+constexpr std::uint32_t kMaxRestarts = 1;
+
+// The least share of shards that a cut tail leaves answered.
+constexpr double kTailCutCoverage = 0.9;
+constexpr Duration kTailCutAgain = Millis(10);
+
+// Whether a server gave the sub-query back without having run it.
+bool IsRefusal(ResultCode code) {
+  switch (code) {
+    case ResultCode::kVersionNotHeld:
+    case ResultCode::kMapNotHeld:
+    case ResultCode::kServerShed:
+    case ResultCode::kServerLeaving:
+    case ResultCode::kConnectFailed:
+      return true;
+    default:
+      return false;
+  }
+}
+
+}  // namespace
+
+template <QueryStrategy S>
+CollectionRunner<S>::CollectionRunner(
+    std::shared_ptr<const Collection> collection,
+    HomePlan plan,
+    RunnerContext context,
+    std::uint64_t first_id)
+    : collection_(std::move(collection)),
+      context_(std::move(context)),
+      strategy_(*collection_),
+      next_id_(first_id) {
+  BuildPlan(plan);
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::Reconfigure(
+    std::shared_ptr<const Collection> collection,
+    HomePlan plan) {
+  collection_ = std::move(collection);
+  strategy_.Reconfigure(*collection_);
+  BuildPlan(plan);
+}
+
+template <QueryStrategy S>
+std::shared_ptr<ServerState> CollectionRunner<S>::FindOrAddServer(
+    const Server& info,
+    HomePlan plan) {
+  auto& server = servers_[info.name];
+  if (server && server->info().address == info.address)
+    server->Reconfigure(info, plan.homes, plan.connections_per_home);
+  else
+    server = std::make_shared<ServerState>(info, plan.homes,
+                                           plan.connections_per_home);
+  return server;
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::BuildPlan(HomePlan plan) {
+  std::map<std::string, std::shared_ptr<ShardState>> known;
+  if (plan_.map_epoch == collection_->map_epoch) {
+    for (const auto& shard : plan_.shards)
+      known[shard->name] = shard;
+  }
+  std::map<std::string, std::shared_ptr<ServerState>> kept;
+  plan_ = ShardPlan();
+  plan_.map_epoch = collection_->map_epoch;
+  for (const auto& service : collection_->services) {
+    for (const auto& shard : service.shards) {
+      auto& state = known[shard.name];
+      if (!state)
+        state = std::make_shared<ShardState>();
+      state->name = shard.name;
+      state->servers.clear();
+      state->remote_data_centres.clear();
+      for (const auto& server : shard.servers) {
+        if (server.data_centre == context_.data_centre) {
+          auto local = FindOrAddServer(server, plan);
+          kept[server.name] = local;
+          state->servers.push_back(std::move(local));
+          continue;
+        }
+        auto& remote = state->remote_data_centres;
+        if (!server.leaving && std::find(remote.begin(), remote.end(),
+                                         server.data_centre) == remote.end()) {
+          remote.push_back(server.data_centre);
+        }
+      }
+      plan_.shards.push_back(state);
+    }
+  }
+  servers_ = std::move(kept);
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::SetRemoteHomes(std::vector<RemoteHomes> homes) {
+  remote_homes_ = std::move(homes);
+}
+
+template <QueryStrategy S>
+ShardPlan CollectionRunner<S>::PlanFor(const SearchRequest& request) const {
+  if (request.only_shards.empty())
+    return plan_;
+  ShardPlan plan;
+  plan.map_epoch = plan_.map_epoch;
+  for (const auto& shard : plan_.shards) {
+    if (std::find(request.only_shards.begin(), request.only_shards.end(),
+                  shard->name) != request.only_shards.end()) {
+      plan.shards.push_back(shard);
+    }
+  }
+  return plan;
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::Refuse(QueryId query,
+                                 const SearchRequest& request,
+                                 Admission admission,
+                                 std::uint32_t shards) {
+  SearchAnswer answer;
+  answer.request_id = request.request_id;
+  answer.code = admission.code;
+  answer.execution = Execution::kNotRun;
+  answer.retry_after = admission.retry_after;
+  answer.coverage.shards_total = shards;
+  answer.decisions.push_back(
+      {Duration(0), DecisionKind::kRefused, "", "", 0, admission.code});
+  context_.archive->Keep(request.request_id, answer.decisions);
+  context_.actions->push_back(ReplySearch{query, std::move(answer)});
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::Start(QueryId id, SearchRequest request, Time now) {
+  ShardPlan plan = PlanFor(request);
+  const auto shard_count = static_cast<std::uint32_t>(plan.shards.size());
+  if (request.deadline <= now) {
+    return Refuse(id, request, {ResultCode::kDeadlinePassed, Duration(0)},
+                  shard_count);
+  }
+  const Admission admission = strategy_.Admit(plan, request, now);
+  if (admission.code != ResultCode::kOk)
+    return Refuse(id, request, admission, shard_count);
+
+  auto owned = std::make_unique<QueryState>(id, std::move(request),
+                                            std::move(plan));
+  QueryState* query = owned.get();
+  queries_[id] = std::move(owned);
+  query->started = now;
+  query->open = shard_count;
+  query->trail.Begin(now);
+  query->pinned = query->request.pinned;
+  if (query->pinned.version == 0)
+    query->pinned = {query->plan.map_epoch, ChooseVersion(query->plan, now)};
+  query->trail.Add(now, DecisionKind::kPinned, "", "",
+                   query->pinned.version);
+  timers_.Add({query->request.deadline, TimerKind::kQueryEnd, id});
+  if (const auto cut = strategy_.TailCutAfter();
+      cut && !query->NeedsWhole(collection_->coverage_policy)) {
+    timers_.Add({now + *cut, TimerKind::kTailCut, id});
+  }
+  for (std::uint32_t shard = 0; shard < shard_count; ++shard)
+    Launch(query, shard, now);
+  FlushBatches(query, now);
+  Settle(id, now);
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::Launch(QueryState* query,
+                                 std::uint32_t shard,
+                                 Time now) {
+  ShardProgress& progress = query->shards[shard];
+  ShardState* state = query->plan.shards[shard].get();
+  ChoiceInput input{state, query->pinned, &progress.excluded,
+                    state->queue.AheadOf(query->request.caller_class)};
+  ServerChoice choice = strategy_.Choose(input, now, context_.random);
+  if (!choice.server && !choice.wait && !progress.excluded.empty() &&
+      progress.data_centres_asked.empty() &&
+      state->remote_data_centres.empty()) {
+    progress.excluded.clear();
+    choice = strategy_.Choose(input, now, context_.random);
+  }
+  if (choice.server) {
+    const DecisionKind kind =
+        progress.attempts == 0 ? DecisionKind::kSent : DecisionKind::kRetried;
+    return Send(query, shard, choice.server, kind, now);
+  }
+  if (choice.wait)
+    return Enqueue(query, shard, now);
+  if (AskElsewhere(query, shard))
+    return;
+  const bool reachable = std::any_of(
+      state->servers.begin(), state->servers.end(),
+      [&](const auto& server) { return server->MayTakeWork(now); });
+  GiveUp(query, shard,
+         reachable ? ResultCode::kVersionNotHeld : ResultCode::kNoServer, now);
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::Send(QueryState* query,
+                               std::uint32_t shard,
+                               const std::shared_ptr<ServerState>& server,
+                               DecisionKind kind,
+                               Time now) {
+  ShardProgress& progress = query->shards[shard];
+  const AttemptId id = next_id_++;
+  AttemptState attempt{query->id,
+                       shard,
+                       server,
+                       query->plan.shards[shard],
+                       now,
+                       server->NeedsFreshConnection(),
+                       std::nullopt};
+  ++query->sub_queries;
+  if (progress.attempts == 0)
+    strategy_.OnFirstSend();
+  else
+    ++query->extra_sub_queries;
+  ++progress.attempts;
+  progress.live.push_back(id);
+  server->OnSent();
+  const Duration time_left = query->request.deadline - now;
+  timers_.Add({now + strategy_.SilenceAfter(*server, time_left),
+               TimerKind::kSilence, id});
+  if (const auto hedge_after = strategy_.HedgeAfter();
+      hedge_after && kind != DecisionKind::kHedged) {
+    timers_.Add({now + *hedge_after, TimerKind::kHedge, id});
+  }
+  query->trail.Add(now, kind, attempt.shard_state->name, server->info().name,
+                   id);
+  context_.actions->push_back(
+      SendAttempt{id, server->info().name, server->info().address,
+                  attempt.shard_state->name, query->request.terms,
+                  query->request.limit, query->pinned,
+                  query->request.deadline, attempt.fresh_connection});
+  attempts_.emplace(id, std::move(attempt));
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::Enqueue(QueryState* query,
+                                  std::uint32_t shard,
+                                  Time now) {
+  const auto& state = query->plan.shards[shard];
+  if (std::find(waiting_.begin(), waiting_.end(), state) == waiting_.end())
+    waiting_.push_back(state);
+  query->shards[shard].ticket =
+      state->queue.Push(query->request.caller_class, query->request.deadline,
+                        {query->id, shard});
+  query->trail.Add(now, DecisionKind::kQueued, state->name, "");
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::Dispatch(const std::shared_ptr<ShardState>& shard,
+                                   Time now) {
+  std::size_t turns = shard->queue.size();
+  while (turns-- > 0) {
+    const bool room = std::any_of(
+        shard->servers.begin(), shard->servers.end(),
+        [&](const auto& server) { return server->HasRoom(now); });
+    const bool served = std::any_of(
+        shard->servers.begin(), shard->servers.end(), [&](const auto& server) {
+          return server->standing() == ServerStanding::kServing ||
+                 server->standing() == ServerStanding::kSuspect;
+        });
+    if (!room && served)
+      return;
+    const auto item = shard->queue.Pop();
+    if (!item)
+      return;
+    QueryState* query = FindQuery(item->query);
+    if (query == nullptr)
+      continue;
+    ShardProgress& progress = query->shards[item->shard];
+    progress.ticket.reset();
+    if (progress.status != ShardStatus::kOpen)
+      continue;
+    Launch(query, item->shard, now);
+    const bool waits_again = progress.ticket.has_value();
+    FlushBatches(query, now);
+    Settle(item->query, now);
+    if (waits_again)
+      return;
+  }
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::DispatchFor(const ServerState& server, Time now) {
+  const auto shards = waiting_;
+  for (const auto& shard : shards) {
+    const bool holds = std::any_of(
+        shard->servers.begin(), shard->servers.end(),
+        [&](const auto& entry) { return entry.get() == &server; });
+    if (holds)
+      Dispatch(shard, now);
+  }
+}
+
+template <QueryStrategy S>
+bool CollectionRunner<S>::AskElsewhere(QueryState* query,
+                                       std::uint32_t shard) {
+  if (!query->request.only_shards.empty())
+    return false;
+  ShardProgress& progress = query->shards[shard];
+  const auto& holders = query->plan.shards[shard]->remote_data_centres;
+  for (const auto& homes : remote_homes_) {
+    const bool holds = std::find(holders.begin(), holders.end(),
+                                 homes.data_centre) != holders.end();
+    auto& asked = progress.data_centres_asked;
+    const bool again = std::find(asked.begin(), asked.end(),
+                                 homes.data_centre) != asked.end();
+    if (!holds || again || homes.peers.empty())
+      continue;
+    asked.push_back(homes.data_centre);
+    progress.in_batch = true;
+    pending_batches_[homes.data_centre].push_back(shard);
+    return true;
+  }
+  return false;
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::FlushBatches(QueryState* query, Time now) {
+  for (auto& [data_centre, shards] : std::exchange(pending_batches_, {})) {
+    const auto homes = std::find_if(
+        remote_homes_.begin(), remote_homes_.end(),
+        [&](const auto& entry) { return entry.data_centre == data_centre; });
+    const std::string& peer =
+        homes->peers[context_.random->Below(homes->peers.size())];
+    AskDataCentre ask;
+    ask.batch = next_id_++;
+    ask.peer = peer;
+    ask.request = query->request;
+    ask.request.pinned = query->pinned;
+    for (std::uint32_t shard : shards) {
+      const std::string& name = query->plan.shards[shard]->name;
+      ask.request.only_shards.push_back(name);
+      query->trail.Add(now, DecisionKind::kAskedDataCentre, name, peer,
+                       ask.batch);
+      ShardProgress& progress = query->shards[shard];
+      if (progress.attempts > 0)
+        ++query->extra_sub_queries;
+      ++progress.attempts;
+      ++query->sub_queries;
+    }
+    batches_[ask.batch] = {query->id, data_centre, std::move(shards)};
+    context_.actions->push_back(std::move(ask));
+  }
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::GiveUp(QueryState* query,
+                                 std::uint32_t shard,
+                                 ResultCode reason,
+                                 Time now) {
+  ShardProgress& progress = query->shards[shard];
+  progress.status = ShardStatus::kGivenUp;
+  progress.reason = reason;
+  --query->open;
+  query->trail.Add(now, DecisionKind::kGaveUp,
+                   query->plan.shards[shard]->name, "", 0, reason);
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::Hedge(AttemptId id, Time now) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end() || found->second.cancelled_at)
+    return;
+  const AttemptState attempt = found->second;
+  QueryState* query = FindQuery(attempt.query);
+  if (query == nullptr)
+    return;
+  ShardProgress& progress = query->shards[attempt.shard];
+  if (progress.status != ShardStatus::kOpen || progress.live.size() != 1)
+    return;
+  std::vector<const ServerState*> excluded = progress.excluded;
+  excluded.push_back(attempt.server.get());
+  const ChoiceInput input{attempt.shard_state.get(), query->pinned, &excluded,
+                          0};
+  const auto server = strategy_.ChooseHedge(input, now, context_.random);
+  if (!server)
+    return;
+  if (!strategy_.TrySpendHedge()) {
+    query->trail.Add(now, DecisionKind::kHedgeLeftOut,
+                     attempt.shard_state->name, server->info().name, id,
+                     ResultCode::kHedgeBudgetSpent);
+    return;
+  }
+  Send(query, attempt.shard, server, DecisionKind::kHedged, now);
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::ObserveServer(const AttemptState& attempt,
+                                        const AttemptResult& result,
+                                        Time now) {
+  ServerState& server = *attempt.server;
+  server.OnSettled();
+  if (result.has_report)
+    server.OnReport(result.report, now);
+  const Duration latency = attempt.cancelled_at.value_or(now) - attempt.sent;
+  switch (result.code) {
+    case ResultCode::kOk:
+      server.OnAnswer(latency, now);
+      if (!attempt.cancelled_at)
+        strategy_.OnAnswer(latency);
+      break;
+    case ResultCode::kAttemptCancelled:
+      // NOTE The time until the cancellation is a lower bound of the latency;
+      // without it a straggler that always loses would look untried.
+      server.OnAnswer(latency, now);
+      break;
+    case ResultCode::kServerShed:
+      server.OnShed(result.retry_after, now, context_.random);
+      break;
+    case ResultCode::kConnectFailed:
+      server.OnUnreachable(now, context_.random);
+      break;
+    case ResultCode::kServerFailed:
+    case ResultCode::kAnswerCrossed:
+    case ResultCode::kAnswerMalformed:
+    case ResultCode::kTransportFailed:
+      server.OnFailure(now, context_.random);
+      break;
+    default:
+      break;
+  }
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::OnAttempt(const AttemptResult& result, Time now) {
+  const auto found = attempts_.find(result.attempt);
+  if (found == attempts_.end())
+    return;
+  const AttemptState attempt = std::move(found->second);
+  attempts_.erase(found);
+  ObserveServer(attempt, result, now);
+  QueryState* query = FindQuery(attempt.query);
+  if (query != nullptr) {
+    ShardProgress& progress = query->shards[attempt.shard];
+    std::erase(progress.live, result.attempt);
+    if (progress.status == ShardStatus::kOpen) {
+      const bool right_snapshot =
+          result.answer.snapshot.map_epoch == query->plan.map_epoch &&
+          (query->pinned.version == 0 ||
+           result.answer.snapshot == query->pinned);
+      if (result.code == ResultCode::kOk && right_snapshot) {
+        query->trail.Add(now, DecisionKind::kAnswered,
+                         attempt.shard_state->name,
+                         attempt.server->info().name, result.attempt);
+        OnShardAnswered(query, attempt.shard, result.answer, now);
+      } else {
+        const ResultCode reason = result.code == ResultCode::kOk
+                                      ? ResultCode::kVersionNotHeld
+                                      : result.code;
+        OnShardFailed(query, attempt.shard, attempt, reason, now);
+      }
+      FlushBatches(query, now);
+      Settle(attempt.query, now);
+    }
+  }
+  DispatchFor(*attempt.server, now);
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::OnShardAnswered(QueryState* query,
+                                          std::uint32_t shard,
+                                          ShardAnswer answer,
+                                          Time now) {
+  ShardProgress& progress = query->shards[shard];
+  query->book.Add(shard, std::move(answer));
+  progress.status = ShardStatus::kAnswered;
+  --query->open;
+  CancelLive(query, shard, now);
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::OnShardFailed(QueryState* query,
+                                        std::uint32_t shard,
+                                        const AttemptState& attempt,
+                                        ResultCode reason,
+                                        Time now) {
+  ShardProgress& progress = query->shards[shard];
+  query->trail.Add(now,
+                   reason == ResultCode::kConnectionSilent
+                       ? DecisionKind::kSilent
+                       : DecisionKind::kRefused,
+                   attempt.shard_state->name, attempt.server->info().name, 0,
+                   reason);
+  if (!progress.live.empty() || progress.in_batch)
+    return;
+  if (!strategy_.MayRetry(progress.attempts))
+    return GiveUp(query, shard, reason, now);
+  if (!IsRefusal(reason)) {
+    if (!strategy_.TrySpendRetry())
+      return GiveUp(query, shard, ResultCode::kRetryBudgetSpent, now);
+    progress.excluded.push_back(attempt.server.get());
+  }
+  Launch(query, shard, now);
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::OnSilence(AttemptId id, Time now) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end())
+    return;
+  const AttemptState attempt = std::move(found->second);
+  attempts_.erase(found);
+  context_.actions->push_back(
+      CancelAttempt{id, attempt.server->info().address,
+                    /*close_connection=*/true});
+  attempt.server->OnSettled();
+  attempt.server->OnSilence(attempt.fresh_connection, now, context_.random);
+  QueryState* query = FindQuery(attempt.query);
+  if (query != nullptr) {
+    ShardProgress& progress = query->shards[attempt.shard];
+    std::erase(progress.live, id);
+    if (progress.status == ShardStatus::kOpen) {
+      OnShardFailed(query, attempt.shard, attempt,
+                    ResultCode::kConnectionSilent, now);
+      FlushBatches(query, now);
+      Settle(attempt.query, now);
+    }
+  }
+  DispatchFor(*attempt.server, now);
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::CancelLive(QueryState* query,
+                                     std::uint32_t shard,
+                                     Time now) {
+  ShardProgress& progress = query->shards[shard];
+  for (AttemptId id : std::exchange(progress.live, {})) {
+    AttemptState& attempt = attempts_.at(id);
+    attempt.cancelled_at = now;
+    query->trail.Add(now, DecisionKind::kCancelled, attempt.shard_state->name,
+                     attempt.server->info().name, id);
+    context_.actions->push_back(
+        CancelAttempt{id, attempt.server->info().address, false});
+  }
+  if (progress.ticket) {
+    query->plan.shards[shard]->queue.Remove(*progress.ticket);
+    progress.ticket.reset();
+  }
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::OnBatch(BatchId id,
+                                  std::vector<ShardAnswer> answers,
+                                  Time now) {
+  const auto found = batches_.find(id);
+  if (found == batches_.end())
+    return;
+  const BatchState batch = std::move(found->second);
+  batches_.erase(found);
+  QueryState* query = FindQuery(batch.query);
+  if (query == nullptr)
+    return;
+  for (std::uint32_t shard : batch.shards) {
+    ShardProgress& progress = query->shards[shard];
+    progress.in_batch = false;
+    if (progress.status != ShardStatus::kOpen)
+      continue;
+    ShardState& state = *query->plan.shards[shard];
+    const auto answer = std::find_if(
+        answers.begin(), answers.end(),
+        [&](const ShardAnswer& entry) { return entry.shard == state.name; });
+    if (answer != answers.end() && !answer->held.empty())
+      state.remote_held = answer->held;
+    const bool answered =
+        answer != answers.end() && answer->code == ResultCode::kOk &&
+        answer->snapshot.map_epoch == query->plan.map_epoch &&
+        (query->pinned.version == 0 || answer->snapshot == query->pinned);
+    if (answered) {
+      query->trail.Add(now, DecisionKind::kAnswered, state.name,
+                       batch.data_centre, id);
+      OnShardAnswered(query, shard, std::move(*answer), now);
+      continue;
+    }
+    const ResultCode reason = answer == answers.end()
+                                  ? ResultCode::kPeerUnreachable
+                                  : answer->code;
+    query->trail.Add(now, DecisionKind::kRefused, state.name,
+                     batch.data_centre, id, reason);
+    if (!AskElsewhere(query, shard))
+      GiveUp(query, shard, reason, now);
+  }
+  FlushBatches(query, now);
+  Settle(batch.query, now);
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::OnProbe(const std::string& name,
+                                  const std::optional<ServerReport>& report,
+                                  Time now) {
+  const auto found = servers_.find(name);
+  if (found == servers_.end())
+    return;
+  if (report)
+    found->second->OnReport(*report, now);
+  else
+    found->second->OnProbeFailed(now, context_.random);
+  DispatchFor(*found->second, now);
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::Settle(QueryId id, Time now) {
+  QueryState* query = FindQuery(id);
+  if (query == nullptr)
+    return;
+  const bool lost_one = std::any_of(
+      query->shards.begin(), query->shards.end(), [](const auto& progress) {
+        return progress.status == ShardStatus::kGivenUp;
+      });
+  const bool hopeless =
+      lost_one && query->NeedsWhole(collection_->coverage_policy);
+  if (query->open > 0 && !hopeless)
+    return;
+  if (RestartOnNewMap(query, now) || Repin(query, now))
+    return;
+  Finish(query, ResultCode::kAnswerLate, now);
+}
+
+template <QueryStrategy S>
+bool CollectionRunner<S>::RestartOnNewMap(QueryState* query, Time now) {
+  if (query->plan.map_epoch == plan_.map_epoch ||
+      query->restarts >= kMaxRestarts || !query->request.only_shards.empty() ||
+      query->book.CountAt(query->book.Best()) == query->shards.size()) {
+    return false;
+  }
+  DropBatches(query->id);
+  for (std::uint32_t shard = 0; shard < query->shards.size(); ++shard)
+    CancelLive(query, shard, now);
+  ++query->restarts;
+  query->plan = plan_;
+  query->shards.assign(plan_.shards.size(), ShardProgress());
+  query->book = AnswerBook(plan_.shards.size());
+  query->open = static_cast<std::uint32_t>(plan_.shards.size());
+  query->pinned = {plan_.map_epoch, ChooseVersion(plan_, now)};
+  query->trail.Add(now, DecisionKind::kRepinned, "", "",
+                   query->pinned.version, ResultCode::kMapNotHeld);
+  for (std::uint32_t shard = 0; shard < query->shards.size(); ++shard)
+    Launch(query, shard, now);
+  FlushBatches(query, now);
+  Settle(query->id, now);
+  return true;
+}
+
+template <QueryStrategy S>
+bool CollectionRunner<S>::Repin(QueryState* query, Time now) {
+  const Snapshot best = query->book.Best();
+  if (query->book.CountAt(best) == query->shards.size() ||
+      query->repins >= kMaxRepins || !query->request.only_shards.empty()) {
+    return false;
+  }
+  const Snapshot next{query->plan.map_epoch, ChooseVersion(query->plan, now)};
+  if (next.version == 0 || next == query->pinned)
+    return false;
+  ++query->repins;
+  query->pinned = next;
+  query->trail.Add(now, DecisionKind::kRepinned, "", "", next.version,
+                   ResultCode::kVersionNotHeld);
+  DropBatches(query->id);
+  std::vector<std::uint32_t> again;
+  for (std::uint32_t shard = 0; shard < query->shards.size(); ++shard) {
+    if (query->book.Has(shard, next))
+      continue;
+    CancelLive(query, shard, now);
+    ShardProgress& progress = query->shards[shard];
+    if (progress.status != ShardStatus::kOpen)
+      ++query->open;
+    progress.status = ShardStatus::kOpen;
+    progress.in_batch = false;
+    progress.excluded.clear();
+    progress.data_centres_asked.clear();
+    again.push_back(shard);
+  }
+  for (std::uint32_t shard : again)
+    Launch(query, shard, now);
+  FlushBatches(query, now);
+  Settle(query->id, now);
+  return true;
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::DropBatches(QueryId query) {
+  std::erase_if(batches_, [&](const auto& entry) {
+    return entry.second.query == query;
+  });
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::CutTail(QueryId id, Time now) {
+  QueryState* query = FindQuery(id);
+  if (query == nullptr)
+    return;
+  const double answered =
+      query->book.CountAt(query->pinned.version ? query->pinned
+                                                : query->book.Best());
+  if (answered <
+      kTailCutCoverage * static_cast<double>(query->shards.size())) {
+    timers_.Add({now + kTailCutAgain, TimerKind::kTailCut, id});
+    return;
+  }
+  query->trail.Add(now, DecisionKind::kTailCut, "", "");
+  Finish(query, ResultCode::kAnswerLate, now);
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::CollectHeld(const ShardState& shard,
+                                      std::vector<Snapshot>* held) const {
+  for (const auto& server : shard.servers) {
+    for (const Snapshot& snapshot : server->report().held) {
+      if (std::find(held->begin(), held->end(), snapshot) == held->end())
+        held->push_back(snapshot);
+    }
+  }
+}
+
+template <QueryStrategy S>
+SearchAnswer CollectionRunner<S>::ComposeAnswer(QueryState* query,
+                                                ResultCode late_reason,
+                                                Time now) const {
+  SearchAnswer answer;
+  answer.request_id = query->request.request_id;
+  answer.took = now - query->started;
+  answer.sub_queries = query->sub_queries;
+  answer.extra_sub_queries = query->extra_sub_queries;
+  answer.execution =
+      query->sub_queries > 0 ? Execution::kRun : Execution::kNotRun;
+  const Snapshot best = query->book.Best();
+  answer.snapshot = best;
+  answer.snapshot_age = query->book.Age(best);
+  answer.coverage.shards_total =
+      static_cast<std::uint32_t>(query->shards.size());
+  answer.coverage.shards_answered = query->book.CountAt(best);
+  for (std::uint32_t shard = 0; shard < query->shards.size(); ++shard) {
+    const ShardProgress& progress = query->shards[shard];
+    const ShardState& state = *query->plan.shards[shard];
+    if (!query->request.only_shards.empty()) {
+      ShardAnswer entry;
+      entry.shard = state.name;
+      entry.code = progress.status == ShardStatus::kGivenUp ? progress.reason
+                                                            : late_reason;
+      if (!query->book.of(shard).empty())
+        entry = query->book.of(shard).back();
+      CollectHeld(state, &entry.held);
+      answer.shard_answers.push_back(std::move(entry));
+    }
+    if (query->book.Has(shard, best))
+      continue;
+    const ResultCode reason =
+        progress.status == ShardStatus::kGivenUp   ? progress.reason
+        : progress.status == ShardStatus::kAnswered ? ResultCode::kVersionNotHeld
+                                                    : late_reason;
+    answer.coverage.missing.push_back({state.name, reason});
+  }
+  if (answer.coverage.complete()) {
+    answer.hits = query->book.Merge(best, query->request.limit);
+    return answer;
+  }
+  answer.retry_after = kRetryAfterPartial;
+  if (query->NeedsWhole(collection_->coverage_policy)) {
+    answer.code = ResultCode::kNotWhole;
+    return answer;
+  }
+  answer.code = answer.coverage.shards_answered == 0
+                    ? ResultCode::kNoAnswer
+                    : ResultCode::kPartialAnswer;
+  answer.hits = query->book.Merge(best, query->request.limit);
+  return answer;
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::Finish(QueryState* query,
+                                 ResultCode late_reason,
+                                 Time now) {
+  SearchAnswer answer = ComposeAnswer(query, late_reason, now);
+  if (answer.code == ResultCode::kOk)
+    strategy_.OnQueryDone(answer.took);
+  const QueryId id = query->id;
+  const bool explain = query->request.explain;
+  for (std::uint32_t shard = 0; shard < query->shards.size(); ++shard)
+    CancelLive(query, shard, now);
+  if (explain)
+    answer.decisions = query->trail.decisions();
+  RemoveQuery(query, now);
+  context_.actions->push_back(ReplySearch{id, std::move(answer)});
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::RemoveQuery(QueryState* query, Time) {
+  context_.archive->Keep(query->request.request_id, query->trail.Take());
+  queries_.erase(query->id);
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::Abandon(QueryId id, Time now) {
+  QueryState* query = FindQuery(id);
+  if (query == nullptr)
+    return;
+  for (std::uint32_t shard = 0; shard < query->shards.size(); ++shard)
+    CancelLive(query, shard, now);
+  query->trail.Add(now, DecisionKind::kGaveUp, "", "", 0,
+                   ResultCode::kCallerLeft);
+  RemoveQuery(query, now);
+}
+
+template <QueryStrategy S>
+QueryState* CollectionRunner<S>::FindQuery(QueryId id) {
+  const auto found = queries_.find(id);
+  return found == queries_.end() ? nullptr : found->second.get();
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::RunTimer(const Timer& timer, Time now) {
+  switch (timer.kind) {
+    case TimerKind::kQueryEnd:
+      if (QueryState* query = FindQuery(timer.id))
+        Finish(query, ResultCode::kAnswerLate, now);
+      return;
+    case TimerKind::kTailCut:
+      return CutTail(timer.id, now);
+    case TimerKind::kHedge:
+      return Hedge(timer.id, now);
+    case TimerKind::kSilence:
+      return OnSilence(timer.id, now);
+  }
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::ProbeServers(Time now) {
+  for (const auto& [name, server] : servers_) {
+    if (!server->IsProbeDue(now))
+      continue;
+    server->OnProbeSent(now);
+    context_.actions->push_back(
+        ProbeServer{collection_->name, name, server->info().address});
+  }
+}
+
+template <QueryStrategy S>
+Time CollectionRunner<S>::Turn(Time now) {
+  while (timers_.next() <= now)
+    RunTimer(timers_.Take(), now);
+  if (now >= next_probe_round_) {
+    ProbeServers(now);
+    next_probe_round_ = now + kProbeRound;
+  }
+  const auto waiting = waiting_;
+  for (const auto& shard : waiting)
+    Dispatch(shard, now);
+  std::erase_if(waiting_,
+                [](const auto& shard) { return shard->queue.empty(); });
+  Time next = std::min(timers_.next(), next_probe_round_);
+  if (!waiting_.empty())
+    next = std::min(next, now + kQueueTurn);
+  return next;
+}
+
+template class CollectionRunner<AdaptiveStrategy>;
+template class CollectionRunner<BaselineStrategy>;
+
+}  // namespace limpetrudder::detail
--- /dev/null
+++ b/src/query/internal/decision_trail.h
@@ -0,0 +1,54 @@
+#ifndef QUERY_INTERNAL_DECISION_TRAIL_H_
+#define QUERY_INTERNAL_DECISION_TRAIL_H_
+
+#include <cstdint>
+#include <deque>
+#include <string_view>
+#include <vector>
+
+#include "query/query_types.h"
+
+namespace limpetrudder::detail {
+
+// The decisions of one query in the making. Not thread safe.
+class DecisionTrail {
+ public:
+  void Begin(Time start) { start_ = start; }
+
+  void Add(Time now,
+           DecisionKind kind,
+           std::string_view shard,
+           std::string_view target,
+           AttemptId attempt = 0,
+           ResultCode reason = ResultCode::kOk) {
+    decisions_.push_back({now - start_, kind, std::string(shard),
+                          std::string(target), attempt, reason});
+  }
+
+  const std::vector<Decision>& decisions() const { return decisions_; }
+  std::vector<Decision> Take() { return std::move(decisions_); }
+
+ private:
+  Time start_{};
+  std::vector<Decision> decisions_;
+};
+
+// The trails of the latest queries, by request id. Not thread safe.
+class TrailArchive {
+ public:
+  void Keep(const std::string& request_id, std::vector<Decision> decisions);
+
+  // Returns the trail of a request, or null if it isn't kept any more.
+  const std::vector<Decision>* Find(std::string_view request_id) const;
+
+ private:
+  struct Entry {
+    std::string request_id;
+    std::vector<Decision> decisions;
+  };
+  std::deque<Entry> entries_;
+};
+
+}  // namespace limpetrudder::detail
+
+#endif  // QUERY_INTERNAL_DECISION_TRAIL_H_
--- /dev/null
+++ b/src/query/query_engine.h
@@ -0,0 +1,150 @@
+#ifndef QUERY_QUERY_ENGINE_H_
+#define QUERY_QUERY_ENGINE_H_
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "config/config_types.h"
+#include "query/internal/collection_runner.h"
+#include "query/query_types.h"
+#include "routing/home_plan.h"
+
+namespace limpetrudder {
+
+struct QueryEngineSettings {
+  std::string instance;
+  std::string data_centre;
+  std::uint64_t seed = 0;
+};
+
+// How a forwarded search ended at the other instance.
+enum class ForwardOutcome {
+  kAnswered,  // The owner has passed the answer on.
+  kNotRun,    // The other instance refused it.
+  kFailed,    // No reply; it may have run.
+};
+
+// What an operator sees of one server.
+struct ServerView {
+  std::string collection;
+  std::string server;
+  ServerStanding standing = ServerStanding::kServing;
+  std::uint32_t in_flight = 0;
+  std::uint32_t limit = 0;
+  std::vector<Snapshot> held;
+};
+
+// Answers searches over collections: decides where a search runs, which server
+// each sub-query goes to, what is hedged, retried, queued, refused and given
+// up, and which snapshot the answer is of.
+//
+// Holds no clock and does no I/O: events come in with the time, actions go out
+// through TakeActions(). The same events, times and seed give the same actions.
+// Not thread safe.
+class QueryEngine {
+ public:
+  explicit QueryEngine(QueryEngineSettings settings);
+
+  // A configuration came into force. Searches that run keep the shard map that
+  // they began with.
+  void OnConfig(std::shared_ptr<const ConfigInForce> config, Time now);
+
+  // The live instances of all data centres, this one included.
+  void OnFleet(std::vector<Instance> instances, Time now);
+
+  // A search from a caller, or, if `forwarded`, from another instance, which is
+  // never forwarded again. `query` must be new.
+  void OnSearch(QueryId query,
+                SearchRequest request,
+                bool forwarded,
+                Time now);
+
+  // The caller of `query` is gone: cancels its work; no reply follows.
+  void OnCallerLeft(QueryId query, Time now);
+
+  // Events that answer actions of the same name.
+  void OnAttempt(const AttemptResult& result, Time now);
+  void OnBatch(BatchId batch, std::vector<ShardAnswer> answers, Time now);
+  void OnForward(QueryId query, ForwardOutcome outcome, Time now);
+  void OnProbe(const std::string& collection,
+               const std::string& server,
+               const std::optional<ServerReport>& report,
+               Time now);
+
+  // Refuses new searches from now on; those that run are finished.
+  void Stop() { stopping_ = true; }
+  bool idle() const;
+
+  // Carries out what is due and returns when to be called next.
+  Time Turn(Time now);
+
+  // Returns and clears the actions due.
+  std::vector<QueryAction> TakeActions();
+
+  // Returns why each step of a recent request was taken, or null.
+  const std::vector<Decision>* Explain(std::string_view request_id) const {
+    return archive_.Find(request_id);
+  }
+
+  std::vector<ServerView> Servers() const;
+
+  // Returns the names of this data centre's homes of `collection`.
+  std::vector<std::string> HomesOf(std::string_view collection) const;
+
+ private:
+  using Runner =
+      std::variant<std::unique_ptr<detail::CollectionRunner<
+                       detail::AdaptiveStrategy>>,
+                   std::unique_ptr<detail::CollectionRunner<
+                       detail::BaselineStrategy>>>;
+
+  struct RunnerSlot {
+    Runner runner;
+    Strategy strategy = Strategy::kAdaptive;
+    bool retired = false;  // Finishes what runs, then goes.
+  };
+
+  struct Forward {
+    SearchRequest request;
+    std::uint32_t tries = 0;
+    bool may_have_run = false;
+  };
+
+  RunnerSlot* FindOrAddRunner(const std::string& collection);
+  RunnerSlot* RunnerOfId(std::uint64_t id);
+  Runner MakeRunner(std::shared_ptr<const Collection> collection,
+                    HomePlan plan);
+  void ReconfigureRunners();
+  HomePlan PlanFor(const Homes& homes) const;
+  bool IsHome(const Homes& homes) const;
+  Homes HomesIn(const Collection& collection,
+                const std::string& data_centre) const;
+  std::vector<detail::RemoteHomes> RemoteHomesOf(
+      const Collection& collection) const;
+  void ForwardNext(QueryId query, Time now);
+  void Refuse(QueryId query,
+              const SearchRequest& request,
+              ResultCode code,
+              Execution execution);
+
+  QueryEngineSettings settings_;
+  Random random_;
+  std::shared_ptr<const ConfigInForce> config_;
+  std::vector<Instance> instances_;
+  std::vector<QueryAction> actions_;
+  detail::TrailArchive archive_;
+  std::map<std::string, std::uint64_t> runner_numbers_;
+  std::map<std::uint64_t, RunnerSlot> runners_;  // By number.
+  std::map<QueryId, std::uint64_t> query_runner_;
+  std::map<QueryId, Forward> forwards_;
+  std::uint64_t next_runner_ = 1;
+  bool stopping_ = false;
+};
+
+}  // namespace limpetrudder
+
+#endif  // QUERY_QUERY_ENGINE_H_
--- /dev/null
+++ b/src/routing/tests/home_plan_test.cc
@@ -0,0 +1,66 @@
+#include <set>
+
+#include <doctest/doctest.h>
+
+#include "routing/home_plan.h"
+
+namespace limpetrudder {
+namespace {
+
+std::vector<std::string> Names(int count) {
+  std::vector<std::string> names;
+  for (int i = 0; i < count; ++i)
+    names.push_back("instance-" + std::to_string(i));
+  return names;
+}
+
+TEST_CASE("Homes keep within a server's connections by construction") {
+  for (std::uint32_t limit : {1U, 2U, 4U, 25U, 35U, 100U}) {
+    for (std::uint32_t instances : {1U, 3U, 8U, 64U, 186U, 2600U}) {
+      CAPTURE(limit);
+      CAPTURE(instances);
+      const HomePlan plan = PlanHomes(instances, limit);
+      CHECK(plan.homes >= 1);
+      CHECK(plan.homes <= instances);
+      CHECK(plan.connections_per_home >= 1);
+      CHECK(plan.homes * plan.connections_per_home <= limit);
+    }
+  }
+  SUBCASE("so that today every instance is a home") {
+    CHECK(PlanHomes(3, 25).homes == 3);
+    CHECK(PlanHomes(8, 25).homes == 8);
+  }
+  SUBCASE("and at the target eleven are") {
+    CHECK(PlanHomes(186, 25).homes == 11);
+    CHECK(PlanHomes(186, 25).connections_per_home == 2);
+  }
+}
+
+TEST_CASE("Rendezvous scores") {
+  const auto names = Names(186);
+  const auto before = HighestScores("shop-catalogue", names, 11);
+
+  SUBCASE("don't depend on the order of names") {
+    const std::vector<std::string> reversed(names.rbegin(), names.rend());
+    CHECK(HighestScores("shop-catalogue", reversed, 11) == before);
+  }
+  SUBCASE("move one home when one instance goes") {
+    auto fewer = names;
+    std::erase(fewer, before[3]);
+    const auto after = HighestScores("shop-catalogue", fewer, 11);
+    std::set<std::string> kept(before.begin(), before.end());
+    int moved = 0;
+    for (const auto& name : after)
+      moved += kept.count(name) ? 0 : 1;
+    CHECK(moved == 1);
+  }
+  SUBCASE("spread collections over instances") {
+    std::set<std::string> used;
+    for (int i = 0; i < 200; ++i)
+      used.insert(HighestScores("c" + std::to_string(i), names, 1)[0]);
+    CHECK(used.size() > 100);
+  }
+}
+
+}  // namespace
+}  // namespace limpetrudder
