--- /dev/null
+++ b/src/app/control_duty.cc
@@ -0,0 +1,520 @@
+#include "app/control_duty.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "app/internal/json_api.h"
+#include "framework/hash.h"
+#include "framework/logger.h"
+#include "query/answer_json.h"
+
+namespace limpetrudder {
+namespace {
+
+constexpr Duration kProbeTimeout = Millis(400);
+constexpr Duration kPullTimeout = Millis(800);
+constexpr Duration kPlatformRetry = Millis(500);
+constexpr Duration kListInterval = Seconds(1);
+constexpr Duration kCompareInterval = Seconds(1);
+constexpr Duration kListedLeavingMemory = Seconds(30);
+constexpr std::size_t kConfirmationsAfterFreeze = 3;
+
+}  // namespace
+
+ControlDuty::ControlDuty(const Settings& settings,
+                         std::uint64_t incarnation,
+                         FrontState* front,
+                         PlatformClient* platform,
+                         PeerClient* peers)
+    : settings_(settings),
+      front_(front),
+      platform_(platform),
+      peers_(peers),
+      membership_({settings.instance, settings.data_centre,
+                   settings.peer_address, incarnation,
+                   Hash64(settings.instance, incarnation)}),
+      distributor_(Hash64(settings.instance, incarnation + 1)) {
+  membership_.OnSeeds(settings.seeds, Time());
+}
+
+void ControlDuty::SetMailboxes(Mailbox* own,
+                               SearchDuty::Mailbox* search,
+                               WriteDuty::Mailbox* write) {
+  mailbox_ = own;
+  search_ = search;
+  write_ = write;
+}
+
+void ControlDuty::Handle(ControlEvent event, Time now) {
+  std::visit([&](auto& entry) { On(std::move(entry), now); }, event);
+  CarryOut(now);
+}
+
+Time ControlDuty::Turn(Time now) {
+  if (guard_.OnTurn(now)) {
+    Log(LogLevel::kWarning, "frozen", {{"revision", distributor_.revision()}});
+    std::size_t asked = 0;
+    for (const auto& address : membership_.LocalPeers()) {
+      if (asked++ == kConfirmationsAfterFreeze)
+        break;
+      Carry(AnnounceRevision{address, distributor_.revision()}, now);
+    }
+  }
+  Time next = membership_.Turn(now);
+  if (now >= next_compare_) {
+    next_compare_ = now + kCompareInterval;
+    distributor_.SetPeers(
+        {membership_.LocalPeers(), membership_.RemoteRelays()});
+    distributor_.Turn(now);
+    MergeLeaving(now);
+  }
+  FollowPlatform(now);
+  RunPublishJobs(now);
+  CarryOut(now);
+  next = std::min({next, next_compare_, next_watch_, next_list_});
+  for (const auto& [id, job] : jobs_)
+    next = std::min(next, job.call_at);
+  return std::max(next, now + Millis(1));
+}
+
+void ControlDuty::CarryOut(Time now) {
+  for (const auto& probe : membership_.TakeProbes())
+    SendMemberProbe(probe, now);
+  if (membership_.TakeChanged())
+    ShareFleet();
+  for (const auto& action : distributor_.TakeActions())
+    std::visit([&](const auto& entry) { Carry(entry, now); }, action);
+}
+
+void ControlDuty::ShareFleet() {
+  const std::vector<Instance> live = membership_.Live();
+  front_->metrics().Set("instances_live",
+                        static_cast<std::int64_t>(live.size()));
+  distributor_.SetPeers({membership_.LocalPeers(), membership_.RemoteRelays()});
+  search_->PostResult(FleetChanged{live});
+  write_->PostResult(FleetChanged{live});
+}
+
+PeerProbe ControlDuty::MakeProbe() const {
+  PeerProbe probe;
+  probe.revision = distributor_.revision();
+  if (!own_list_.empty() || membership_.IsRelay())
+    probe.leaving.emplace(own_list_.begin(), own_list_.end());
+  return probe;
+}
+
+void ControlDuty::SendMemberProbe(const SendProbe& action, Time now) {
+  PeerProbe probe = MakeProbe();
+  probe.message = action.message;
+  const bool indirect = !action.message.indirect_address.empty();
+  peers_->Probe(
+      action.address, probe, indirect ? kProbeTimeout * 2 : kProbeTimeout,
+      [mailbox = mailbox_, id = action.probe, address = action.address,
+       now](std::optional<PeerProbeReply> reply) {
+        mailbox->PostResult(
+            MemberProbeEnded{id, address, now, std::move(reply)});
+      });
+}
+
+void ControlDuty::On(PeerProbeCall event, Time now) {
+  const PeerProbe& probe = event.probe;
+  if (!probe.message.indirect_address.empty())
+    ProbeForPeer(probe, event.reply);
+  const ProbeAnswer answer = membership_.OnProbe(probe.message, now);
+  distributor_.OnPeerRevision(probe.message.from.peer_address, probe.revision,
+                              now);
+  if (probe.leaving) {
+    leaving_by_relay_[probe.message.from.name] = {
+        {probe.leaving->begin(), probe.leaving->end()}, now};
+    MergeLeaving(now);
+  }
+  if (probe.message.indirect_address.empty())
+    event.reply({answer, distributor_.revision(), true});
+}
+
+void ControlDuty::ProbeForPeer(const PeerProbe& probe,
+                               std::function<void(PeerProbeReply)> reply) {
+  PeerProbe passed = MakeProbe();
+  passed.message = probe.message;
+  passed.message.indirect_address.clear();
+  const std::uint64_t revision = distributor_.revision();
+  peers_->Probe(
+      probe.message.indirect_address, passed, kProbeTimeout,
+      [reply = std::move(reply), revision](std::optional<PeerProbeReply> far) {
+        if (far)
+          reply(std::move(*far));
+        else
+          reply({ProbeAnswer(), revision, false});
+      });
+}
+
+void ControlDuty::OnPeerRevision(const std::string& address,
+                                 std::uint64_t revision,
+                                 Time asked,
+                                 Time now) {
+  distributor_.OnPeerRevision(address, revision, now);
+  if (revision <= distributor_.revision())
+    front_->Confirm(asked);
+}
+
+void ControlDuty::On(const MemberProbeEnded& event, Time now) {
+  if (!event.reply || !event.reply->reached) {
+    if (event.probe != 0)
+      membership_.OnProbeFailed(event.probe, now);
+    return;
+  }
+  if (event.probe != 0)
+    membership_.OnProbeAnswer(event.probe, event.reply->answer, now);
+  OnPeerRevision(event.address, event.reply->revision, event.asked, now);
+}
+
+void ControlDuty::On(const PeerPullCall& event, Time) {
+  PeerPullReply reply;
+  reply.manifest = distributor_.manifest();
+  for (const auto& name : event.pull.parts) {
+    const auto found = distributor_.texts().find(name);
+    if (found != distributor_.texts().end())
+      reply.parts.insert(*found);
+  }
+  if (!event.pull.parts.empty())
+    reply.manifest.parts.clear();
+  event.reply(std::move(reply));
+}
+
+void ControlDuty::On(const PullEnded& event, Time now) {
+  if (!event.reply)
+    return distributor_.OnFetchFailed(event.address);
+  if (event.parts)
+    distributor_.OnParts(event.address, event.reply->parts, now);
+  else
+    distributor_.OnManifest(event.address, event.reply->manifest, now);
+}
+
+void ControlDuty::Carry(const FetchManifest& action, Time) {
+  peers_->Pull(
+      action.peer, {}, kPullTimeout,
+      [mailbox = mailbox_,
+       address = action.peer](std::optional<PeerPullReply> reply) {
+        mailbox->PostResult(PullEnded{address, false, std::move(reply)});
+      });
+}
+
+void ControlDuty::Carry(const FetchParts& action, Time) {
+  if (!action.peer.empty()) {
+    peers_->Pull(
+        action.peer, {action.names}, kPullTimeout,
+        [mailbox = mailbox_,
+         address = action.peer](std::optional<PeerPullReply> reply) {
+          mailbox->PostResult(PullEnded{address, true, std::move(reply)});
+        });
+    return;
+  }
+  platform_parts_.clear();
+  platform_parts_left_ = action.names.size();
+  for (const auto& name : action.names) {
+    platform_->Call(
+        {KvCallKind::kRead, PartKey(name), std::string(), 0},
+        [mailbox = mailbox_, name](KvReply reply) {
+          mailbox->PostResult(PlatformPartRead{name, std::move(reply)});
+        });
+  }
+}
+
+void ControlDuty::On(const PlatformPartRead& event, Time now) {
+  if (event.reply.status == KvStatus::kOk) {
+    platform_parts_[event.name] =
+        std::make_shared<const std::string>(event.reply.value);
+  }
+  if (platform_parts_left_ > 0 && --platform_parts_left_ == 0)
+    distributor_.OnParts(std::string(), platform_parts_, now);
+}
+
+void ControlDuty::Carry(const AnnounceRevision& action, Time now) {
+  PeerProbe probe = MakeProbe();
+  probe.message.from = membership_.Table().front();
+  probe.revision = action.revision;
+  peers_->Probe(action.peer, probe, kProbeTimeout,
+                [mailbox = mailbox_, address = action.peer,
+                 now](std::optional<PeerProbeReply> reply) {
+                  mailbox->PostResult(
+                      MemberProbeEnded{0, address, now, std::move(reply)});
+                });
+}
+
+void ControlDuty::Carry(const ApplyConfig& action, Time) {
+  front_->SetConfig(action.config);
+  front_->metrics().Set("revision",
+                        static_cast<std::int64_t>(action.config->revision));
+  Log(LogLevel::kInfo, "config_in_force",
+      {{"revision", action.config->revision}});
+  search_->PostResult(ConfigChanged{action.config});
+  write_->PostResult(ConfigChanged{action.config});
+}
+
+void ControlDuty::Carry(const ConfigAlarm& action, Time) {
+  front_->metrics().Add("alarms." + std::string(NameOf(action.code)));
+  Log(LogLevel::kError, "config_alarm",
+      {{"code", NumberOf(action.code)}, {"message", action.message}});
+}
+
+void ControlDuty::FollowPlatform(Time now) {
+  const bool relay = membership_.IsRelay();
+  // NOTE Only relays follow the platform; the others ask it while they have no
+  // configuration at all.
+  const bool wants_root = relay || distributor_.revision() == 0;
+  if (wants_root && !watching_ && now >= next_watch_) {
+    watching_ = true;
+    ReadRoot(/*watch=*/relay && root_kv_revision_ > 0);
+  }
+  if (now >= next_list_ && !listing_) {
+    next_list_ = now + kListInterval;
+    if (relay || membership_.Live().size() <= 1) {
+      listing_ = true;
+      platform_->List([mailbox = mailbox_](std::optional<PlatformList> list) {
+        mailbox->PostResult(PlatformListRead{std::move(list)});
+      });
+    }
+  }
+  if (!wants_root || watching_)
+    next_watch_ = now + Seconds(1);
+}
+
+void ControlDuty::ReadRoot(bool watch) {
+  const KvCall call{watch ? KvCallKind::kWatch : KvCallKind::kRead, kRootKey,
+                    std::string(), root_kv_revision_};
+  platform_->Call(call, [mailbox = mailbox_, watch](KvReply reply) {
+    mailbox->PostResult(RootRead{std::move(reply), watch});
+  });
+}
+
+void ControlDuty::On(const RootRead& event, Time now) {
+  watching_ = false;
+  next_watch_ = now;
+  const KvStatus status = event.reply.status;
+  platform_up_ =
+      status != KvStatus::kUnavailable && status != KvStatus::kUnknown;
+  front_->metrics().Set("platform_up", platform_up_ ? 1 : 0);
+  if (status == KvStatus::kUnchanged)
+    return;
+  if (status != KvStatus::kOk) {
+    next_watch_ = now + kPlatformRetry;
+    root_kv_revision_ = 0;
+    return;
+  }
+  root_kv_revision_ = event.reply.revision;
+  const auto root = limpetrudder::ReadRoot(event.reply.value);
+  if (!root) {
+    Carry(ConfigAlarm{root.error().code, root.error().message}, now);
+    next_watch_ = now + kPlatformRetry;
+    return;
+  }
+  distributor_.OnPlatformRoot(root.assume_value().manifest, now);
+}
+
+void ControlDuty::On(const PlatformListRead& event, Time now) {
+  listing_ = false;
+  if (!event.list)
+    return;
+  membership_.OnSeeds(event.list->instances, now);
+  const std::set<std::string> leaving(event.list->leaving_targets.begin(),
+                                      event.list->leaving_targets.end());
+  const bool changed = leaving != own_list_;
+  own_list_ = leaving;
+  leaving_by_relay_[settings_.instance] = {leaving, now};
+  MergeLeaving(now);
+  if (!changed)
+    return;
+  for (const auto& address : membership_.LocalPeers())
+    Carry(AnnounceRevision{address, distributor_.revision()}, now);
+}
+
+void ControlDuty::MergeLeaving(Time now) {
+  std::erase_if(leaving_by_relay_, [&](const auto& entry) {
+    return now - entry.second.heard >= kListedLeavingMemory;
+  });
+  std::set<std::string> all;
+  for (const auto& [relay, listed] : leaving_by_relay_)
+    all.insert(listed.servers.begin(), listed.servers.end());
+  if (all == listed_leaving_)
+    return;
+  listed_leaving_ = all;
+  search_->PostResult(LeavingChanged{std::move(all)});
+}
+
+void ControlDuty::On(SubmitChange event, Time now) {
+  const std::uint64_t id = next_id_++;
+  PublishJob job;
+  job.document = event.change.document;
+  job.respond = std::move(event.respond);
+  job.publisher = std::make_unique<Publisher>(std::move(event.change),
+                                              distributor_.revision());
+  job.call_at = now;
+  jobs_[id] = std::move(job);
+  RunPublishJobs(now);
+}
+
+void ControlDuty::RunPublishJobs(Time now) {
+  for (auto& [id, job] : jobs_) {
+    if (job.call_at > now)
+      continue;
+    job.call_at = kNever;
+    platform_->Call(*job.publisher->next_call(),
+                    [mailbox = mailbox_, id = id](KvReply reply) {
+                      mailbox->PostResult(PublishStep{id, std::move(reply)});
+                    });
+  }
+}
+
+void ControlDuty::On(const PublishStep& event, Time now) {
+  const auto found = jobs_.find(event.job);
+  if (found == jobs_.end())
+    return;
+  PublishJob& job = found->second;
+  const bool failed = event.reply.status == KvStatus::kUnavailable ||
+                      event.reply.status == KvStatus::kUnknown;
+  job.publisher->OnReply(event.reply);
+  if (job.publisher->outcome())
+    return FinishJob(event.job, now);
+  job.call_at = failed ? now + job.publisher->delay() : now;
+  RunPublishJobs(now);
+}
+
+void ControlDuty::FinishJob(std::uint64_t id, Time now) {
+  PublishJob job = std::move(jobs_.at(id));
+  jobs_.erase(id);
+  const PublishOutcome& outcome = *job.publisher->outcome();
+  Log(LogLevel::kInfo, "change_submitted",
+      {{"code", NumberOf(outcome.code)}, {"revision", outcome.revision}});
+  nlohmann::ordered_json body;
+  body["code"] = WriteCode(outcome.code);
+  body["revision"] = outcome.revision;
+  body["message"] = outcome.message;
+  if (!outcome.since_base.empty()) {
+    body["since_base"] = nlohmann::ordered_json::array();
+    for (const auto& record : outcome.since_base)
+      body["since_base"].push_back(
+          nlohmann::ordered_json(WriteChangeRecord(record)));
+  }
+  job.respond({HttpStatusOf(outcome.code), body.dump()});
+  if (outcome.code != ResultCode::kOk ||
+      outcome.revision <= distributor_.revision()) {
+    return;
+  }
+  // NOTE This instance holds all parts already, so it needn't wait for a relay.
+  Manifest manifest = job.document.manifest;
+  manifest.revision = outcome.revision;
+  distributor_.OnPlatformRoot(manifest, now);
+  distributor_.OnParts(std::string(), job.document.texts, now);
+}
+
+void ControlDuty::On(HistoryQuestion event, Time) {
+  platform_->Call(
+      {KvCallKind::kRead, kRootKey, std::string(), 0},
+      [mailbox = mailbox_, respond = std::move(event.respond)](KvReply reply) {
+        mailbox->PostResult(HistoryRead{std::move(reply), respond});
+      });
+}
+
+void ControlDuty::On(const HistoryRead& event, Time) {
+  if (event.reply.status == KvStatus::kNotFound)
+    return event.respond({kHttpOk, R"({"history":[]})"});
+  const auto root = limpetrudder::ReadRoot(event.reply.value);
+  if (event.reply.status != KvStatus::kOk || !root) {
+    return event.respond(Refusal(ResultCode::kPlatformUnavailable,
+                                 "the history can't be read now"));
+  }
+  nlohmann::ordered_json body;
+  body["history"] = nlohmann::ordered_json::array();
+  for (const auto& record : root.assume_value().history)
+    body["history"].push_back(
+        nlohmann::ordered_json(WriteChangeRecord(record)));
+  event.respond({kHttpOk, body.dump()});
+}
+
+void ControlDuty::On(const DocumentQuestion& event, Time) {
+  if (distributor_.revision() == 0) {
+    return event.respond(Refusal(ResultCode::kConfigNotAvailable,
+                                 "no configuration is in force yet"));
+  }
+  auto document = JoinParts(distributor_.manifest(), distributor_.texts());
+  if (!document) {
+    return event.respond(
+        Refusal(document.error().code, document.error().message));
+  }
+  nlohmann::ordered_json body;
+  body["revision"] = distributor_.revision();
+  body["document"] = document.assume_value();
+  event.respond({kHttpOk, body.dump()});
+}
+
+void ControlDuty::On(StatusQuestion event, Time) {
+  const std::uint64_t id = next_id_++;
+  StatusPoll& poll = polls_[id];
+  poll.respond = std::move(event.respond);
+  std::vector<std::string> addresses = membership_.LocalPeers();
+  for (auto& address : membership_.RemoteRelays())
+    addresses.push_back(std::move(address));
+  poll.left = addresses.size();
+  if (addresses.empty())
+    return AnswerStatus(id);
+  PeerProbe probe = MakeProbe();
+  probe.message.from = membership_.Table().front();
+  for (const auto& address : addresses) {
+    peers_->Probe(
+        address, probe, kProbeTimeout,
+        [mailbox = mailbox_, id, address](std::optional<PeerProbeReply> reply) {
+          mailbox->PostResult(StatusAnswer{id, address, std::move(reply)});
+        });
+  }
+}
+
+void ControlDuty::On(const StatusAnswer& event, Time) {
+  const auto found = polls_.find(event.question);
+  if (found == polls_.end())
+    return;
+  StatusPoll& poll = found->second;
+  poll.revisions[event.address] =
+      event.reply ? std::optional(event.reply->revision) : std::nullopt;
+  if (--poll.left == 0)
+    AnswerStatus(event.question);
+}
+
+void ControlDuty::AnswerStatus(std::uint64_t question) {
+  StatusPoll poll = std::move(polls_.at(question));
+  polls_.erase(question);
+  nlohmann::ordered_json body;
+  body["instance"] = settings_.instance;
+  body["data_centre"] = settings_.data_centre;
+  body["revision"] = distributor_.revision();
+  body["relay"] = membership_.IsRelay();
+  body["platform_up"] = platform_up_;
+  body["stopping"] = front_->stopping();
+  body["instances"] = nlohmann::ordered_json::array();
+  for (const auto& member : membership_.Table()) {
+    nlohmann::ordered_json entry;
+    entry["name"] = member.name;
+    entry["data_centre"] = member.data_centre;
+    entry["state"] = NameOf(kMemberStateNames, member.state);
+    const auto known = poll.revisions.find(member.peer_address);
+    if (member.name == settings_.instance) {
+      entry["revision"] = distributor_.revision();
+    } else if (known != poll.revisions.end() && known->second) {
+      entry["revision"] = *known->second;
+      entry["behind"] = *known->second < distributor_.revision();
+    } else if (known != poll.revisions.end()) {
+      entry["revision"] = nullptr;
+    }
+    body["instances"].push_back(std::move(entry));
+  }
+  poll.respond({kHttpOk, body.dump()});
+}
+
+void ControlDuty::On(const LeaveFleet&, Time now) {
+  if (left_)
+    return;
+  left_ = true;
+  for (const auto& probe : membership_.Leave(now))
+    SendMemberProbe(probe, now);
+}
+
+}  // namespace limpetrudder
--- /dev/null
+++ b/src/app/front_state.h
@@ -0,0 +1,50 @@
+#ifndef APP_FRONT_STATE_H_
+#define APP_FRONT_STATE_H_
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "config/config_types.h"
+#include "framework/metrics.h"
+#include "framework/time.h"
+
+namespace limpetrudder {
+
+// What the threads of one instance share beside their rings. All members are
+// thread safe.
+class FrontState {
+ public:
+  void SetConfig(std::shared_ptr<const ConfigInForce> config) {
+    std::atomic_store(&config_, std::move(config));
+  }
+  // Returns the configuration in force, or null before the first.
+  std::shared_ptr<const ConfigInForce> config() const {
+    return std::atomic_load(&config_);
+  }
+  std::uint64_t revision() const {
+    const auto current = config();
+    return current ? current->revision : 0;
+  }
+
+  void BeginStop() { stopping_ = true; }
+  bool stopping() const { return stopping_; }
+
+  // When a question was asked to which a peer answered that the revision in
+  // force here is the latest that it knows.
+  void Confirm(Time asked) { confirmed_us_ = asked.time_since_epoch().count(); }
+  Time confirmed() const { return Time(Duration(confirmed_us_.load())); }
+
+  Metrics& metrics() { return metrics_; }
+
+ private:
+  std::shared_ptr<const ConfigInForce> config_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<std::int64_t> confirmed_us_{0};
+  Metrics metrics_;
+};
+
+}  // namespace limpetrudder
+
+#endif  // APP_FRONT_STATE_H_
--- /dev/null
+++ b/src/app/internal/commands.cc
@@ -0,0 +1,224 @@
+#include "app/internal/commands.h"
+
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <random>
+
+#include <pthread.h>
+
+#include "app/internal/http_call.h"
+#include "app/operator_api.h"
+#include "app/server_app.h"
+#include "app/settings.h"
+#include "config/document.h"
+#include "framework/json_schema.h"
+#include "framework/logger.h"
+
+namespace limpetrudder {
+namespace {
+
+constexpr int kHttpOkStatus = 200;
+
+// The address of a command is an instance's caller or operator address; a token
+// on the command line is seen by others on the machine, so a file is better.
+std::string TokenOf(const CommandOptions& options) {
+  if (options.token_file.empty())
+    return options.token;
+  std::ifstream file(options.token_file);
+  std::string token;
+  std::getline(file, token);
+  return token;
+}
+
+void PrintFaults(const std::vector<Error>& faults) {
+  for (const auto& fault : faults) {
+    std::cerr << "error " << NumberOf(fault.code) << " " << NameOf(fault.code)
+              << " at " << (fault.pointer.empty() ? "/" : fault.pointer) << ": "
+              << fault.message << "\n";
+  }
+}
+
+ExitCode UsageError(const std::string& message) {
+  PrintFaults({{ResultCode::kUsage, "", message}});
+  return ExitCode::kUsage;
+}
+
+HttpResponse Call(const CommandOptions& options,
+                  const std::string& method,
+                  const std::string& path,
+                  const std::string& body = std::string()) {
+  HttpCall call;
+  call.method = method;
+  call.address = options.address;
+  call.path = path;
+  call.token = TokenOf(options);
+  call.body = body;
+  return CallAndWait(call);
+}
+
+// Prints the answer's body, or why there is none.
+ExitCode PrintAnswer(const HttpResponse& response) {
+  if (response.status != TransferStatus::kAnswered) {
+    PrintFaults(
+        {{ResultCode::kTransportFailed, "", "the instance doesn't answer"}});
+    return ExitCode::kFailed;
+  }
+  std::cout << response.body << std::endl;
+  return response.http_status == kHttpOkStatus ? ExitCode::kDone
+                                               : ExitCode::kFailed;
+}
+
+std::string RandomChangeId() {
+  std::random_device device;
+  char text[20];
+  std::snprintf(text, sizeof(text), "%08x%08x", device(), device());
+  return text;
+}
+
+void PrintStatus(const Json& status) {
+  std::printf("instance    %s (%s)%s\n", status.value("instance", "").c_str(),
+              status.value("data_centre", "").c_str(),
+              status.value("relay", false) ? ", relay" : "");
+  std::printf("revision    %llu\n", status.value("revision", 0ULL));
+  std::printf("platform    %s\n\n", status.value("platform_up", false)
+                                        ? "answers"
+                                        : "not heard from");
+  std::printf("%-24s %-16s %-8s %s\n", "INSTANCE", "DATA CENTRE", "STATE",
+              "REVISION");
+  for (const auto& entry : status.at("instances")) {
+    std::string revision = "-";
+    if (entry.contains("revision")) {
+      revision =
+          entry["revision"].is_null() ? "no answer" : entry["revision"].dump();
+    }
+    if (entry.value("behind", false))
+      revision += " (behind)";
+    std::printf("%-24s %-16s %-8s %s\n", entry.value("name", "").c_str(),
+                entry.value("data_centre", "").c_str(),
+                entry.value("state", "").c_str(), revision.c_str());
+  }
+}
+
+}  // namespace
+
+ExitCode Serve(const CommandOptions& options) {
+  const auto json = ReadJsonFile(options.settings);
+  if (!json) {
+    PrintFaults({json.error()});
+    return ExitCode::kSettingsFaulty;
+  }
+  const auto settings = ReadSettings(json.assume_value());
+  if (!settings) {
+    PrintFaults(settings.error());
+    return ExitCode::kSettingsFaulty;
+  }
+  // NOTE Signals are taken by this thread alone; the others inherit the mask.
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+
+  StartLogging({settings.assume_value().instance,
+                settings.assume_value().data_centre,
+                settings.assume_value().log_level});
+  ServerApp app(settings.assume_value());
+  if (const auto started = app.Start(); !started) {
+    PrintFaults({started.error()});
+    return ExitCode::kFailed;
+  }
+  int received = 0;
+  sigwait(&signals, &received);
+  const bool clean = app.Stop([&signals] {
+    const timespec no_wait{};
+    return sigtimedwait(&signals, nullptr, &no_wait) > 0;
+  });
+  return clean ? ExitCode::kDone : ExitCode::kRequestsCut;
+}
+
+ExitCode Query(const CommandOptions& options) {
+  if (options.address.empty() || options.collection.empty())
+    return UsageError("query needs --address and --collection");
+  Json body = {{"collection", options.collection}, {"terms", options.terms}};
+  if (options.deadline_ms != 0)
+    body["deadline_ms"] = options.deadline_ms;
+  if (options.limit != 0)
+    body["limit"] = options.limit;
+  if (options.explain)
+    body["explain"] = true;
+  return PrintAnswer(Call(options, "POST", "/v1/search", body.dump()));
+}
+
+ExitCode ConfigCheck(const CommandOptions& options) {
+  if (options.file.empty())
+    return UsageError("config check needs --file");
+  const auto json = ReadJsonFile(options.file);
+  const auto faults = json ? CheckDocument(json.assume_value())
+                           : std::vector<Error>{json.error()};
+  if (options.json)
+    std::cout << WriteFaults(faults) << std::endl;
+  else
+    PrintFaults(faults);
+  if (!faults.empty())
+    return ExitCode::kFailed;
+  if (!options.json)
+    std::cout << "the document is sound" << std::endl;
+  return ExitCode::kDone;
+}
+
+ExitCode ConfigSubmit(const CommandOptions& options) {
+  if (options.address.empty() || options.file.empty() ||
+      options.author.empty() || options.reason.empty() ||
+      options.base_revision < 0) {
+    return UsageError(
+        "config submit needs --address, --file, --author, --reason and "
+        "--base-revision");
+  }
+  const auto json = ReadJsonFile(options.file);
+  if (!json) {
+    PrintFaults({json.error()});
+    return ExitCode::kFailed;
+  }
+  const std::string change_id =
+      options.change_id.empty() ? RandomChangeId() : options.change_id;
+  std::cerr << "change id " << change_id << std::endl;
+  const Json body = {{"change_id", change_id},
+                     {"base_revision", options.base_revision},
+                     {"author", options.author},
+                     {"reason", options.reason},
+                     {"document", json.assume_value()}};
+  return PrintAnswer(Call(options, "POST", "/v1/config", body.dump()));
+}
+
+ExitCode ConfigShow(const CommandOptions& options) {
+  return PrintAnswer(Call(options, "GET", "/v1/config"));
+}
+
+ExitCode ConfigHistory(const CommandOptions& options) {
+  return PrintAnswer(Call(options, "GET", "/v1/config/history"));
+}
+
+ExitCode Status(const CommandOptions& options) {
+  const HttpResponse response = Call(options, "GET", "/v1/status");
+  if (options.json || response.status != TransferStatus::kAnswered ||
+      response.http_status != kHttpOkStatus) {
+    return PrintAnswer(response);
+  }
+  const auto json = ParseJson(response.body);
+  if (!json)
+    return PrintAnswer(response);
+  PrintStatus(json.assume_value());
+  return ExitCode::kDone;
+}
+
+ExitCode Explain(const CommandOptions& options) {
+  if (options.arguments.empty())
+    return UsageError("explain needs a request id");
+  return PrintAnswer(Call(
+      options, "GET", "/v1/explain?request_id=" + options.arguments.front()));
+}
+
+}  // namespace limpetrudder
--- /dev/null
+++ b/src/app/internal/http_call.cc
@@ -0,0 +1,30 @@
+#include "app/internal/http_call.h"
+
+#include <future>
+
+namespace limpetrudder {
+
+HttpResponse CallAndWait(const HttpCall& call) {
+  HttpClient client(1);
+  client.Start();
+  HttpRequest request;
+  request.tag = 1;
+  request.method = call.method;
+  request.address = call.address;
+  request.path = call.path;
+  request.body = call.body;
+  request.timeout = call.timeout;
+  // NOTE A command is run once; libcurl must not send it again by itself.
+  request.own_connection = true;
+  if (!call.token.empty())
+    request.headers.push_back("Authorization: Bearer " + call.token);
+  std::promise<HttpResponse> answer;
+  client.Send(std::move(request), [&](HttpResponse response) {
+    answer.set_value(std::move(response));
+  });
+  HttpResponse response = answer.get_future().get();
+  client.Stop();
+  return response;
+}
+
+}  // namespace limpetrudder
--- /dev/null
+++ b/src/app/operator_api.cc
@@ -0,0 +1,132 @@
+#include "app/operator_api.h"
+
+#include <chrono>
+#include <ctime>
+#include <utility>
+
+#include "app/internal/json_api.h"
+#include "config/document.h"
+#include "framework/hash.h"
+#include "framework/json_schema.h"
+#include "query/answer_json.h"
+
+namespace limpetrudder {
+namespace {
+
+constexpr std::string_view kSubmitSchema = R"json({
+  "type": "object",
+  "additionalProperties": false,
+  "required": ["change_id", "base_revision", "author", "reason", "document"],
+  "properties": {
+    "change_id": {"type": "string", "minLength": 1, "maxLength": 64},
+    "base_revision": {"type": "integer", "minimum": 0},
+    "author": {"type": "string", "minLength": 1, "maxLength": 64},
+    "reason": {"type": "string", "minLength": 1, "maxLength": 200},
+    "document": {"type": "object"}
+  }
+})json";
+
+std::string UtcNow() {
+  const std::time_t now =
+      std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
+  std::tm parts{};
+  gmtime_r(&now, &parts);
+  char text[32];
+  std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%SZ", &parts);
+  return text;
+}
+
+}  // namespace
+
+std::string WriteFaults(const std::vector<Error>& faults) {
+  nlohmann::ordered_json body;
+  body["code"] =
+      WriteCode(faults.empty() ? ResultCode::kOk : faults.front().code);
+  body["accepted"] = faults.empty();
+  body["faults"] = nlohmann::ordered_json::array();
+  for (const auto& fault : faults) {
+    body["faults"].push_back({{"code", WriteCode(fault.code)},
+                              {"pointer", fault.pointer},
+                              {"message", fault.message}});
+  }
+  return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+OperatorApi::OperatorApi(std::string token_sha256,
+                         FrontState* front,
+                         SearchDuty::Mailbox* search,
+                         ControlDuty::Mailbox* control)
+    : token_sha256_(std::move(token_sha256)),
+      front_(front),
+      search_(search),
+      control_(control) {}
+
+template <typename Event, typename Mailbox>
+void OperatorApi::Ask(Mailbox* mailbox, Event event) {
+  const Responder respond = event.respond;
+  if (!mailbox->Post(std::move(event)))
+    respond(Refusal(ResultCode::kRingFull, "too many requests wait"));
+}
+
+void OperatorApi::OnRequest(ServerRequest request, Responder respond) {
+  if (Sha256Hex(request.bearer_token) != token_sha256_) {
+    return respond(
+        Refusal(ResultCode::kNotAuthorised, "the bearer token isn't known"));
+  }
+  const std::string route = request.method + " " + request.path;
+  if (route == "GET /v1/status")
+    return Ask(control_, StatusQuestion{std::move(respond)});
+  if (route == "GET /v1/servers")
+    return Ask(search_, ServersQuestion{std::move(respond)});
+  if (route == "GET /v1/metrics")
+    return respond({kHttpOk, front_->metrics().Snapshot().dump()});
+  if (route == "GET /v1/explain") {
+    return Ask(search_, ExplainQuestion{QueryValue(request.query, "request_id"),
+                                        std::move(respond)});
+  }
+  if (route == "GET /v1/config")
+    return Ask(control_, DocumentQuestion{std::move(respond)});
+  if (route == "GET /v1/config/history")
+    return Ask(control_, HistoryQuestion{std::move(respond)});
+  if (route == "POST /v1/config")
+    return OnSubmit(request, std::move(respond));
+  if (route == "POST /v1/config/check")
+    return OnCheck(request, respond);
+  respond(Refusal(ResultCode::kNoSuchPath, "no such path or method"));
+}
+
+void OperatorApi::OnCheck(const ServerRequest& request,
+                          const Responder& respond) {
+  const auto json = ParseJson(request.body);
+  if (!json)
+    return respond({kHttpBadRequest, WriteFaults({json.error()})});
+  const auto faults = CheckDocument(json.assume_value());
+  respond({faults.empty() ? kHttpOk : kHttpBadRequest, WriteFaults(faults)});
+}
+
+void OperatorApi::OnSubmit(const ServerRequest& request, Responder respond) {
+  static const JsonSchema schema(kSubmitSchema);
+  const auto json = ParseJson(request.body);
+  if (!json)
+    return respond({kHttpBadRequest, WriteFaults({json.error()})});
+  const Json& body = json.assume_value();
+  auto faults = schema.Check(body);
+  if (faults.empty())
+    faults = CheckDocument(body.at("document"));
+  if (!faults.empty())
+    return respond({kHttpBadRequest, WriteFaults(faults)});
+  auto split = SplitIntoParts(body.at("document"));
+  if (!split)
+    return respond({kHttpBadRequest, WriteFaults({split.error()})});
+  SubmitChange event;
+  event.change.change_id = body.at("change_id");
+  event.change.base_revision = body.at("base_revision");
+  event.change.author = body.at("author");
+  event.change.reason = body.at("reason");
+  event.change.submitted_at = UtcNow();
+  event.change.document = std::move(split.assume_value());
+  event.respond = std::move(respond);
+  Ask(control_, std::move(event));
+}
+
+}  // namespace limpetrudder
--- /dev/null
+++ b/src/app/operator_api.h
@@ -0,0 +1,44 @@
+#ifndef APP_OPERATOR_API_H_
+#define APP_OPERATOR_API_H_
+
+#include <string>
+
+#include "app/control_duty.h"
+#include "app/front_state.h"
+#include "app/search_duty.h"
+#include "net/http_server.h"
+
+namespace limpetrudder {
+
+// Reads operators' requests: configuration, status, metrics and explanations.
+// Runs on the operators' HTTP thread.
+class OperatorApi {
+ public:
+  // All pointers must outlive this object.
+  OperatorApi(std::string token_sha256,
+              FrontState* front,
+              SearchDuty::Mailbox* search,
+              ControlDuty::Mailbox* control);
+
+  // Not thread safe.
+  void OnRequest(ServerRequest request, Responder respond);
+
+ private:
+  void OnSubmit(const ServerRequest& request, Responder respond);
+  void OnCheck(const ServerRequest& request, const Responder& respond);
+
+  template <typename Event, typename Mailbox>
+  void Ask(Mailbox* mailbox, Event event);
+
+  const std::string token_sha256_;
+  FrontState* const front_;
+  SearchDuty::Mailbox* const search_;
+  ControlDuty::Mailbox* const control_;
+};
+
+// Returns the faults of a document as the body of an answer. Thread safe.
+std::string WriteFaults(const std::vector<Error>& faults);
+
+}  // namespace limpetrudder
+
+#endif  // APP_OPERATOR_API_H_
--- /dev/null
+++ b/src/app/search_duty.cc
@@ -0,0 +1,286 @@
+#include "app/search_duty.h"
+
+#include <utility>
+
+#include "app/internal/json_api.h"
+#include "framework/logger.h"
+#include "query/answer_json.h"
+
+namespace limpetrudder {
+
+SearchDuty::SearchDuty(QueryEngineSettings settings,
+                       FrontState* front,
+                       TargetClient* targets,
+                       PeerClient* peers)
+    : engine_(settings),
+      data_centre_(settings.data_centre),
+      front_(front),
+      targets_(targets),
+      peers_(peers) {}
+
+void SearchDuty::Handle(SearchEvent event, Time now) {
+  std::visit([&](auto& entry) { On(std::move(entry), now); }, event);
+  CarryOut(now);
+}
+
+Time SearchDuty::Turn(Time now) {
+  guard_.OnTurn(now);
+  Time next = engine_.Turn(now);
+  CarryOut(now);
+  return std::min(next, now + RevisionGuard::kLongestTurn);
+}
+
+bool SearchDuty::RefusesWork(Time now) {
+  guard_.OnTurn(now);
+  guard_.OnConfirmed(front_->confirmed());
+  return !guard_.MayTakeWork(now);
+}
+
+void SearchDuty::Begin(Waiter waiter,
+                       SearchRequest request,
+                       bool forwarded,
+                       Time now) {
+  const QueryId query = next_query_++;
+  waiter.request_id = request.request_id;
+  waiter.received = now;
+  if (waiter.connection != 0)
+    by_connection_.emplace(waiter.connection, query);
+  waiters_.emplace(query, std::move(waiter));
+  if (RefusesWork(now)) {
+    SearchAnswer answer;
+    answer.request_id = request.request_id;
+    answer.code = ResultCode::kCheckingRevision;
+    answer.retry_after = RevisionGuard::kLongestCheck;
+    return Carry(ReplySearch{query, std::move(answer)}, now);
+  }
+  engine_.OnSearch(query, std::move(request), forwarded, now);
+}
+
+void SearchDuty::On(CallerSearch event, Time now) {
+  Waiter waiter;
+  waiter.connection = event.connection;
+  waiter.respond = std::move(event.respond);
+  Begin(std::move(waiter), std::move(event.request), false, now);
+}
+
+void SearchDuty::On(PeerSearchCall event, Time now) {
+  Waiter waiter;
+  waiter.reply_search = std::move(event.reply);
+  Begin(std::move(waiter), std::move(event.search.request), true, now);
+}
+
+void SearchDuty::On(PeerShardsCall event, Time now) {
+  Waiter waiter;
+  waiter.reply_shards = std::move(event.reply);
+  Begin(std::move(waiter), std::move(event.search.request), true, now);
+}
+
+void SearchDuty::On(const CallerClosed& event, Time now) {
+  const auto range = by_connection_.equal_range(event.connection);
+  std::vector<QueryId> left;
+  for (auto entry = range.first; entry != range.second; ++entry)
+    left.push_back(entry->second);
+  for (QueryId query : left) {
+    front_->metrics().Add("callers_left");
+    engine_.OnCallerLeft(query, now);
+    Forget(query);
+  }
+}
+
+void SearchDuty::On(const AttemptResult& event, Time now) {
+  if (event.code == ResultCode::kAnswerCrossed)
+    front_->metrics().Add("answers_crossed");
+  engine_.OnAttempt(event, now);
+}
+
+void SearchDuty::On(BatchEnded event, Time now) {
+  engine_.OnBatch(event.batch,
+                  event.reply ? std::move(event.reply->answers)
+                              : std::vector<ShardAnswer>(),
+                  now);
+}
+
+void SearchDuty::On(ForwardEnded event, Time now) {
+  const auto waiter = waiters_.find(event.query);
+  if (waiter == waiters_.end())
+    return engine_.OnForward(event.query, ForwardOutcome::kAnswered, now);
+  if (!event.reply)
+    return engine_.OnForward(event.query, ForwardOutcome::kFailed, now);
+  const bool try_next =
+      event.reply->not_run && event.reply->http_status == kHttpUnavailable;
+  if (try_next)
+    return engine_.OnForward(event.query, ForwardOutcome::kNotRun, now);
+  engine_.OnForward(event.query, ForwardOutcome::kAnswered, now);
+  front_->metrics().Record("search_forwarded", now - waiter->second.received);
+  waiter->second.respond(
+      {event.reply->http_status, std::move(event.reply->body)});
+  Forget(event.query);
+}
+
+void SearchDuty::On(const ProbeEnded& event, Time now) {
+  engine_.OnProbe(event.probe.collection, event.probe.server, event.report,
+                  now);
+}
+
+void SearchDuty::On(const ConfigChanged& event, Time now) {
+  engine_.OnConfig(event.config, now);
+  targets_->SetConnectionLimit(engine_.ConnectionLimit());
+}
+
+void SearchDuty::On(const FleetChanged& event, Time now) {
+  addresses_.clear();
+  for (const auto& instance : event.instances)
+    addresses_[instance.name] = instance.peer_address;
+  engine_.OnFleet(event.instances, now);
+  targets_->SetConnectionLimit(engine_.ConnectionLimit());
+}
+
+void SearchDuty::On(const LeavingChanged& event, Time now) {
+  engine_.OnListedLeaving(event.servers, now);
+}
+
+void SearchDuty::On(const ExplainQuestion& event, Time) {
+  const auto* decisions = engine_.Explain(event.request_id);
+  if (decisions == nullptr) {
+    return event.respond(
+        {kHttpNotFound,
+         RefusalBody(ResultCode::kRequestNotKept,
+                     "no decisions are kept for this request here")});
+  }
+  const nlohmann::ordered_json body = {
+      {"request_id", event.request_id},
+      {"decisions", WriteDecisions(*decisions)}};
+  event.respond({kHttpOk, body.dump()});
+}
+
+void SearchDuty::On(const ServersQuestion& event, Time) {
+  auto list = nlohmann::ordered_json::array();
+  for (const auto& view : engine_.Servers()) {
+    auto held = nlohmann::ordered_json::array();
+    for (const auto& snapshot : view.held)
+      held.push_back({snapshot.map_epoch, snapshot.version});
+    list.push_back({{"collection", view.collection},
+                    {"server", view.server},
+                    {"standing", NameOf(kServerStandingNames, view.standing)},
+                    {"in_flight", view.in_flight},
+                    {"limit", view.limit},
+                    {"held", std::move(held)}});
+  }
+  const nlohmann::ordered_json body = {{"servers", std::move(list)}};
+  event.respond({kHttpOk, body.dump()});
+}
+
+void SearchDuty::On(const StopSearches& event, Time) {
+  engine_.Stop();
+  std::vector<std::string> running;
+  for (const auto& [query, waiter] : waiters_)
+    running.push_back(waiter.request_id);
+  event.report(std::move(running));
+}
+
+void SearchDuty::CarryOut(Time now) {
+  for (auto& action : engine_.TakeActions())
+    std::visit([&](auto& entry) { Carry(std::move(entry), now); }, action);
+}
+
+void SearchDuty::Carry(const SendAttempt& action, Time now) {
+  front_->metrics().Add("sub_queries");
+  targets_->Send(action, now);
+}
+
+void SearchDuty::Carry(const CancelAttempt& action, Time) {
+  front_->metrics().Add(action.close_connection ? "connections_given_up"
+                                                : "attempts_cancelled");
+  targets_->Cancel(action);
+}
+
+void SearchDuty::Carry(const ProbeServer& action, Time) {
+  targets_->Probe(action);
+}
+
+std::string SearchDuty::AddressOf(const std::string& instance) const {
+  const auto found = addresses_.find(instance);
+  return found == addresses_.end() ? std::string() : found->second;
+}
+
+void SearchDuty::Carry(AskDataCentre action, Time now) {
+  front_->metrics().Add("batches_sent");
+  const BatchId batch = action.batch;
+  peers_->Shards(
+      AddressOf(action.peer), {std::move(action.request), front_->revision()},
+      now, [mailbox = mailbox_, batch](std::optional<PeerShardsReply> reply) {
+        mailbox->PostResult(BatchEnded{batch, std::move(reply)});
+      });
+}
+
+void SearchDuty::Carry(ForwardSearch action, Time now) {
+  front_->metrics().Add("searches_forwarded");
+  const QueryId query = action.query;
+  peers_->Search(
+      AddressOf(action.peer), {std::move(action.request), front_->revision()},
+      now, [mailbox = mailbox_, query](std::optional<PeerSearchReply> reply) {
+        mailbox->PostResult(ForwardEnded{query, std::move(reply)});
+      });
+}
+
+void SearchDuty::Count(const SearchAnswer& answer,
+                       const Waiter& waiter,
+                       Time now) {
+  Metrics& metrics = front_->metrics();
+  if (waiter.reply_shards) {
+    metrics.Add("batches_answered");
+    return;
+  }
+  metrics.Add("searches");
+  metrics.Add("searches." + std::string(NameOf(answer.code)));
+  metrics.Add("extra_sub_queries", answer.extra_sub_queries);
+  metrics.Add("shards_asked", answer.coverage.shards_total);
+  metrics.Add("shards_answered", answer.coverage.shards_answered);
+  metrics.Record(
+      answer.execution == Execution::kNotRun ? "search_refused" : "search",
+      now - waiter.received);
+  Log(LogLevel::kDebug, "search",
+      {{"request_id", answer.request_id},
+       {"code", NumberOf(answer.code)},
+       {"shards_total", answer.coverage.shards_total},
+       {"shards_answered", answer.coverage.shards_answered},
+       {"took_ms", ToMillis(now - waiter.received)}});
+}
+
+void SearchDuty::Carry(ReplySearch action, Time now) {
+  const auto found = waiters_.find(action.query);
+  if (found == waiters_.end())
+    return;
+  const Waiter& waiter = found->second;
+  SearchAnswer& answer = action.answer;
+  Count(answer, waiter, now);
+  if (waiter.reply_shards) {
+    waiter.reply_shards({std::move(answer.shard_answers), front_->revision()});
+  } else {
+    ServerResponse response = ToResponse(answer);
+    if (waiter.respond) {
+      waiter.respond(std::move(response));
+    } else {
+      waiter.reply_search({response.status, std::move(response.body),
+                           answer.execution == Execution::kNotRun,
+                           front_->revision()});
+    }
+  }
+  Forget(action.query);
+}
+
+void SearchDuty::Forget(QueryId query) {
+  const auto found = waiters_.find(query);
+  if (found == waiters_.end())
+    return;
+  const auto range = by_connection_.equal_range(found->second.connection);
+  for (auto entry = range.first; entry != range.second; ++entry) {
+    if (entry->second == query) {
+      by_connection_.erase(entry);
+      break;
+    }
+  }
+  waiters_.erase(found);
+}
+
+}  // namespace limpetrudder
--- /dev/null
+++ b/src/app/tests/settings_test.cc
@@ -0,0 +1,58 @@
+#include <doctest/doctest.h>
+
+#include "app/settings.h"
+
+namespace limpetrudder {
+namespace {
+
+nlohmann::json Sound() {
+  return {{"instance", "kingston-1"},
+          {"data_centre", "kingston"},
+          {"caller_address", "127.0.0.1:8001"},
+          {"operator_address", "127.0.0.1:8002"},
+          {"peer_address", "127.0.0.1:8003"},
+          {"platform_address", "127.0.0.1:8500"},
+          {"operator_token_sha256", std::string(64, 'a')}};
+}
+
+Error OnlyFault(const nlohmann::json& json) {
+  const auto settings = ReadSettings(json);
+  REQUIRE_FALSE(settings);
+  REQUIRE(settings.error().size() == 1);
+  return settings.error().front();
+}
+
+TEST_CASE("An instance is started with settings") {
+  nlohmann::json json = Sound();
+  SUBCASE("that are sound") {
+    const auto settings = ReadSettings(json);
+    REQUIRE(settings);
+    CHECK(SplitAddress(settings.assume_value().caller_address).port == 8001);
+    CHECK(settings.assume_value().stop_bound == Seconds(10));
+  }
+  SUBCASE("with a host name in place of an IP number") {
+    json["peer_address"] = "localhost:8003";
+    CHECK(OnlyFault(json).pointer == "/peer_address");
+  }
+  SUBCASE("with a port that doesn't exist") {
+    json["peer_address"] = "127.0.0.1:70000";
+    CHECK(OnlyFault(json).code == ResultCode::kFieldOutOfRange);
+  }
+  SUBCASE("with a bound beyond its range, which is named") {
+    json["lame_duck_ms"] = 60001;
+    const Error fault = OnlyFault(json);
+    CHECK(fault.pointer == "/lame_duck_ms");
+    CHECK(fault.message.find("60000") != std::string::npos);
+  }
+  SUBCASE("with a field that doesn't exist") {
+    json["colour"] = "red";
+    CHECK(OnlyFault(json).code == ResultCode::kFieldUnknown);
+  }
+  SUBCASE("without a name") {
+    json.erase("instance");
+    CHECK(OnlyFault(json).code == ResultCode::kFieldMissing);
+  }
+}
+
+}  // namespace
+}  // namespace limpetrudder
--- a/src/config/distributor.h
+++ b/src/config/distributor.h
@@ -62,7 +62,8 @@
   void OnPlatformRoot(const Manifest& manifest, Time now);
 
   // A message from `peer` carried the revision that is in force there.
-  void OnPeerRevision(const std::string& peer, std::uint64_t revision,
+  void OnPeerRevision(const std::string& peer,
+                      std::uint64_t revision,
                       Time now);
 
   // `peer` sent its manifest, as asked by FetchManifest.
--- a/src/config/internal/document_codec.cc
+++ b/src/config/internal/document_codec.cc
@@ -37,9 +37,9 @@
 Caller ReadCaller(const nlohmann::json& json) {
   Caller caller;
   caller.name = json.at("name");
-  caller.caller_class = ValueOf(kCallerClassNames,
-                                json.at("class").get<std::string>())
-                            .value_or(CallerClass::kReport);
+  caller.caller_class =
+      ValueOf(kCallerClassNames, json.at("class").get<std::string>())
+          .value_or(CallerClass::kReport);
   caller.token_sha256 = json.at("token_sha256");
   caller.collections = json.at("collections").get<std::vector<std::string>>();
   caller.may_write = json.value("may_write", false);
--- a/src/config/publisher.cc
+++ b/src/config/publisher.cc
@@ -68,15 +68,15 @@
     if (record.change_id != change_.change_id)
       continue;
     if (record.digest != digest) {
-      return Finish({ResultCode::kChangeReused, record.revision,
+      return Finish({ResultCode::kChangeReused,
+                     record.revision,
                      "change id \"" + change_.change_id +
                          "\" was used before for another document",
                      {}});
     }
     return Finish({ResultCode::kOk, record.revision, "accepted", {}});
   }
-  const std::uint64_t current =
-      std::max(root_.manifest.revision, in_force_);
+  const std::uint64_t current = std::max(root_.manifest.revision, in_force_);
   if (current != change_.base_revision) {
     return Finish({ResultCode::kConfigConflict, current,
                    "based on revision " +
@@ -140,8 +140,8 @@
     return BeginSwapRoot();
   step_ = Step::kReadUnusedPart;
   next_call_ =
-      KvCall{KvCallKind::kRead,
-             PartKey(unused_parts_[unused_parts_read_].name), std::string(), 0};
+      KvCall{KvCallKind::kRead, PartKey(unused_parts_[unused_parts_read_].name),
+             std::string(), 0};
 }
 
 void Publisher::OnUnusedPartRead(const KvReply& reply) {
@@ -215,17 +215,19 @@
 bool Publisher::RetryOrGiveUp() {
   ++failures_;
   if (failures_ < kMaxFailures) {
-    delay_ = delay_.count() == 0 ? kFirstDelay
-                                 : std::min(delay_ * 2, kLongestDelay);
+    delay_ =
+        delay_.count() == 0 ? kFirstDelay : std::min(delay_ * 2, kLongestDelay);
     return true;
   }
   if (swap_unknown_) {
-    Finish({ResultCode::kConfigOutcomeUnknown, 0,
+    Finish({ResultCode::kConfigOutcomeUnknown,
+            0,
             "the platform didn't say whether change \"" + change_.change_id +
                 "\" took effect; submit it again with the same change id",
             {}});
   } else {
-    Finish({ResultCode::kPlatformUnavailable, 0,
+    Finish({ResultCode::kPlatformUnavailable,
+            0,
             "the platform can't be reached; the change was not made",
             {}});
   }
--- a/src/framework/bounded_ring.h
+++ b/src/framework/bounded_ring.h
@@ -31,6 +31,14 @@
     return true;
   }
 
+  // Adds `item` also to a full ring. Only for results of work that was
+  // admitted: that work bounds them.
+  void PushResult(T&& item, bool* was_empty) {
+    std::lock_guard lock(mutex_);
+    *was_empty = items_.empty();
+    items_.push_back(std::move(item));
+  }
+
   // Moves everything queued into `out`, which is cleared first.
   void Drain(std::vector<T>* out) {
     out->clear();
--- a/src/framework/duty_thread.h
+++ b/src/framework/duty_thread.h
@@ -25,7 +25,7 @@
 
 // One thread with one duty, fed through a bounded ring. `Handler` runs on that
 // thread only.
-template <typename Event, DutyHandler<Event> Handler>
+template <typename Event, typename Handler>
 class DutyThread {
  public:
   // `handler` must outlive this object.
@@ -38,6 +38,9 @@
 
   // Starts the thread. Call once.
   void Start() {
+    // NOTE Checked here, since a handler names its own mailbox type while it is
+    // still incomplete.
+    static_assert(DutyHandler<Handler, Event>);
     thread_ = std::thread([this] {
       asio::post(context_, [this] { Drain(); });
       auto work = asio::make_work_guard(context_);
@@ -64,6 +67,15 @@
     return true;
   }
 
+  // Queues the result of work that was admitted before; never refused.
+  // Thread safe.
+  void PostResult(Event&& event) {
+    bool was_empty = false;
+    ring_.PushResult(std::move(event), &was_empty);
+    if (was_empty)
+      asio::post(context_, [this] { Drain(); });
+  }
+
  private:
   static Time Now() {
     return std::chrono::time_point_cast<Duration>(
--- a/src/framework/json_schema.cc
+++ b/src/framework/json_schema.cc
@@ -51,8 +51,8 @@
   const Json* node = &schema;
   std::size_t begin = 0;
   while (begin < pointer.size()) {
-    const std::size_t end = std::min(pointer.find('/', begin + 1),
-                                     pointer.size());
+    const std::size_t end =
+        std::min(pointer.find('/', begin + 1), pointer.size());
     const std::string step(pointer.substr(begin + 1, end - begin - 1));
     if (node->contains("items"))
       node = &(*node)["items"];
--- a/src/framework/logger.cc
+++ b/src/framework/logger.cc
@@ -72,15 +72,12 @@
   state->logger.setLogLevel(ToLibraryLevel(settings.level));
   log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(
       /*logToStdErr=*/true, /*immediateFlush=*/true));
-  appender->setLayout(
-      std::make_unique<log4cplus::PatternLayout>("%m%n"));
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
   state->logger.addAppender(appender);
   State() = std::move(state);
 }
 
-void Log(LogLevel level,
-         std::string_view event,
-         const nlohmann::json& fields) {
+void Log(LogLevel level, std::string_view event, const nlohmann::json& fields) {
   const auto& state = State();
   if (!state || !state->logger.isEnabledFor(ToLibraryLevel(level)))
     return;
@@ -92,9 +89,9 @@
   line["data_centre"] = state->settings.data_centre;
   for (const auto& [name, value] : fields.items())
     line[name] = value;
-  state->logger.log(ToLibraryLevel(level),
-                    line.dump(-1, ' ', false,
-                              nlohmann::json::error_handler_t::replace));
+  state->logger.log(
+      ToLibraryLevel(level),
+      line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
 }  // namespace limpetrudder
--- a/src/framework/random.h
+++ b/src/framework/random.h
@@ -23,9 +23,7 @@
   std::uint64_t Below(std::uint64_t bound) { return Next() % bound; }
 
   // Returns a number in [0, 1).
-  double Unit() {
-    return static_cast<double>(Next() >> 11) * 0x1.0p-53;
-  }
+  double Unit() { return static_cast<double>(Next() >> 11) * 0x1.0p-53; }
 
  private:
   std::uint64_t state_;
--- a/src/limits/wait_queue.cc
+++ b/src/limits/wait_queue.cc
@@ -20,8 +20,7 @@
   const auto waits = [](const ClassQueue& queue) { return !queue.empty(); };
   ++turns_;
   if (turns_ % kFloorInterval == 0) {
-    return PopFrom(
-        &*std::find_if(classes_.rbegin(), classes_.rend(), waits));
+    return PopFrom(&*std::find_if(classes_.rbegin(), classes_.rend(), waits));
   }
   return PopFrom(&*std::find_if(classes_.begin(), classes_.end(), waits));
 }
--- a/src/membership/internal/update_queue.cc
+++ b/src/membership/internal/update_queue.cc
@@ -11,17 +11,15 @@
 }  // namespace
 
 void UpdateQueue::Push(const MemberUpdate& update) {
-  entries_.remove_if([&](const Entry& entry) {
-    return entry.update.name == update.name;
-  });
+  entries_.remove_if(
+      [&](const Entry& entry) { return entry.update.name == update.name; });
   entries_.push_front({update, 0});
 }
 
 std::vector<MemberUpdate> UpdateQueue::Take(std::size_t count,
                                             std::size_t members) {
   const std::size_t most =
-      kSendsPerDoubling *
-      static_cast<std::size_t>(std::bit_width(members + 1));
+      kSendsPerDoubling * static_cast<std::size_t>(std::bit_width(members + 1));
   std::vector<MemberUpdate> taken;
   std::list<Entry> sent;
   while (taken.size() < count && !entries_.empty()) {
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -62,18 +62,17 @@
   const auto known = members_.find(update.name);
   if (known != members_.end()) {
     const MemberUpdate& old = known->second.info;
-    const bool newer =
-        update.incarnation > old.incarnation ||
-        (update.incarnation == old.incarnation &&
-         Gravity(update.state) > Gravity(old.state));
+    const bool newer = update.incarnation > old.incarnation ||
+                       (update.incarnation == old.incarnation &&
+                        Gravity(update.state) > Gravity(old.state));
     if (!newer)
       return;
   } else if (!CountsAsLive(update.state)) {
     return;
   }
   Member& member = members_[update.name];
-  const bool was_live = known != members_.end() &&
-                        CountsAsLive(member.info.state);
+  const bool was_live =
+      known != members_.end() && CountsAsLive(member.info.state);
   const bool moved = member.info.peer_address != update.peer_address;
   member.info = update;
   if (update.state == MemberState::kSuspect)
@@ -110,9 +109,8 @@
 
 ProbeAnswer Membership::OnProbe(const ProbeMessage& message, Time now) {
   const auto known = members_.find(message.from.name);
-  const MemberState believed = known == members_.end()
-                                   ? MemberState::kAlive
-                                   : known->second.info.state;
+  const MemberState believed =
+      known == members_.end() ? MemberState::kAlive : known->second.info.state;
   Apply(message.from, now);
   for (const auto& update : message.updates)
     Apply(update, now);
@@ -133,8 +131,7 @@
   if (!message.hashes.empty()) {
     for (const auto& mine : TableHashes()) {
       const bool unknown_there = std::none_of(
-          message.hashes.begin(), message.hashes.end(),
-          [&](const auto& hash) {
+          message.hashes.begin(), message.hashes.end(), [&](const auto& hash) {
             return hash.data_centre == mine.data_centre;
           });
       if (!unknown_there)
@@ -233,8 +230,8 @@
       message.updates.push_back(member->second.info);
     if (round_ % kRoundsPerComparison == 0)
       message.hashes = TableHashes();
-    probes_.push_back({next_probe_++, member->second.info.peer_address,
-                       std::move(message)});
+    probes_.push_back(
+        {next_probe_++, member->second.info.peer_address, std::move(message)});
     return;
   }
 }
--- a/src/membership/revision_guard.cc
+++ b/src/membership/revision_guard.cc
@@ -6,19 +6,20 @@
   const bool frozen = started_ && now - last_turn_ >= kFreeze;
   started_ = true;
   last_turn_ = now;
-  if (frozen)
-    check_until_ = now + kLongestCheck;
+  if (frozen) {
+    checking_ = true;
+    thawed_at_ = now;
+  }
   return frozen;
 }
 
-void RevisionGuard::OnPeerRevision(std::uint64_t peer_revision,
-                                   std::uint64_t own_revision) {
-  if (peer_revision <= own_revision)
-    check_until_ = Time();
+void RevisionGuard::OnConfirmed(Time asked) {
+  if (asked >= thawed_at_)
+    checking_ = false;
 }
 
 bool RevisionGuard::MayTakeWork(Time now) const {
-  return now >= check_until_;
+  return !checking_ || now - thawed_at_ >= kLongestCheck;
 }
 
 }  // namespace limpetrudder
--- a/src/membership/revision_guard.h
+++ b/src/membership/revision_guard.h
@@ -1,24 +1,21 @@
 #ifndef MEMBERSHIP_REVISION_GUARD_H_
 #define MEMBERSHIP_REVISION_GUARD_H_
 
-#include <cstdint>
-
 #include "framework/time.h"
 
 namespace limpetrudder {
 
 // Notices that the instance was frozen and holds back new work until a peer has
-// said which revision is in force, or until no peer answers, as in a data
-// centre that is cut off. Not thread safe.
+// confirmed that the revision in force here is the latest, or until no peer
+// answers, as in a data centre that is cut off. Not thread safe.
 class RevisionGuard {
  public:
-  // Call at least every kLongestTurn. Returns true if a freeze was noticed now.
+  // Call before each piece of new work, and at least every kLongestTurn.
+  // Returns true if a freeze was noticed now.
   bool OnTurn(Time now);
 
-  // A peer said that `peer_revision` is in force there, while `own_revision` is
-  // in force here.
-  void OnPeerRevision(std::uint64_t peer_revision,
-                      std::uint64_t own_revision);
+  // A peer confirmed the revision in an answer to a question asked at `asked`.
+  void OnConfirmed(Time asked);
 
   bool MayTakeWork(Time now) const;
 
@@ -28,8 +25,9 @@
 
  private:
   Time last_turn_{};
-  Time check_until_{};
+  Time thawed_at_{};
   bool started_ = false;
+  bool checking_ = false;
 };
 
 }  // namespace limpetrudder
--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,307 @@
+#include "net/http_client.h"
+
+#include <atomic>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+
+#include <curl/curl.h>
+
+#include "framework/bounded_ring.h"
+
+namespace limpetrudder {
+namespace {
+
+constexpr long kIdleConnectionSeconds = 10;
+constexpr long kMaxCachedConnections = 4096;
+constexpr Duration kLongestConnect = Millis(500);
+constexpr int kPollMillis = 1000;
+constexpr std::size_t kMaxSpareHandles = 256;
+
+// How long a silence is remembered, so that older connections are avoided.
+constexpr Duration kSilenceMemory = Seconds(60);
+
+Time Now() {
+  return std::chrono::time_point_cast<Duration>(
+      std::chrono::steady_clock::now());
+}
+
+struct Transfer {
+  HttpRequest request;
+  HttpClient::Handler handler;
+  HttpResponse response;
+  CURL* easy = nullptr;
+  curl_slist* headers = nullptr;
+};
+
+std::size_t OnBody(char* data,
+                   std::size_t size,
+                   std::size_t count,
+                   void* user) {
+  auto* transfer = static_cast<Transfer*>(user);
+  transfer->response.body.append(data, size * count);
+  return size * count;
+}
+
+int OnConnected(void* user, char*, char*, int, int) {
+  const auto* transfer = static_cast<Transfer*>(user);
+  const auto& may_send = transfer->request.may_send;
+  return !may_send || may_send() ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
+TransferStatus StatusOf(CURL* easy, CURLcode code) {
+  if (code == CURLE_OK)
+    return TransferStatus::kAnswered;
+  if (code == CURLE_ABORTED_BY_CALLBACK)
+    return TransferStatus::kNotSent;
+  if (code == CURLE_COULDNT_CONNECT)
+    return TransferStatus::kConnectFailed;
+  long sent_bytes = 0;
+  curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
+  if (sent_bytes == 0)
+    return TransferStatus::kConnectFailed;
+  return code == CURLE_OPERATION_TIMEDOUT ? TransferStatus::kTimedOut
+                                          : TransferStatus::kFailed;
+}
+
+}  // namespace
+
+class HttpClient::Impl {
+ public:
+  explicit Impl(std::size_t capacity) : commands_(capacity) {
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    multi_ = curl_multi_init();
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kMaxCachedConnections);
+  }
+
+  ~Impl() {
+    Stop();
+    for (auto& [tag, transfer] : transfers_)
+      Release(transfer.get());
+    for (CURL* easy : spare_)
+      curl_easy_cleanup(easy);
+    curl_multi_cleanup(multi_);
+  }
+
+  void Start() {
+    thread_ = std::thread([this] { Run(); });
+  }
+
+  void Stop() {
+    stopping_ = true;
+    curl_multi_wakeup(multi_);
+    if (thread_.joinable())
+      thread_.join();
+  }
+
+  bool Send(HttpRequest request, Handler handler) {
+    bool was_empty = false;
+    if (!commands_.TryPush({std::move(request), std::move(handler), false},
+                           &was_empty)) {
+      return false;
+    }
+    if (was_empty)
+      curl_multi_wakeup(multi_);
+    return true;
+  }
+
+  void SetConnectionLimit(std::uint32_t limit) {
+    connection_limit_ = limit;
+    curl_multi_wakeup(multi_);
+  }
+
+  void Abort(std::uint64_t tag, const std::string& address) {
+    HttpRequest request;
+    request.tag = tag;
+    request.address = address;
+    bool was_empty = false;
+    // NOTE A lost abort only leaves the transfer to its own timeout.
+    commands_.TryPush({std::move(request), nullptr, true}, &was_empty);
+    curl_multi_wakeup(multi_);
+  }
+
+ private:
+  struct Command {
+    HttpRequest request;
+    Handler handler;
+    bool abort = false;
+  };
+
+  void Run() {
+    std::vector<Command> batch;
+    std::uint32_t limit = 0;
+    while (!stopping_) {
+      if (connection_limit_ != limit) {
+        limit = connection_limit_;
+        curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS,
+                          static_cast<long>(limit));
+      }
+      commands_.Drain(&batch);
+      for (auto& command : batch)
+        Take(std::move(command));
+      int running = 0;
+      curl_multi_perform(multi_, &running);
+      CollectFinished();
+      curl_multi_poll(multi_, nullptr, 0, kPollMillis, nullptr);
+    }
+  }
+
+  void Take(Command command) {
+    if (!command.abort)
+      return Begin(std::move(command));
+    silent_since_[command.request.address] = Now();
+    const auto found = transfers_.find(command.request.tag);
+    if (found == transfers_.end())
+      return;
+    Release(found->second.get());
+    transfers_.erase(found);
+  }
+
+  void Begin(Command command) {
+    auto transfer = std::make_unique<Transfer>();
+    transfer->request = std::move(command.request);
+    transfer->handler = std::move(command.handler);
+    transfer->response.tag = transfer->request.tag;
+    transfer->easy = TakeHandle();
+    Configure(transfer.get());
+    curl_multi_add_handle(multi_, transfer->easy);
+    transfers_[transfer->request.tag] = std::move(transfer);
+  }
+
+  CURL* TakeHandle() {
+    if (spare_.empty())
+      return curl_easy_init();
+    CURL* easy = spare_.back();
+    spare_.pop_back();
+    return easy;
+  }
+
+  void Configure(Transfer* transfer) {
+    const HttpRequest& request = transfer->request;
+    CURL* easy = transfer->easy;
+    const std::string url = "http://" + request.address + request.path;
+    curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer);
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, OnConnected);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                     static_cast<long>(WholeMillis(request.timeout)));
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(WholeMillis(
+                         std::min(request.timeout, kLongestConnect))));
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kIdleConnectionSeconds);
+    curl_easy_setopt(easy, CURLOPT_MAXLIFETIME_CONN,
+                     OldestUsable(request.address));
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT,
+                     request.own_connection ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE,
+                     request.own_connection ? 1L : 0L);
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+    if (!request.body.empty() || request.method == "POST") {
+      curl_easy_setopt(easy, CURLOPT_POST, 1L);
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                       static_cast<curl_off_t>(request.body.size()));
+    }
+    transfer->headers = curl_slist_append(transfer->headers, "Expect:");
+    transfer->headers =
+        curl_slist_append(transfer->headers, "Content-Type: application/json");
+    for (const auto& header : request.headers)
+      transfer->headers = curl_slist_append(transfer->headers, header.c_str());
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
+  }
+
+  // Returns the age in seconds beyond which a connection to `address` is not
+  // used, since one of that age went silent; 0 means any age is fine.
+  long OldestUsable(const std::string& address) {
+    const auto found = silent_since_.find(address);
+    if (found == silent_since_.end())
+      return 0;
+    const Duration since = Now() - found->second;
+    if (since >= kSilenceMemory) {
+      silent_since_.erase(found);
+      return 0;
+    }
+    return std::max<long>(
+        1,
+        static_cast<long>(
+            std::chrono::duration_cast<std::chrono::seconds>(since).count()));
+  }
+
+  void CollectFinished() {
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      Finish(message->easy_handle, message->data.result);
+    }
+  }
+
+  void Finish(CURL* easy, CURLcode code) {
+    Transfer* raw = nullptr;
+    curl_easy_getinfo(easy, CURLINFO_PRIVATE, &raw);
+    const auto found = transfers_.find(raw->request.tag);
+    auto transfer = std::move(found->second);
+    transfers_.erase(found);
+    long http_status = 0;
+    curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &http_status);
+    transfer->response.http_status = static_cast<int>(http_status);
+    transfer->response.status = StatusOf(easy, code);
+    Release(transfer.get());
+    transfer->handler(std::move(transfer->response));
+  }
+
+  void Release(Transfer* transfer) {
+    curl_multi_remove_handle(multi_, transfer->easy);
+    curl_slist_free_all(transfer->headers);
+    transfer->headers = nullptr;
+    if (spare_.size() < kMaxSpareHandles) {
+      curl_easy_reset(transfer->easy);
+      spare_.push_back(transfer->easy);
+    } else {
+      curl_easy_cleanup(transfer->easy);
+    }
+    transfer->easy = nullptr;
+  }
+
+  CURLM* multi_ = nullptr;
+  BoundedRing<Command> commands_;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> transfers_;
+  std::unordered_map<std::string, Time> silent_since_;
+  std::vector<CURL*> spare_;
+  std::atomic<bool> stopping_{false};
+  std::atomic<std::uint32_t> connection_limit_{0};
+  std::thread thread_;
+};
+
+HttpClient::HttpClient(std::size_t capacity)
+    : impl_(std::make_unique<Impl>(capacity)) {}
+HttpClient::~HttpClient() = default;
+
+void HttpClient::Start() {
+  impl_->Start();
+}
+
+void HttpClient::Stop() {
+  impl_->Stop();
+}
+
+bool HttpClient::Send(HttpRequest request, Handler handler) {
+  return impl_->Send(std::move(request), std::move(handler));
+}
+
+void HttpClient::SetConnectionLimit(std::uint32_t limit) {
+  impl_->SetConnectionLimit(limit);
+}
+
+void HttpClient::Abort(std::uint64_t tag, const std::string& address) {
+  impl_->Abort(tag, address);
+}
+
+}  // namespace limpetrudder
--- /dev/null
+++ b/src/net/http_server.cc
@@ -0,0 +1,189 @@
+#include "net/http_server.h"
+
+#include <thread>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+#include <restinio/all.hpp>
+
+namespace limpetrudder {
+namespace {
+
+// RESTinio closes a connection whose message is beyond its limits without an
+// answer, so it is given larger limits than those that are answered.
+constexpr std::size_t kHardMaxBodyBytes = 64 << 20;
+constexpr std::size_t kHardMaxHeaderBytes = 76 << 10;
+constexpr std::size_t kPipelinedRequests = 2;
+constexpr std::string_view kBearerPrefix = "Bearer ";
+
+// Passes on which connections were closed.
+class ConnectionWatcher {
+ public:
+  explicit ConnectionWatcher(HttpServer::ClosedHandler on_closed)
+      : on_closed_(std::move(on_closed)) {}
+
+  void state_changed(
+      const restinio::connection_state::notice_t& notice) noexcept {
+    const auto cause = notice.cause();
+    if (restinio::holds_alternative<restinio::connection_state::closed_t>(
+            cause) &&
+        on_closed_) {
+      on_closed_(notice.connection_id());
+    }
+  }
+
+ private:
+  HttpServer::ClosedHandler on_closed_;
+};
+
+struct ServerTraits : public restinio::default_single_thread_traits_t {
+  using connection_state_listener_t = ConnectionWatcher;
+};
+
+using Server = restinio::http_server_t<ServerTraits>;
+
+std::size_t HeaderBytes(const restinio::http_request_header_t& header) {
+  std::size_t bytes = header.request_target().size();
+  for (const auto& field : header)
+    bytes += field.name().size() + field.value().size();
+  return bytes;
+}
+
+std::string BearerToken(const restinio::http_request_header_t& header) {
+  const auto value = header.opt_value_of(restinio::http_field_t::authorization);
+  if (!value || !std::string_view(*value).starts_with(kBearerPrefix))
+    return std::string();
+  return std::string(value->substr(kBearerPrefix.size()));
+}
+
+void Answer(const restinio::request_handle_t& request,
+            ServerResponse response) {
+  auto builder = request->create_response(restinio::http_status_line_t{
+      restinio::http_status_code_t{static_cast<std::uint16_t>(response.status)},
+      response.status < 400 ? "OK" : "Refused"});
+  builder.append_header(restinio::http_field_t::content_type,
+                        response.content_type);
+  if (response.retry_after_seconds > 0) {
+    builder.append_header(restinio::http_field_t::retry_after,
+                          std::to_string(response.retry_after_seconds));
+  }
+  builder.set_body(std::move(response.body));
+  builder.done();
+}
+
+}  // namespace
+
+std::string RefusalBody(ResultCode code,
+                        const std::string& message,
+                        const std::string& execution) {
+  const nlohmann::ordered_json body = {
+      {"code", {{"number", NumberOf(code)}, {"name", NameOf(code)}}},
+      {"execution", execution},
+      {"message", message}};
+  return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+class HttpServer::Impl {
+ public:
+  Impl(HttpServerSettings settings, Handler handler, ClosedHandler on_closed)
+      : settings_(std::move(settings)), handler_(std::move(handler)) {
+    server_ = std::make_unique<Server>(
+        restinio::own_io_context(),
+        restinio::server_settings_t<ServerTraits>{}
+            .address(settings_.address)
+            .port(settings_.port)
+            .max_pipelined_requests(kPipelinedRequests)
+            .handle_request_timeout(std::chrono::seconds(120))
+            .connection_state_listener(
+                std::make_shared<ConnectionWatcher>(std::move(on_closed)))
+            .incoming_http_msg_limits(
+                restinio::incoming_http_msg_limits_t{}
+                    .max_body_size(kHardMaxBodyBytes)
+                    .max_field_value_size(kHardMaxHeaderBytes)
+                    .max_url_size(kHardMaxHeaderBytes))
+            .request_handler([this](restinio::request_handle_t request) {
+              return OnRequest(std::move(request));
+            }));
+  }
+
+  Result<void> Start() {
+    try {
+      server_->open_sync();
+    } catch (const std::exception& error) {
+      return Failure(ResultCode::kStartFailed,
+                     "can't listen on " + settings_.address + ":" +
+                         std::to_string(settings_.port) + ": " + error.what());
+    }
+    thread_ = std::thread([this] { server_->io_context().run(); });
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+  }
+
+  void Stop() {
+    if (!thread_.joinable())
+      return;
+    restinio::asio_ns::post(server_->io_context(), [this] {
+      server_->close_sync();
+      server_->io_context().stop();
+    });
+    thread_.join();
+  }
+
+ private:
+  restinio::request_handling_status_t OnRequest(
+      restinio::request_handle_t request) {
+    const auto& header = request->header();
+    if (HeaderBytes(header) > settings_.max_header_bytes) {
+      Answer(request,
+             {431, RefusalBody(ResultCode::kHeadersTooLarge,
+                               "the headers take more than " +
+                                   std::to_string(settings_.max_header_bytes) +
+                                   " bytes")});
+      return restinio::request_accepted();
+    }
+    if (request->body().size() > settings_.max_body_bytes) {
+      Answer(request,
+             {413, RefusalBody(ResultCode::kRequestTooLarge,
+                               "the body takes more than " +
+                                   std::to_string(settings_.max_body_bytes) +
+                                   " bytes")});
+      return restinio::request_accepted();
+    }
+    ServerRequest parsed;
+    parsed.connection = request->connection_id();
+    parsed.method = header.method().c_str();
+    parsed.path = std::string(header.path());
+    parsed.query = std::string(header.query());
+    parsed.bearer_token = BearerToken(header);
+    parsed.body = request->body();
+    handler_(std::move(parsed), [request](ServerResponse response) {
+      Answer(request, std::move(response));
+    });
+    return restinio::request_accepted();
+  }
+
+  HttpServerSettings settings_;
+  Handler handler_;
+  std::unique_ptr<Server> server_;
+  std::thread thread_;
+};
+
+HttpServer::HttpServer(HttpServerSettings settings,
+                       Handler handler,
+                       ClosedHandler on_closed)
+    : impl_(std::make_unique<Impl>(std::move(settings),
+                                   std::move(handler),
+                                   std::move(on_closed))) {}
+
+HttpServer::~HttpServer() {
+  Stop();
+}
+
+Result<void> HttpServer::Start() {
+  return impl_->Start();
+}
+
+void HttpServer::Stop() {
+  impl_->Stop();
+}
+
+}  // namespace limpetrudder
--- /dev/null
+++ b/src/net/internal/target_codec.cc
@@ -0,0 +1,142 @@
+#include "net/internal/target_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace limpetrudder::detail {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kHttpOk = 200;
+constexpr int kHttpConflict = 409;
+constexpr int kHttpTooMany = 429;
+constexpr int kHttpCancelled = 499;
+constexpr int kHttpUnavailable = 503;
+
+std::vector<Snapshot> ReadHeld(const Json& json) {
+  std::vector<Snapshot> held;
+  for (const auto& entry : json)
+    held.push_back({entry.at(0), entry.at(1)});
+  return held;
+}
+
+ServerReport ReadReport(const Json& json) {
+  ServerReport report;
+  report.draining = json.at("state") == "draining";
+  report.held = ReadHeld(json.at("held"));
+  return report;
+}
+
+ResultCode RefusalCode(int http_status, const Json& json) {
+  const std::string error = json.value("error", std::string());
+  switch (http_status) {
+    case kHttpConflict:
+      return error == "map_not_held" ? ResultCode::kMapNotHeld
+                                     : ResultCode::kVersionNotHeld;
+    case kHttpTooMany:
+      return ResultCode::kServerShed;
+    case kHttpCancelled:
+      return ResultCode::kAttemptCancelled;
+    case kHttpUnavailable:
+      return error == "draining" ? ResultCode::kServerLeaving
+                                 : ResultCode::kServerShed;
+    default:
+      return ResultCode::kServerFailed;
+  }
+}
+
+ResultCode TransferCode(TransferStatus status) {
+  switch (status) {
+    case TransferStatus::kAnswered:
+      return ResultCode::kOk;
+    case TransferStatus::kConnectFailed:
+    case TransferStatus::kNotSent:
+      return ResultCode::kConnectFailed;
+    case TransferStatus::kFailed:
+    case TransferStatus::kTimedOut:
+      return ResultCode::kTransportFailed;
+  }
+  return ResultCode::kTransportFailed;
+}
+
+ShardAnswer ReadShardAnswer(const Json& json) {
+  ShardAnswer answer;
+  answer.shard = json.at("shard");
+  answer.snapshot = {json.at("map_epoch"), json.at("version")};
+  answer.snapshot_age = Millis(json.at("age_ms").get<std::int64_t>());
+  for (const auto& hit : json.at("hits"))
+    answer.hits.push_back({hit.at("id"), hit.at("title"), hit.at("score")});
+  return answer;
+}
+
+void ReadAnswer(const HttpResponse& response,
+                const std::string& attempt_name,
+                AttemptResult* result) {
+  const Json json = Json::parse(response.body);
+  result->has_report = json.contains("state") && json.contains("held");
+  if (result->has_report)
+    result->report = ReadReport(json);
+  if (response.http_status != kHttpOk) {
+    result->code = RefusalCode(response.http_status, json);
+    result->retry_after = Millis(json.value("retry_after_ms", std::int64_t{0}));
+    return;
+  }
+  if (json.at("attempt") != attempt_name) {
+    result->code = ResultCode::kAnswerCrossed;
+    result->has_report = false;
+    return;
+  }
+  result->answer = ReadShardAnswer(json);
+}
+
+}  // namespace
+
+std::string AttemptName(const std::string& instance, AttemptId id) {
+  return instance + ":" + std::to_string(id);
+}
+
+std::string WriteTargetSearch(const SendAttempt& attempt,
+                              const std::string& attempt_name,
+                              std::int64_t deadline_unix_ms) {
+  const Json json = {{"attempt", attempt_name},
+                     {"shard", attempt.shard},
+                     {"terms", attempt.terms},
+                     {"limit", attempt.limit},
+                     {"map_epoch", attempt.snapshot.map_epoch},
+                     {"version", attempt.snapshot.version},
+                     {"deadline_unix_ms", deadline_unix_ms}};
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+AttemptResult ReadTargetSearch(AttemptId id,
+                               const std::string& attempt_name,
+                               const HttpResponse& response) {
+  AttemptResult result;
+  result.attempt = id;
+  result.code = TransferCode(response.status);
+  if (result.code != ResultCode::kOk)
+    return result;
+  try {
+    ReadAnswer(response, attempt_name, &result);
+  } catch (const Json::exception&) {
+    result = AttemptResult();
+    result.attempt = id;
+    result.code = response.http_status == kHttpOk ? ResultCode::kAnswerMalformed
+                                                  : ResultCode::kServerFailed;
+  }
+  return result;
+}
+
+std::optional<ServerReport> ReadTargetHealth(const HttpResponse& response) {
+  if (response.status != TransferStatus::kAnswered ||
+      response.http_status != kHttpOk) {
+    return std::nullopt;
+  }
+  try {
+    return ReadReport(Json::parse(response.body));
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace limpetrudder::detail
--- /dev/null
+++ b/src/net/tests/peer_test.cc
@@ -0,0 +1,1 @@
+#include <doctest/doctest.h>
--- /dev/null
+++ b/src/once/idempotency_key.h
@@ -0,0 +1,31 @@
+#ifndef ONCE_IDEMPOTENCY_KEY_H_
+#define ONCE_IDEMPOTENCY_KEY_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "framework/error.h"
+
+namespace limpetrudder {
+
+// A key for one write. It names the only instance, and the only run of that
+// instance, that may ever run the write.
+struct IdempotencyKey {
+  std::string issuer;   // Name of the instance.
+  std::string address;  // Its peer address, "IP:PORT".
+  std::uint64_t incarnation = 0;
+  std::uint64_t sequence = 0;
+  std::int64_t issued_at_ms = 0;  // By the issuer's monotonic clock.
+  std::string signature;  // Binds the key to its caller; made by the issuer.
+};
+
+// Returns "ISSUER~ADDRESS~INCARNATION~SEQUENCE~TIME~SIGNATURE". Thread safe.
+std::string WriteKey(const IdempotencyKey& key);
+
+// Thread safe. Errors: kKeyMalformed.
+Result<IdempotencyKey> ReadKey(std::string_view text);
+
+}  // namespace limpetrudder
+
+#endif  // ONCE_IDEMPOTENCY_KEY_H_
--- a/src/query/internal/adaptive_strategy.cc
+++ b/src/query/internal/adaptive_strategy.cc
@@ -58,8 +58,7 @@
   const std::size_t ahead = shard.queue.AheadOf(caller_class);
   if (ahead == 0 || rate <= 0)
     return Duration(0);
-  return Duration(
-      static_cast<std::int64_t>(static_cast<double>(ahead) / rate));
+  return Duration(static_cast<std::int64_t>(static_cast<double>(ahead) / rate));
 }
 
 Admission AdaptiveStrategy::Admit(const ShardPlan& plan,
@@ -159,10 +158,9 @@
       query_latency_.samples() < LatencyWindow::kFewestSamples) {
     return std::nullopt;
   }
-  const Duration usual =
-      query_latency_.Quantile(kTailCutQuantile, Duration(0));
-  return Duration(static_cast<std::int64_t>(
-      static_cast<double>(usual.count()) * kTailCutFactor));
+  const Duration usual = query_latency_.Quantile(kTailCutQuantile, Duration(0));
+  return Duration(static_cast<std::int64_t>(static_cast<double>(usual.count()) *
+                                            kTailCutFactor));
 }
 
 bool AdaptiveStrategy::MayRetry(std::uint32_t attempts) const {
--- a/src/query/internal/answer_book.cc
+++ b/src/query/internal/answer_book.cc
@@ -43,8 +43,7 @@
   return best;
 }
 
-std::vector<Hit> AnswerBook::Merge(Snapshot snapshot,
-                                   std::size_t limit) const {
+std::vector<Hit> AnswerBook::Merge(Snapshot snapshot, std::size_t limit) const {
   std::vector<const Hit*> found;
   for (const auto& answers : answers_) {
     for (const auto& answer : answers) {
--- a/src/query/internal/baseline_strategy.cc
+++ b/src/query/internal/baseline_strategy.cc
@@ -7,8 +7,8 @@
                                       Random*) {
   const auto& servers = input.shard->servers;
   for (std::size_t i = 0; i < servers.size(); ++i) {
-    const auto& server = servers[input.shard->next_round_robin++ %
-                                 servers.size()];
+    const auto& server =
+        servers[input.shard->next_round_robin++ % servers.size()];
     if (IsEligible(*server, input, now))
       return {server, false};
   }
--- a/src/query/internal/collection_runner.cc
+++ b/src/query/internal/collection_runner.cc
@@ -66,11 +66,13 @@
   else
     server = std::make_shared<ServerState>(info, plan.homes,
                                            plan.connections_per_home);
+  server->SetListedLeaving(listed_leaving_.count(info.name) > 0);
   return server;
 }
 
 template <QueryStrategy S>
 void CollectionRunner<S>::BuildPlan(HomePlan plan) {
+  home_plan_ = plan;
   std::map<std::string, std::shared_ptr<ShardState>> known;
   if (plan_.map_epoch == collection_->map_epoch) {
     for (const auto& shard : plan_.shards)
@@ -111,6 +113,14 @@
   remote_homes_ = std::move(homes);
 }
 
+template <QueryStrategy S>
+void CollectionRunner<S>::SetListedLeaving(
+    const std::set<std::string>& servers) {
+  listed_leaving_ = servers;
+  for (const auto& [name, server] : servers_)
+    server->SetListedLeaving(listed_leaving_.count(name) > 0);
+}
+
 template <QueryStrategy S>
 ShardPlan CollectionRunner<S>::PlanFor(const SearchRequest& request) const {
   if (request.only_shards.empty())
@@ -155,8 +165,8 @@
   if (admission.code != ResultCode::kOk)
     return Refuse(id, request, admission, shard_count);
 
-  auto owned = std::make_unique<QueryState>(id, std::move(request),
-                                            std::move(plan));
+  auto owned =
+      std::make_unique<QueryState>(id, std::move(request), std::move(plan));
   QueryState* query = owned.get();
   queries_[id] = std::move(owned);
   query->started = now;
@@ -165,8 +175,7 @@
   query->pinned = query->request.pinned;
   if (query->pinned.version == 0)
     query->pinned = {query->plan.map_epoch, ChooseVersion(query->plan, now)};
-  query->trail.Add(now, DecisionKind::kPinned, "", "",
-                   query->pinned.version);
+  query->trail.Add(now, DecisionKind::kPinned, "", "", query->pinned.version);
   timers_.Add({query->request.deadline, TimerKind::kQueryEnd, id});
   if (const auto cut = strategy_.TailCutAfter();
       cut && !query->NeedsWhole(collection_->coverage_policy)) {
@@ -202,9 +211,9 @@
     return Enqueue(query, shard, now);
   if (AskElsewhere(query, shard))
     return;
-  const bool reachable = std::any_of(
-      state->servers.begin(), state->servers.end(),
-      [&](const auto& server) { return server->MayTakeWork(now); });
+  const bool reachable =
+      std::any_of(state->servers.begin(), state->servers.end(),
+                  [&](const auto& server) { return server->MayTakeWork(now); });
   GiveUp(query, shard,
          reachable ? ResultCode::kVersionNotHeld : ResultCode::kNoServer, now);
 }
@@ -217,12 +226,9 @@
                                Time now) {
   ShardProgress& progress = query->shards[shard];
   const AttemptId id = next_id_++;
-  AttemptState attempt{query->id,
-                       shard,
-                       server,
-                       query->plan.shards[shard],
-                       now,
-                       server->NeedsFreshConnection(),
+  AttemptState attempt{query->id,   shard,
+                       server,      query->plan.shards[shard],
+                       now,         server->NeedsFreshConnection(),
                        std::nullopt};
   ++query->sub_queries;
   if (progress.attempts == 0)
@@ -241,11 +247,10 @@
   }
   query->trail.Add(now, kind, attempt.shard_state->name, server->info().name,
                    id);
-  context_.actions->push_back(
-      SendAttempt{id, server->info().name, server->info().address,
-                  attempt.shard_state->name, query->request.terms,
-                  query->request.limit, query->pinned,
-                  query->request.deadline, attempt.fresh_connection});
+  context_.actions->push_back(SendAttempt{
+      id, server->info().name, server->info().address,
+      attempt.shard_state->name, query->request.terms, query->request.limit,
+      query->pinned, query->request.deadline, attempt.fresh_connection});
   attempts_.emplace(id, std::move(attempt));
 }
 
@@ -256,9 +261,8 @@
   const auto& state = query->plan.shards[shard];
   if (std::find(waiting_.begin(), waiting_.end(), state) == waiting_.end())
     waiting_.push_back(state);
-  query->shards[shard].ticket =
-      state->queue.Push(query->request.caller_class, query->request.deadline,
-                        {query->id, shard});
+  query->shards[shard].ticket = state->queue.Push(
+      query->request.caller_class, query->request.deadline, {query->id, shard});
   query->trail.Add(now, DecisionKind::kQueued, state->name, "");
 }
 
@@ -267,9 +271,9 @@
                                    Time now) {
   std::size_t turns = shard->queue.size();
   while (turns-- > 0) {
-    const bool room = std::any_of(
-        shard->servers.begin(), shard->servers.end(),
-        [&](const auto& server) { return server->HasRoom(now); });
+    const bool room =
+        std::any_of(shard->servers.begin(), shard->servers.end(),
+                    [&](const auto& server) { return server->HasRoom(now); });
     const bool served = std::any_of(
         shard->servers.begin(), shard->servers.end(), [&](const auto& server) {
           return server->standing() == ServerStanding::kServing ||
@@ -300,17 +304,16 @@
 void CollectionRunner<S>::DispatchFor(const ServerState& server, Time now) {
   const auto shards = waiting_;
   for (const auto& shard : shards) {
-    const bool holds = std::any_of(
-        shard->servers.begin(), shard->servers.end(),
-        [&](const auto& entry) { return entry.get() == &server; });
+    const bool holds =
+        std::any_of(shard->servers.begin(), shard->servers.end(),
+                    [&](const auto& entry) { return entry.get() == &server; });
     if (holds)
       Dispatch(shard, now);
   }
 }
 
 template <QueryStrategy S>
-bool CollectionRunner<S>::AskElsewhere(QueryState* query,
-                                       std::uint32_t shard) {
+bool CollectionRunner<S>::AskElsewhere(QueryState* query, std::uint32_t shard) {
   if (!query->request.only_shards.empty())
     return false;
   ShardProgress& progress = query->shards[shard];
@@ -319,8 +322,8 @@
     const bool holds = std::find(holders.begin(), holders.end(),
                                  homes.data_centre) != holders.end();
     auto& asked = progress.data_centres_asked;
-    const bool again = std::find(asked.begin(), asked.end(),
-                                 homes.data_centre) != asked.end();
+    const bool again =
+        std::find(asked.begin(), asked.end(), homes.data_centre) != asked.end();
     if (!holds || again || homes.peers.empty())
       continue;
     asked.push_back(homes.data_centre);
@@ -369,8 +372,8 @@
   progress.status = ShardStatus::kGivenUp;
   progress.reason = reason;
   --query->open;
-  query->trail.Add(now, DecisionKind::kGaveUp,
-                   query->plan.shards[shard]->name, "", 0, reason);
+  query->trail.Add(now, DecisionKind::kGaveUp, query->plan.shards[shard]->name,
+                   "", 0, reason);
 }
 
 template <QueryStrategy S>
@@ -457,8 +460,8 @@
            result.answer.snapshot == query->pinned);
       if (result.code == ResultCode::kOk && right_snapshot) {
         query->trail.Add(now, DecisionKind::kAnswered,
-                         attempt.shard_state->name,
-                         attempt.server->info().name, result.attempt);
+                         attempt.shard_state->name, attempt.server->info().name,
+                         result.attempt);
         OnShardAnswered(query, attempt.shard, result.answer, now);
       } else {
         const ResultCode reason = result.code == ResultCode::kOk
@@ -492,12 +495,11 @@
                                         ResultCode reason,
                                         Time now) {
   ShardProgress& progress = query->shards[shard];
-  query->trail.Add(now,
-                   reason == ResultCode::kConnectionSilent
-                       ? DecisionKind::kSilent
-                       : DecisionKind::kRefused,
-                   attempt.shard_state->name, attempt.server->info().name, 0,
-                   reason);
+  query->trail.Add(
+      now,
+      reason == ResultCode::kConnectionSilent ? DecisionKind::kSilent
+                                              : DecisionKind::kRefused,
+      attempt.shard_state->name, attempt.server->info().name, 0, reason);
   if (!progress.live.empty() || progress.in_batch)
     return;
   if (!strategy_.MayRetry(progress.attempts))
@@ -517,9 +519,8 @@
     return;
   const AttemptState attempt = std::move(found->second);
   attempts_.erase(found);
-  context_.actions->push_back(
-      CancelAttempt{id, attempt.server->info().address,
-                    /*close_connection=*/true});
+  context_.actions->push_back(CancelAttempt{id, attempt.server->info().address,
+                                            /*close_connection=*/true});
   attempt.server->OnSettled();
   attempt.server->OnSilence(attempt.fresh_connection, now, context_.random);
   QueryState* query = FindQuery(attempt.query);
@@ -588,11 +589,10 @@
       OnShardAnswered(query, shard, std::move(*answer), now);
       continue;
     }
-    const ResultCode reason = answer == answers.end()
-                                  ? ResultCode::kPeerUnreachable
-                                  : answer->code;
-    query->trail.Add(now, DecisionKind::kRefused, state.name,
-                     batch.data_centre, id, reason);
+    const ResultCode reason =
+        answer == answers.end() ? ResultCode::kPeerUnreachable : answer->code;
+    query->trail.Add(now, DecisionKind::kRefused, state.name, batch.data_centre,
+                     id, reason);
     if (!AskElsewhere(query, shard))
       GiveUp(query, shard, reason, now);
   }
@@ -648,8 +648,8 @@
   query->book = AnswerBook(plan_.shards.size());
   query->open = static_cast<std::uint32_t>(plan_.shards.size());
   query->pinned = {plan_.map_epoch, ChooseVersion(plan_, now)};
-  query->trail.Add(now, DecisionKind::kRepinned, "", "",
-                   query->pinned.version, ResultCode::kMapNotHeld);
+  query->trail.Add(now, DecisionKind::kRepinned, "", "", query->pinned.version,
+                   ResultCode::kMapNotHeld);
   for (std::uint32_t shard = 0; shard < query->shards.size(); ++shard)
     Launch(query, shard, now);
   FlushBatches(query, now);
@@ -695,9 +695,8 @@
 
 template <QueryStrategy S>
 void CollectionRunner<S>::DropBatches(QueryId query) {
-  std::erase_if(batches_, [&](const auto& entry) {
-    return entry.second.query == query;
-  });
+  std::erase_if(batches_,
+                [&](const auto& entry) { return entry.second.query == query; });
 }
 
 template <QueryStrategy S>
@@ -705,11 +704,9 @@
   QueryState* query = FindQuery(id);
   if (query == nullptr)
     return;
-  const double answered =
-      query->book.CountAt(query->pinned.version ? query->pinned
-                                                : query->book.Best());
-  if (answered <
-      kTailCutCoverage * static_cast<double>(query->shards.size())) {
+  const double answered = query->book.CountAt(
+      query->pinned.version ? query->pinned : query->book.Best());
+  if (answered < kTailCutCoverage * static_cast<double>(query->shards.size())) {
     timers_.Add({now + kTailCutAgain, TimerKind::kTailCut, id});
     return;
   }
@@ -760,10 +757,11 @@
     }
     if (query->book.Has(shard, best))
       continue;
-    const ResultCode reason =
-        progress.status == ShardStatus::kGivenUp   ? progress.reason
-        : progress.status == ShardStatus::kAnswered ? ResultCode::kVersionNotHeld
-                                                    : late_reason;
+    const ResultCode reason = progress.status == ShardStatus::kGivenUp
+                                  ? progress.reason
+                              : progress.status == ShardStatus::kAnswered
+                                  ? ResultCode::kVersionNotHeld
+                                  : late_reason;
     answer.coverage.missing.push_back({state.name, reason});
   }
   if (answer.coverage.complete()) {
--- a/src/query/internal/collection_runner.h
+++ b/src/query/internal/collection_runner.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -43,9 +44,9 @@
                    std::uint64_t first_id);
 
   // Takes a new configuration. Queries that run keep their shard plan.
-  void Reconfigure(std::shared_ptr<const Collection> collection,
-                   HomePlan plan);
+  void Reconfigure(std::shared_ptr<const Collection> collection, HomePlan plan);
   void SetRemoteHomes(std::vector<RemoteHomes> homes);
+  void SetListedLeaving(const std::set<std::string>& servers);
 
   void Start(QueryId query, SearchRequest request, Time now);
   void Abandon(QueryId query, Time now);
@@ -60,6 +61,7 @@
 
   bool idle() const { return queries_.empty() && attempts_.empty(); }
   const Collection& collection() const { return *collection_; }
+  HomePlan home_plan() const { return home_plan_; }
   const std::map<std::string, std::shared_ptr<ServerState>>& servers() const {
     return servers_;
   }
@@ -132,6 +134,8 @@
   RunnerContext context_;
   Strategy strategy_;
   ShardPlan plan_;
+  HomePlan home_plan_;
+  std::set<std::string> listed_leaving_;
   std::map<std::string, std::shared_ptr<ServerState>> servers_;
   std::vector<RemoteHomes> remote_homes_;
   std::unordered_map<QueryId, std::unique_ptr<QueryState>> queries_;
--- a/src/query/internal/snapshot_choice.cc
+++ b/src/query/internal/snapshot_choice.cc
@@ -53,8 +53,8 @@
   std::uint32_t best_shards = 0;
   bool best_everywhere = false;
   for (const auto& [version, found] : support.versions) {
-    const bool everywhere = found.shards == plan.shards.size() &&
-                            found.servers == support.servers;
+    const bool everywhere =
+        found.shards == plan.shards.size() && found.servers == support.servers;
     if (best_everywhere && !everywhere)
       continue;
     if (everywhere || found.shards >= best_shards) {
--- a/src/query/internal/strategy.cc
+++ b/src/query/internal/strategy.cc
@@ -13,9 +13,7 @@
 
 }  // namespace
 
-bool IsEligible(const ServerState& server,
-                const ChoiceInput& input,
-                Time now) {
+bool IsEligible(const ServerState& server, const ChoiceInput& input, Time now) {
   return server.MayTakeWork(now) && server.MayHold(input.snapshot) &&
          !IsExcluded(server, input);
 }
--- a/src/query/internal/strategy.h
+++ b/src/query/internal/strategy.h
@@ -45,7 +45,7 @@
   { strategy.Choose(input, now, random) } -> std::same_as<ServerChoice>;
   {
     strategy.ChooseHedge(input, now, random)
-  } -> std::same_as<std::shared_ptr<ServerState>>;
+    } -> std::same_as<std::shared_ptr<ServerState>>;
   { reader.HedgeAfter() } -> std::same_as<std::optional<Duration>>;
   { reader.SilenceAfter(server, duration) } -> std::same_as<Duration>;
   { reader.TailCutAfter() } -> std::same_as<std::optional<Duration>>;
--- a/src/query/query_engine.cc
+++ b/src/query/query_engine.cc
@@ -1,6 +1,7 @@
 #include "query/query_engine.h"
 
 #include <algorithm>
+#include <limits>
 #include <set>
 #include <utility>
 
@@ -38,6 +39,14 @@
   ReconfigureRunners();
 }
 
+void QueryEngine::OnListedLeaving(std::set<std::string> servers, Time) {
+  listed_leaving_ = std::move(servers);
+  for (auto& [number, slot] : runners_) {
+    std::visit([&](auto& runner) { runner->SetListedLeaving(listed_leaving_); },
+               slot.runner);
+  }
+}
+
 Homes QueryEngine::HomesIn(const Collection& collection,
                            const std::string& data_centre) const {
   std::vector<std::string> names;
@@ -63,8 +72,7 @@
 
 std::vector<detail::RemoteHomes> QueryEngine::RemoteHomesOf(
     const Collection& collection) const {
-  const std::string region =
-      RegionOf(config_->document, settings_.data_centre);
+  const std::string region = RegionOf(config_->document, settings_.data_centre);
   std::vector<detail::RemoteHomes> near;
   std::vector<detail::RemoteHomes> far;
   for (const auto& data_centre : config_->document.data_centres) {
@@ -88,16 +96,14 @@
   detail::RunnerContext context{&actions_, &random_, &archive_,
                                 settings_.data_centre};
   if (collection->strategy == Strategy::kBaseline) {
-    return std::make_unique<
-        detail::CollectionRunner<detail::BaselineStrategy>>(
+    return std::make_unique<detail::CollectionRunner<detail::BaselineStrategy>>(
         std::move(collection), plan, std::move(context), first_id);
   }
   return std::make_unique<detail::CollectionRunner<detail::AdaptiveStrategy>>(
       std::move(collection), plan, std::move(context), first_id);
 }
 
-QueryEngine::RunnerSlot* QueryEngine::FindOrAddRunner(
-    const std::string& name) {
+QueryEngine::RunnerSlot* QueryEngine::FindOrAddRunner(const std::string& name) {
   const auto known = runner_numbers_.find(name);
   if (known != runner_numbers_.end())
     return &runners_.at(known->second);
@@ -112,6 +118,7 @@
     std::visit(
         [&](auto& runner) {
           runner->SetRemoteHomes(RemoteHomesOf(*collection));
+          runner->SetListedLeaving(listed_leaving_);
         },
         slot.runner);
     const std::uint64_t number = next_runner_++;
@@ -290,9 +297,8 @@
   Time next = kNever;
   for (auto entry = runners_.begin(); entry != runners_.end();) {
     RunnerSlot& slot = entry->second;
-    std::visit(
-        [&](auto& runner) { next = std::min(next, runner->Turn(now)); },
-        slot.runner);
+    std::visit([&](auto& runner) { next = std::min(next, runner->Turn(now)); },
+               slot.runner);
     const bool idle =
         std::visit([](auto& runner) { return runner->idle(); }, slot.runner);
     if (!slot.retired || !idle) {
@@ -331,6 +337,17 @@
   return views;
 }
 
+std::uint32_t QueryEngine::ConnectionLimit() const {
+  std::uint32_t limit = std::numeric_limits<std::uint32_t>::max();
+  for (const auto& [number, slot] : runners_) {
+    const HomePlan plan = std::visit(
+        [](const auto& runner) { return runner->home_plan(); }, slot.runner);
+    if (plan.connections_per_home > 0)
+      limit = std::min(limit, plan.connections_per_home);
+  }
+  return limit;
+}
+
 std::vector<std::string> QueryEngine::HomesOf(std::string_view name) const {
   if (!config_)
     return {};
--- a/src/query/query_engine.h
+++ b/src/query/query_engine.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -56,12 +57,12 @@
   // The live instances of all data centres, this one included.
   void OnFleet(std::vector<Instance> instances, Time now);
 
+  // The servers of this data centre that the platform lists as leaving.
+  void OnListedLeaving(std::set<std::string> servers, Time now);
+
   // A search from a caller, or, if `forwarded`, from another instance, which is
   // never forwarded again. `query` must be new.
-  void OnSearch(QueryId query,
-                SearchRequest request,
-                bool forwarded,
-                Time now);
+  void OnSearch(QueryId query, SearchRequest request, bool forwarded, Time now);
 
   // The caller of `query` is gone: cancels its work; no reply follows.
   void OnCallerLeft(QueryId query, Time now);
@@ -92,15 +93,16 @@
 
   std::vector<ServerView> Servers() const;
 
+  // The most connections that this instance may hold to one server.
+  std::uint32_t ConnectionLimit() const;
+
   // Returns the names of this data centre's homes of `collection`.
   std::vector<std::string> HomesOf(std::string_view collection) const;
 
  private:
-  using Runner =
-      std::variant<std::unique_ptr<detail::CollectionRunner<
-                       detail::AdaptiveStrategy>>,
-                   std::unique_ptr<detail::CollectionRunner<
-                       detail::BaselineStrategy>>>;
+  using Runner = std::variant<
+      std::unique_ptr<detail::CollectionRunner<detail::AdaptiveStrategy>>,
+      std::unique_ptr<detail::CollectionRunner<detail::BaselineStrategy>>>;
 
   struct RunnerSlot {
     Runner runner;
@@ -135,6 +137,7 @@
   Random random_;
   std::shared_ptr<const ConfigInForce> config_;
   std::vector<Instance> instances_;
+  std::set<std::string> listed_leaving_;
   std::vector<QueryAction> actions_;
   detail::TrailArchive archive_;
   std::map<std::string, std::uint64_t> runner_numbers_;
--- a/src/query/query_types.h
+++ b/src/query/query_types.h
@@ -126,7 +126,7 @@
   Coverage coverage;
   Duration retry_after{0};  // Above zero: when to come back.
   Duration took{0};
-  std::uint32_t sub_queries = 0;  // Requests sent to servers in all.
+  std::uint32_t sub_queries = 0;        // Requests sent to servers in all.
   std::uint32_t extra_sub_queries = 0;  // Hedges and retries among them.
   std::vector<Decision> decisions;
   std::vector<ShardAnswer> shard_answers;  // For only_shards requests.
--- a/src/routing/latency_window.cc
+++ b/src/routing/latency_window.cc
@@ -15,8 +15,8 @@
   const double micros = static_cast<double>(latency.count());
   if (micros <= kLowestMicros)
     return 0;
-  const int bucket = static_cast<int>(std::log2(micros / kLowestMicros) *
-                                      kBucketsPerOctave);
+  const int bucket =
+      static_cast<int>(std::log2(micros / kLowestMicros) * kBucketsPerOctave);
   return std::min(bucket, kBuckets - 1);
 }
 
--- a/src/routing/server_state.cc
+++ b/src/routing/server_state.cc
@@ -35,15 +35,25 @@
 void ServerState::Reconfigure(const Server& info,
                               std::uint32_t homes,
                               std::uint32_t connections) {
-  if (info.leaving)
+  const bool was_told = IsToldToLeave();
+  info_ = info;
+  if (IsToldToLeave())
     standing_ = ServerStanding::kLeaving;
-  else if (info_.leaving)
+  else if (was_told)
     Recover();
-  info_ = info;
   connections_ = connections;
   limit_.SetMax(InFlightShare(info_.slots, homes, connections));
 }
 
+void ServerState::SetListedLeaving(bool leaving) {
+  const bool was_told = IsToldToLeave();
+  listed_leaving_ = leaving;
+  if (IsToldToLeave())
+    standing_ = ServerStanding::kLeaving;
+  else if (was_told)
+    Recover();
+}
+
 std::uint32_t ServerState::limit() const {
   // NOTE One connection stays free for cancellations and health probes.
   const std::uint32_t usable = connections_ > 1 ? connections_ - 1 : 1;
@@ -109,10 +119,10 @@
 
 void ServerState::OnAnswer(Duration latency, Time now) {
   const auto micros = static_cast<double>(latency.count());
-  mean_latency_ = mean_latency_ <= 0
-                      ? micros
-                      : mean_latency_ +
-                            kLatencyWeight * (micros - mean_latency_);
+  mean_latency_ =
+      mean_latency_ <= 0
+          ? micros
+          : mean_latency_ + kLatencyWeight * (micros - mean_latency_);
   last_answer_ = now;
   failures_ = 0;
   silent_streak_ = 0;
@@ -155,7 +165,7 @@
     standing_ = ServerStanding::kLeaving;
     return;
   }
-  if (info_.leaving)
+  if (IsToldToLeave())
     return;
   if (standing_ == ServerStanding::kLeaving ||
       standing_ == ServerStanding::kUnreachable) {
@@ -199,9 +209,8 @@
   if (standing_ == ServerStanding::kLeaving)
     return;
   standing_ = standing;
-  const Duration pause =
-      std::min(kFirstPause * (std::int64_t{1} << std::min(pauses_, 10)),
-               kLongestPause);
+  const Duration pause = std::min(
+      kFirstPause * (std::int64_t{1} << std::min(pauses_, 10)), kLongestPause);
   ++pauses_;
   paused_until_ = now + Jittered(pause, random);
 }
--- a/src/routing/server_state.h
+++ b/src/routing/server_state.h
@@ -49,6 +49,9 @@
                    std::uint32_t homes,
                    std::uint32_t connections);
 
+  // Whether the platform lists the server as leaving.
+  void SetListedLeaving(bool leaving);
+
   // Whether new work may be sent at all, and whether there is room for it now.
   bool MayTakeWork(Time now) const;
   bool HasRoom(Time now) const;
@@ -104,6 +107,7 @@
  private:
   void Pause(ServerStanding standing, Time now, Random* random);
   void Recover();
+  bool IsToldToLeave() const { return info_.leaving || listed_leaving_; }
   Duration Latency(Time now, Duration typical) const;
 
   Server info_;
@@ -120,6 +124,7 @@
   Time last_probe_{};
   ServerReport report_;
   bool has_report_ = false;
+  bool listed_leaving_ = false;
 };
 
 }  // namespace limpetrudder
--- a/src/routing/tests/server_state_test.cc
+++ b/src/routing/tests/server_state_test.cc
@@ -125,6 +125,14 @@
       server.OnReport({false, {}}, now);
       CHECK_FALSE(server.MayTakeWork(now));
     }
+    SUBCASE("from the moment the platform lists it, whatever it reports") {
+      ServerState server = MakeServer();
+      server.SetListedLeaving(true);
+      server.OnReport({false, {}}, now);
+      CHECK_FALSE(server.MayTakeWork(now));
+      server.SetListedLeaving(false);
+      CHECK(server.MayTakeWork(now));
+    }
     SUBCASE("nor after failures that would otherwise end in a retry") {
       ServerState server = MakeServer(/*leaving=*/true);
       server.OnFailure(now, &random);
--- /dev/null
+++ b/testing/layout.h
@@ -0,0 +1,18 @@
+#ifndef TESTING_LAYOUT_H_
+#define TESTING_LAYOUT_H_
+
+#include <string>
+
+namespace limpetrudder::testbed {
+
+// Writes the files of one test town to `directory`: the operators' document,
+// the settings of each instance, the stand-in targets of each data centre and
+// the platform's list. `kind` is "demo", "blue-mahoe" or "loft"; ports count up
+// from `base_port`. Returns false for an unknown kind.
+bool WriteLayout(const std::string& kind,
+                 const std::string& directory,
+                 int base_port);
+
+}  // namespace limpetrudder::testbed
+
+#endif  // TESTING_LAYOUT_H_
