--- a/src/app/control_duty.cc
+++ b/src/app/control_duty.cc
@@ -342,12 +342,28 @@
 }
 
 void ControlDuty::On(SubmitChange event, Time now) {
+  // NOTE A fresh instance beside a platform that was restored from an older
+  // copy knows too low a revision; the others know better.
+  auto shared = std::make_shared<SubmitChange>(std::move(event));
+  AskRevisions(
+      [this, shared](const RevisionPoll& poll, Time then) {
+        std::uint64_t highest = distributor_.revision();
+        for (const auto& [address, revision] : poll.revisions)
+          highest = std::max(highest, revision.value_or(0));
+        BeginPublish(std::move(*shared), highest, then);
+      },
+      now);
+}
+
+void ControlDuty::BeginPublish(SubmitChange event,
+                               std::uint64_t highest_revision,
+                               Time now) {
   const std::uint64_t id = next_id_++;
   PublishJob job;
   job.document = event.change.document;
   job.respond = std::move(event.respond);
-  job.publisher = std::make_unique<Publisher>(std::move(event.change),
-                                              distributor_.revision());
+  job.publisher =
+      std::make_unique<Publisher>(std::move(event.change), highest_revision);
   job.call_at = now;
   jobs_[id] = std::move(job);
   RunPublishJobs(now);
@@ -447,41 +463,58 @@
   event.respond({kHttpOk, body.dump()});
 }
 
-void ControlDuty::On(StatusQuestion event, Time) {
+void ControlDuty::AskRevisions(
+    std::function<void(const RevisionPoll&, Time)> done,
+    Time now) {
   const std::uint64_t id = next_id_++;
-  StatusPoll& poll = polls_[id];
-  poll.respond = std::move(event.respond);
+  RevisionPoll& poll = polls_[id];
+  poll.done = std::move(done);
   std::vector<std::string> addresses = membership_.LocalPeers();
   for (auto& address : membership_.RemoteRelays())
     addresses.push_back(std::move(address));
   poll.left = addresses.size();
   if (addresses.empty())
-    return AnswerStatus(id);
+    return FinishPoll(id, now);
   PeerProbe probe = MakeProbe();
   probe.message.from = membership_.Table().front();
   for (const auto& address : addresses) {
     peers_->Probe(
         address, probe, kProbeTimeout,
         [mailbox = mailbox_, id, address](std::optional<PeerProbeReply> reply) {
-          mailbox->PostResult(StatusAnswer{id, address, std::move(reply)});
+          mailbox->PostResult(RevisionAnswer{id, address, std::move(reply)});
         });
   }
 }
 
-void ControlDuty::On(const StatusAnswer& event, Time) {
-  const auto found = polls_.find(event.question);
+void ControlDuty::On(const RevisionAnswer& event, Time now) {
+  const auto found = polls_.find(event.poll);
   if (found == polls_.end())
     return;
-  StatusPoll& poll = found->second;
+  RevisionPoll& poll = found->second;
   poll.revisions[event.address] =
       event.reply ? std::optional(event.reply->revision) : std::nullopt;
+  if (event.reply)
+    distributor_.OnPeerRevision(event.address, event.reply->revision, now);
   if (--poll.left == 0)
-    AnswerStatus(event.question);
+    FinishPoll(event.poll, now);
 }
 
-void ControlDuty::AnswerStatus(std::uint64_t question) {
-  StatusPoll poll = std::move(polls_.at(question));
-  polls_.erase(question);
+void ControlDuty::FinishPoll(std::uint64_t id, Time now) {
+  const RevisionPoll poll = std::move(polls_.at(id));
+  polls_.erase(id);
+  poll.done(poll, now);
+}
+
+void ControlDuty::On(StatusQuestion event, Time now) {
+  AskRevisions(
+      [this, respond = std::move(event.respond)](const RevisionPoll& poll,
+                                                 Time) {
+        respond({kHttpOk, WriteStatus(poll)});
+      },
+      now);
+}
+
+std::string ControlDuty::WriteStatus(const RevisionPoll& poll) const {
   nlohmann::ordered_json body;
   body["instance"] = settings_.instance;
   body["data_centre"] = settings_.data_centre;
@@ -506,7 +539,7 @@
     }
     body["instances"].push_back(std::move(entry));
   }
-  poll.respond({kHttpOk, body.dump()});
+  return body.dump();
 }
 
 void ControlDuty::On(const LeaveFleet&, Time now) {
--- a/src/app/control_duty.h
+++ b/src/app/control_duty.h
@@ -78,8 +78,8 @@
 struct StatusQuestion {
   Responder respond;
 };
-struct StatusAnswer {
-  std::uint64_t question = 0;
+struct RevisionAnswer {
+  std::uint64_t poll = 0;
   std::string address;
   std::optional<PeerProbeReply> reply;
 };
@@ -98,7 +98,7 @@
                                   HistoryRead,
                                   DocumentQuestion,
                                   StatusQuestion,
-                                  StatusAnswer,
+                                  RevisionAnswer,
                                   LeaveFleet>;
 
 // Keeps the member table and the configuration of one instance, publishes
@@ -130,11 +130,12 @@
     Time call_at = kNever;  // When the next call is due.
   };
 
-  // A question to all instances of the data centre.
-  struct StatusPoll {
-    Responder respond;
+  // A question for their revisions to all instances of the data centre and a
+  // relay of each other one.
+  struct RevisionPoll {
     std::size_t left = 0;
     std::map<std::string, std::optional<std::uint64_t>> revisions;
+    std::function<void(const RevisionPoll&, Time)> done;
   };
 
   struct ListedLeaving {
@@ -155,7 +156,7 @@
   void On(const HistoryRead& event, Time now);
   void On(const DocumentQuestion& event, Time now);
   void On(StatusQuestion event, Time now);
-  void On(const StatusAnswer& event, Time now);
+  void On(const RevisionAnswer& event, Time now);
   void On(const LeaveFleet& event, Time now);
 
   void CarryOut(Time now);
@@ -178,7 +179,13 @@
   void ReadRoot(bool watch);
   void MergeLeaving(Time now);
   void ShareFleet();
-  void AnswerStatus(std::uint64_t question);
+  void AskRevisions(std::function<void(const RevisionPoll&, Time)> done,
+                    Time now);
+  void FinishPoll(std::uint64_t id, Time now);
+  void BeginPublish(SubmitChange event,
+                    std::uint64_t highest_revision,
+                    Time now);
+  std::string WriteStatus(const RevisionPoll& poll) const;
   PeerProbe MakeProbe() const;
 
   const Settings settings_;
@@ -193,7 +200,7 @@
   Distributor distributor_;
   RevisionGuard guard_;
   std::map<std::uint64_t, PublishJob> jobs_;
-  std::map<std::uint64_t, StatusPoll> polls_;
+  std::map<std::uint64_t, RevisionPoll> polls_;
   std::map<std::string, ListedLeaving> leaving_by_relay_;
   std::set<std::string> listed_leaving_;
   std::set<std::string> own_list_;
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -1,11 +1,8 @@
 #include "membership/membership.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
-#include "framework/hash.h"
-
 namespace limpetrudder {
 namespace {
 
@@ -14,7 +11,6 @@
 constexpr Duration kForgetDeadAfter = Seconds(120);
 constexpr std::size_t kUpdatesPerMessage = 8;
 constexpr std::size_t kIndirectProbes = 2;
-constexpr std::size_t kRelays = 2;
 constexpr std::uint64_t kRoundsPerComparison = 30;
 constexpr std::size_t kFarewells = 4;
 
@@ -22,10 +18,6 @@
   return static_cast<int>(state);
 }
 
-bool CountsAsLive(MemberState state) {
-  return state == MemberState::kAlive || state == MemberState::kSuspect;
-}
-
 }  // namespace
 
 Membership::Membership(MembershipSettings settings)
@@ -75,6 +67,7 @@
       known != members_.end() && CountsAsLive(member.info.state);
   const bool moved = member.info.peer_address != update.peer_address;
   member.info = update;
+  index_.reset();
   if (update.state == MemberState::kSuspect)
     member.suspect_since = now;
   if (!CountsAsLive(update.state))
@@ -86,6 +79,7 @@
 
 void Membership::Refute(std::uint64_t incarnation) {
   self_.incarnation = incarnation + 1;
+  index_.reset();
   updates_.Push(self_);
 }
 
@@ -120,25 +114,16 @@
   // refute.
   if (believed != MemberState::kAlive && members_.count(message.from.name))
     answer.updates.push_back(members_.at(message.from.name).info);
-  for (const auto& theirs : message.hashes) {
-    for (const auto& mine : TableHashes()) {
-      if (mine.data_centre != theirs.data_centre || mine.hash == theirs.hash)
-        continue;
-      for (auto& member : MembersOf(mine.data_centre))
-        answer.updates.push_back(std::move(member));
-    }
-  }
-  if (!message.hashes.empty()) {
-    for (const auto& mine : TableHashes()) {
-      const bool unknown_there = std::none_of(
-          message.hashes.begin(), message.hashes.end(), [&](const auto& hash) {
-            return hash.data_centre == mine.data_centre;
-          });
-      if (!unknown_there)
-        continue;
-      for (auto& member : MembersOf(mine.data_centre))
-        answer.updates.push_back(std::move(member));
-    }
+  if (message.hashes.empty())
+    return answer;
+  for (const auto& mine : TableHashes()) {
+    const bool same_there = std::any_of(
+        message.hashes.begin(), message.hashes.end(), [&](const auto& theirs) {
+          return theirs.data_centre == mine.data_centre &&
+                 theirs.hash == mine.hash;
+        });
+    if (!same_there)
+      AppendMembersOf(mine.data_centre, &answer.updates);
   }
   return answer;
 }
@@ -179,7 +164,7 @@
   if (target == members_.end())
     return;
   std::vector<std::string> helpers;
-  for (const auto& helper : LiveNamesOf(self_.data_centre)) {
+  for (const auto& helper : index().of(self_.data_centre).live) {
     if (helper != name && helper != self_.name)
       helpers.push_back(helper);
   }
@@ -209,7 +194,7 @@
 void Membership::ProbeNextMember(Time) {
   while (true) {
     if (probe_order_.empty()) {
-      for (const auto& name : LiveNamesOf(self_.data_centre)) {
+      for (const auto& name : index().of(self_.data_centre).live) {
         if (name != self_.name)
           probe_order_.push_back(name);
       }
@@ -286,6 +271,7 @@
 
 std::vector<SendProbe> Membership::Leave(Time) {
   self_.state = MemberState::kLeft;
+  index_.reset();
   updates_.Push(self_);
   std::vector<std::string> addresses = LocalPeers();
   std::vector<SendProbe> farewells;
@@ -314,64 +300,55 @@
   return live;
 }
 
-std::vector<std::string> Membership::LiveNamesOf(
-    std::string_view data_centre) const {
-  std::vector<std::string> names;
-  for (const auto& instance : Live()) {
-    if (instance.data_centre == data_centre)
-      names.push_back(instance.name);
-  }
-  return names;
+const detail::MemberIndex& Membership::index() const {
+  if (index_)
+    return *index_;
+  index_.emplace();
+  index_->Add(self_);
+  for (const auto& [name, member] : members_)
+    index_->Add(member.info);
+  index_->Finish();
+  return *index_;
 }
 
-std::vector<std::string> Membership::RelaysOf(
+const std::vector<std::string>& Membership::RelaysOf(
     std::string_view data_centre) const {
-  return HighestScores("relay", LiveNamesOf(data_centre), kRelays);
+  return index().of(data_centre).relays;
 }
 
 bool Membership::IsRelay() const {
-  const auto relays = RelaysOf(self_.data_centre);
+  const auto& relays = RelaysOf(self_.data_centre);
   return std::find(relays.begin(), relays.end(), self_.name) != relays.end();
 }
 
 std::vector<std::string> Membership::LocalPeers() const {
   std::vector<std::string> addresses;
-  for (const auto& [name, member] : members_) {
-    if (member.info.data_centre == self_.data_centre &&
-        CountsAsLive(member.info.state)) {
-      addresses.push_back(member.info.peer_address);
-    }
+  for (const auto& name : index().of(self_.data_centre).live) {
+    if (name != self_.name)
+      addresses.push_back(members_.at(name).info.peer_address);
   }
   return addresses;
 }
 
 std::vector<std::string> Membership::RemoteRelays() const {
-  std::set<std::string> data_centres;
-  for (const auto& [name, member] : members_) {
-    if (member.info.data_centre != self_.data_centre &&
-        CountsAsLive(member.info.state)) {
-      data_centres.insert(member.info.data_centre);
-    }
-  }
   std::vector<std::string> addresses;
-  for (const auto& data_centre : data_centres) {
-    const auto relays = RelaysOf(data_centre);
-    const std::string& pick = relays[round_ % relays.size()];
+  for (const auto& [name, entry] : index().data_centres()) {
+    if (name == self_.data_centre)
+      continue;
+    const std::string& pick = entry.relays[round_ % entry.relays.size()];
     addresses.push_back(members_.at(pick).info.peer_address);
   }
   return addresses;
 }
 
-std::vector<MemberUpdate> Membership::MembersOf(
-    std::string_view data_centre) const {
-  std::vector<MemberUpdate> members;
+void Membership::AppendMembersOf(std::string_view data_centre,
+                                 std::vector<MemberUpdate>* out) const {
   if (self_.data_centre == data_centre)
-    members.push_back(self_);
+    out->push_back(self_);
   for (const auto& [name, member] : members_) {
     if (member.info.data_centre == data_centre)
-      members.push_back(member.info);
+      out->push_back(member.info);
   }
-  return members;
 }
 
 std::vector<MemberUpdate> Membership::Table() const {
@@ -382,18 +359,9 @@
 }
 
 std::vector<TableHash> Membership::TableHashes() const {
-  std::map<std::string, std::uint64_t> hashes;
-  for (const auto& member : Table()) {
-    if (!CountsAsLive(member.state))
-      continue;
-    // NOTE A sum doesn't depend on the order of members.
-    hashes[member.data_centre] +=
-        Hash64(member.name, member.incarnation * 4 +
-                                static_cast<std::uint64_t>(member.state));
-  }
   std::vector<TableHash> list;
-  for (const auto& [data_centre, hash] : hashes)
-    list.push_back({data_centre, hash});
+  for (const auto& [name, entry] : index().data_centres())
+    list.push_back({name, entry.hash});
   return list;
 }
 
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -3,11 +3,13 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "framework/random.h"
 #include "framework/time.h"
+#include "membership/internal/member_index.h"
 #include "membership/internal/update_queue.h"
 #include "membership/membership_types.h"
 #include "routing/home_plan.h"
@@ -60,7 +62,7 @@
   std::vector<Instance> Live() const;
 
   // The relays of `data_centre`, best first.
-  std::vector<std::string> RelaysOf(std::string_view data_centre) const;
+  const std::vector<std::string>& RelaysOf(std::string_view data_centre) const;
   bool IsRelay() const;
 
   // Peer addresses of the live instances of this data centre, without this one.
@@ -94,12 +96,15 @@
   void SendIndirectProbes(const std::string& name);
   ProbeMessage MakeMessage();
   std::vector<TableHash> TableHashes() const;
-  std::vector<MemberUpdate> MembersOf(std::string_view data_centre) const;
-  std::vector<std::string> LiveNamesOf(std::string_view data_centre) const;
+  void AppendMembersOf(std::string_view data_centre,
+                       std::vector<MemberUpdate>* out) const;
+  const detail::MemberIndex& index() const;
 
   MemberUpdate self_;
   Random random_;
   std::map<std::string, Member> members_;  // Without this instance.
+  // Worked out when it is asked for after a change.
+  mutable std::optional<detail::MemberIndex> index_;
   detail::UpdateQueue updates_;
   std::map<std::uint64_t, PendingProbe> pending_;
   std::map<std::string, int> indirect_left_;  // Indirect probes that are out.
--- a/src/membership/membership_types.h
+++ b/src/membership/membership_types.h
@@ -19,6 +19,11 @@
     {MemberState::kLeft, "left"},
 }};
 
+// A suspect counts as live until it is declared dead.
+constexpr bool CountsAsLive(MemberState state) {
+  return state == MemberState::kAlive || state == MemberState::kSuspect;
+}
+
 // What one instance says or passes on about an instance. A higher incarnation
 // overrides a lower one; at the same incarnation the graver state does.
 struct MemberUpdate {
--- a/src/query/internal/collection_runner.cc
+++ b/src/query/internal/collection_runner.cc
@@ -283,8 +283,9 @@
   ++query->sub_queries;
   if (kind == DecisionKind::kSent)
     strategy_.OnFirstSend();
-  else
+  else if (!progress.given_back)
     ++query->extra_sub_queries;
+  progress.given_back = false;
   if (!attempt.spare) {
     ++progress.attempts;
     progress.live.push_back(id);
@@ -576,7 +577,8 @@
     return;
   if (!strategy_.MayRetry(progress.attempts))
     return GiveUp(query, shard, reason, now);
-  if (!IsRefusal(reason)) {
+  progress.given_back = IsRefusal(reason);
+  if (!progress.given_back) {
     if (!strategy_.TrySpendRetry())
       return GiveUp(query, shard, ResultCode::kRetryBudgetSpent, now);
     progress.excluded.push_back(attempt.server.get());
--- a/src/query/internal/query_state.h
+++ b/src/query/internal/query_state.h
@@ -24,6 +24,7 @@
   std::vector<const ServerState*> excluded;  // Failed this sub-query.
   std::vector<std::string> data_centres_asked;
   bool in_batch = false;     // Asked of another data centre.
+  bool given_back = false;   // The last attempt was refused without being run.
   bool met_silence = false;  // Further attempts open their own connections.
   std::optional<WaitTicket> ticket;
 };
--- a/src/query/query_types.h
+++ b/src/query/query_types.h
@@ -128,8 +128,10 @@
   Coverage coverage;
   Duration retry_after{0};  // Above zero: when to come back.
   Duration took{0};
-  std::uint32_t sub_queries = 0;        // Requests sent to servers in all.
-  std::uint32_t extra_sub_queries = 0;  // Hedges and retries among them.
+  std::uint32_t sub_queries = 0;  // Requests sent to servers in all.
+  // Those among them that added load: hedges, spare requests, and retries of
+  // what a server didn't give back.
+  std::uint32_t extra_sub_queries = 0;
   std::vector<Decision> decisions;
   std::vector<ShardAnswer> shard_answers;  // For only_shards requests.
 };
