--- a/scripts/town.sh
+++ b/scripts/town.sh
@@ -25,7 +25,7 @@
 
 town_wait_ready() {
   local address=$1 i
-  for i in $(seq 1 200); do
+  for i in $(seq 1 1200); do
     if curl -s --noproxy '*' -o /dev/null -f "http://$address/v1/ready"; then
       return 0
     fi
@@ -37,7 +37,7 @@
 
 town_wait_port() {
   local address=$1 path=$2 i
-  for i in $(seq 1 200); do
+  for i in $(seq 1 1200); do
     if curl -s --noproxy '*' -o /dev/null "http://$address$path"; then
       return 0
     fi
@@ -53,7 +53,7 @@
   rm -rf "$dir"
   mkdir -p "$dir"
   "$bin/limpetrudder_testbed" layout --kind "$kind" --directory "$dir" \
-    --base-port "$base_port"
+    --base-port "$base_port" --instances "${instances:-8}"
   platform=$(town_index .platform_address)
   town_spawn platform.log "$bin/limpetrudder_testbed" platform \
     --address "$platform"
--- a/src/app/caller_api.cc
+++ b/src/app/caller_api.cc
@@ -97,12 +97,13 @@
 void CallerApi::OnRequest(ServerRequest request, Responder respond) {
   const auto config = front_->config();
   if (request.path == "/v1/ready") {
-    if (config && !front_->stopping())
+    if (front_->ready())
       return respond({kHttpOk, R"({"ready":true})"});
-    return respond(Refusal(
-        front_->stopping() ? ResultCode::kStopping : ResultCode::kNotReady,
-        front_->stopping() ? "shutting down"
-                           : "no configuration is in force yet"));
+    if (front_->stopping())
+      return respond(Refusal(ResultCode::kStopping, "shutting down"));
+    return respond(Refusal(ResultCode::kNotReady,
+                           config ? "the fleet isn't known yet"
+                                  : "no configuration is in force yet"));
   }
   if (!config) {
     return respond(
--- a/src/app/control_duty.cc
+++ b/src/app/control_duty.cc
@@ -15,7 +15,7 @@
 constexpr Duration kPullTimeout = Millis(800);
 constexpr Duration kPlatformRetry = Millis(500);
 constexpr Duration kListInterval = Seconds(1);
-constexpr Duration kCompareInterval = Seconds(1);
+constexpr Duration kMergeInterval = Seconds(1);
 constexpr Duration kListedLeavingMemory = Seconds(30);
 constexpr std::size_t kConfirmationsAfterFreeze = 3;
 
@@ -61,17 +61,15 @@
     }
   }
   Time next = membership_.Turn(now);
-  if (now >= next_compare_) {
-    next_compare_ = now + kCompareInterval;
-    distributor_.SetPeers(
-        {membership_.LocalPeers(), membership_.RemoteRelays()});
-    distributor_.Turn(now);
+  if (now >= next_merge_) {
+    next_merge_ = now + kMergeInterval;
     MergeLeaving(now);
   }
+  next = std::min(next, distributor_.Turn(now));
   FollowPlatform(now);
   RunPublishJobs(now);
   CarryOut(now);
-  next = std::min({next, next_compare_, next_watch_, next_list_});
+  next = std::min({next, next_merge_, next_watch_, next_list_});
   for (const auto& [id, job] : jobs_)
     next = std::min(next, job.call_at);
   return std::max(next, now + Millis(1));
@@ -82,6 +80,8 @@
     SendMemberProbe(probe, now);
   if (membership_.TakeChanged())
     ShareFleet();
+  if (membership_.joined())
+    front_->SetJoined();
   for (const auto& action : distributor_.TakeActions())
     std::visit([&](const auto& entry) { Carry(entry, now); }, action);
 }
--- a/src/app/control_duty.h
+++ b/src/app/control_duty.h
@@ -214,7 +214,7 @@
   bool left_ = false;
   Time next_watch_{};
   Time next_list_{};
-  Time next_compare_{};
+  Time next_merge_{};
 };
 
 }  // namespace limpetrudder
--- a/src/app/front_state.h
+++ b/src/app/front_state.h
@@ -28,6 +28,12 @@
     return current ? current->revision : 0;
   }
 
+  void SetJoined() { joined_ = true; }
+
+  // Whether callers are to be sent here: a configuration is in force, the fleet
+  // is known, and no stop has begun.
+  bool ready() const { return joined_ && !stopping_ && config() != nullptr; }
+
   void BeginStop() { stopping_ = true; }
   bool stopping() const { return stopping_; }
 
@@ -40,6 +46,7 @@
 
  private:
   std::shared_ptr<const ConfigInForce> config_;
+  std::atomic<bool> joined_{false};
   std::atomic<bool> stopping_{false};
   std::atomic<std::int64_t> confirmed_us_{0};
   Metrics metrics_;
--- a/src/config/distributor.cc
+++ b/src/config/distributor.cc
@@ -12,6 +12,13 @@
 constexpr std::size_t kAnnounceFanout = 3;
 constexpr Duration kPullTimeout = Millis(800);
 
+// How often an instance repeats its announcement to other random peers. With a
+// fanout of three once, one instance in seventeen would hear of a change only
+// from the comparisons.
+constexpr int kAnnouncements = 3;
+constexpr Duration kAnnounceInterval = Millis(150);
+constexpr Duration kCompareInterval = Seconds(1);
+
 }  // namespace
 
 void Distributor::OnPlatformRoot(const Manifest& manifest, Time now) {
@@ -57,14 +64,14 @@
       missing.push_back(name);
   }
   if (missing.empty())
-    return Apply(manifest);
+    return Apply(manifest, now);
   pull_ = Pull{source, now, manifest};
   actions_.push_back(FetchParts{source, std::move(missing)});
 }
 
 void Distributor::OnParts(const std::string& peer,
                           const PartTexts& texts,
-                          Time) {
+                          Time now) {
   for (const auto& [name, text] : texts) {
     if (Sha256Hex(*text) == name)
       texts_[name] = text;
@@ -77,7 +84,7 @@
                   [&](const auto& name) { return texts_.count(name) > 0; });
   if (!whole)
     return OnFetchFailed(peer);
-  Apply(manifest);
+  Apply(manifest, now);
 }
 
 void Distributor::OnFetchFailed(const std::string& peer) {
@@ -85,7 +92,7 @@
     pull_.reset();
 }
 
-void Distributor::Apply(Manifest manifest) {
+void Distributor::Apply(Manifest manifest, Time now) {
   pull_.reset();
   if (manifest.revision <= manifest_.revision)
     return;
@@ -104,30 +111,45 @@
   config->revision = manifest_.revision;
   config->document = std::move(document.assume_value());
   actions_.push_back(ApplyConfig{std::move(config)});
+  announcements_left_ = kAnnouncements - 1;
+  next_announcement_ = now + kAnnounceInterval;
   Announce();
 }
 
 void Distributor::Announce() {
-  std::vector<std::string> peers = peers_.local;
-  for (std::size_t i = 0; i < kAnnounceFanout && !peers.empty(); ++i) {
+  AnnounceTo(peers_.local, kAnnounceFanout);
+  AnnounceTo(peers_.remote_relays, peers_.remote_relays.size());
+}
+
+void Distributor::AnnounceTo(std::vector<std::string> peers,
+                             std::size_t count) {
+  for (std::size_t i = 0; i < count && !peers.empty(); ++i) {
     const std::size_t pick = random_.Below(peers.size());
-    actions_.push_back(AnnounceRevision{peers[pick], manifest_.revision});
-    peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(pick));
+    actions_.push_back(
+        AnnounceRevision{std::move(peers[pick]), manifest_.revision});
+    std::swap(peers[pick], peers.back());
+    peers.pop_back();
   }
-  for (const auto& peer : peers_.remote_relays)
-    actions_.push_back(AnnounceRevision{peer, manifest_.revision});
 }
 
-void Distributor::Turn(Time now) {
+Time Distributor::Turn(Time now) {
   if (IsPullStale(now))
     pull_.reset();
-  std::vector<std::string> peers = peers_.local;
-  peers.insert(peers.end(), peers_.remote_relays.begin(),
-               peers_.remote_relays.end());
-  if (peers.empty())
-    return;
-  const std::size_t pick = random_.Below(peers.size());
-  actions_.push_back(AnnounceRevision{peers[pick], manifest_.revision});
+  if (announcements_left_ > 0 && now >= next_announcement_) {
+    --announcements_left_;
+    next_announcement_ = now + kAnnounceInterval;
+    Announce();
+  }
+  if (now >= next_comparison_) {
+    next_comparison_ = now + kCompareInterval;
+    std::vector<std::string> peers = peers_.local;
+    peers.insert(peers.end(), peers_.remote_relays.begin(),
+                 peers_.remote_relays.end());
+    AnnounceTo(std::move(peers), 1);
+  }
+  return announcements_left_ > 0
+             ? std::min(next_announcement_, next_comparison_)
+             : next_comparison_;
 }
 
 bool Distributor::IsPullStale(Time now) const {
--- a/src/config/distributor.h
+++ b/src/config/distributor.h
@@ -76,8 +76,9 @@
   // A fetch from `peer` (or the platform, if empty) failed.
   void OnFetchFailed(const std::string& peer);
 
-  // Compares revisions with one random peer; call it about once a second.
-  void Turn(Time now);
+  // Tells a few more peers of a new revision, and compares with a random one
+  // every second. Returns when to be called next.
+  Time Turn(Time now);
 
   // Returns and clears the actions due.
   std::vector<DistributorAction> TakeActions();
@@ -95,8 +96,9 @@
   };
 
   void Offer(const Manifest& manifest, const std::string& source, Time now);
-  void Apply(Manifest manifest);
+  void Apply(Manifest manifest, Time now);
   void Announce();
+  void AnnounceTo(std::vector<std::string> peers, std::size_t count);
   bool IsPullStale(Time now) const;
 
   Random random_;
@@ -105,6 +107,9 @@
   PartTexts texts_;
   DocumentAssembler assembler_;
   std::optional<Pull> pull_;
+  int announcements_left_ = 0;
+  Time next_announcement_{};
+  Time next_comparison_{};
   std::vector<DistributorAction> actions_;
 };
 
--- a/src/config/tests/distributor_test.cc
+++ b/src/config/tests/distributor_test.cc
@@ -66,6 +66,8 @@
         distributor.OnParts("p1", next.texts, Time());
         CHECK(distributor.revision() == 6);
         CHECK(Taken<AnnounceRevision>(&distributor).size() == 3);
+        distributor.Turn(Time() + Seconds(1));
+        CHECK(Taken<AnnounceRevision>(&distributor).size() >= 3);
       }
       SUBCASE("and waits when a part was altered on the way") {
         PartTexts bad = next.texts;
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -13,6 +13,7 @@
 constexpr std::size_t kIndirectProbes = 2;
 constexpr std::uint64_t kRoundsPerComparison = 30;
 constexpr std::size_t kFarewells = 4;
+constexpr std::uint64_t kLongestJoinRounds = 3;
 
 int Gravity(MemberState state) {
   return static_cast<int>(state);
@@ -136,6 +137,7 @@
     return;
   indirect_left_.erase(found->second.name);
   pending_.erase(found);
+  joined_ = true;
   for (const auto& update : answer.updates)
     Apply(update, now);
 }
@@ -213,7 +215,7 @@
     // NOTE A suspect is told, whatever else there is to say.
     if (member->second.info.state == MemberState::kSuspect)
       message.updates.push_back(member->second.info);
-    if (round_ % kRoundsPerComparison == 0)
+    if (!joined_ || round_ % kRoundsPerComparison == 0)
       message.hashes = TableHashes();
     probes_.push_back(
         {next_probe_++, member->second.info.peer_address, std::move(message)});
@@ -259,6 +261,8 @@
     return next_round_;
   ++round_;
   next_round_ = now + kRound;
+  if (round_ > kLongestJoinRounds)
+    joined_ = true;
   ExpireSuspects(now);
   ProbeNextMember(now);
   ProbeRemoteRelay(now);
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -55,6 +55,11 @@
   Time Turn(Time now);
   std::vector<SendProbe> TakeProbes();
 
+  // Whether the table was compared with another instance's since the start, or
+  // nobody answered for a few rounds. Until then much of the fleet may be
+  // missing from it.
+  bool joined() const { return joined_; }
+
   // Whether the set returned by Live() changed since the last call.
   bool TakeChanged();
 
@@ -114,6 +119,7 @@
   std::uint64_t round_ = 0;
   Time next_round_{};
   bool changed_ = true;
+  bool joined_ = false;
 };
 
 }  // namespace limpetrudder
--- a/src/membership/tests/membership_test.cc
+++ b/src/membership/tests/membership_test.cc
@@ -191,6 +191,28 @@
   }
 }
 
+TEST_CASE("A fresh instance that knows one other") {
+  Group group(4);
+  group.Add(4, "montego");
+  group.Run(10);
+  group.Start("kingston-9", "kingston", 1);
+  Membership& fresh = group.at("kingston-9");
+  CHECK_FALSE(fresh.joined());
+
+  SUBCASE("learns the whole table from it at once") {
+    fresh.OnSeeds(
+        {{"kingston-0", "kingston", "kingston-0", 0, MemberState::kAlive}},
+        Time());
+    group.Run(1);
+    CHECK(fresh.joined());
+    CHECK(fresh.Live().size() == 9);
+  }
+  SUBCASE("doesn't wait for ever if nobody answers") {
+    group.Run(10);
+    CHECK(fresh.joined());
+  }
+}
+
 TEST_CASE("Messages per instance don't grow with the group") {
   for (int count : {8, 64, 186}) {
     CAPTURE(count);
--- a/testing/layout.cc
+++ b/testing/layout.cc
@@ -100,6 +100,14 @@
   return town;
 }
 
+Town MakeFleet(int instances) {
+  Town town;
+  town.places = {{"kingston", "south", instances}};
+  town.loads.push_back(
+      {"order-tracking", "whole", {"orders"}, 2, 4, 100, 1, "", ""});
+  return town;
+}
+
 void WriteFile(const std::filesystem::path& path, const Json& json) {
   std::ofstream(path) << json.dump(1) << "\n";
 }
@@ -255,7 +263,8 @@
 
 bool WriteLayout(const std::string& kind,
                  const std::string& directory,
-                 int base_port) {
+                 int base_port,
+                 int instances) {
   Town town;
   if (kind == "demo")
     town = MakeDemo();
@@ -263,6 +272,8 @@
     town = MakeBlueMahoe();
   else if (kind == "loft")
     town = MakeLoft();
+  else if (kind == "fleet")
+    town = MakeFleet(instances);
   else
     return false;
   LayoutWriter(std::move(town), directory, base_port).Write();
--- a/testing/testbed_main.cc
+++ b/testing/testbed_main.cc
@@ -20,8 +20,8 @@
 using Json = nlohmann::json;
 
 constexpr char kUsage[] =
-    "usage: limpetrudder_testbed layout --kind demo|blue-mahoe|loft\n"
-    "           --directory DIR [--base-port N]\n"
+    "usage: limpetrudder_testbed layout --kind demo|blue-mahoe|loft|fleet\n"
+    "           --directory DIR [--base-port N] [--instances N]\n"
     "       limpetrudder_testbed platform --address IP:PORT\n"
     "       limpetrudder_testbed targets --spec FILE [--seed N]\n"
     "       limpetrudder_testbed load --addresses A,B,... --tokens T,U,...\n"
@@ -166,7 +166,8 @@
 int RunLayout(const Options& options) {
   const bool known =
       WriteLayout(options.at("kind"), options.at("directory"),
-                  std::stoi(ValueOr(options, "base-port", "21000")));
+                  std::stoi(ValueOr(options, "base-port", "21000")),
+                  std::stoi(ValueOr(options, "instances", "8")));
   if (!known)
     std::cerr << kUsage;
   return known ? 0 : 2;
@@ -177,7 +178,8 @@
       "kind",       "directory", "base-port",  "address",
       "spec",       "seed",      "addresses",  "tokens",
       "collection", "terms",     "rate",       "seconds",
-      "warmup",     "shards",    "service-ms", "straggler-share"};
+      "warmup",     "shards",    "service-ms", "straggler-share",
+      "instances"};
   std::vector<option> long_options;
   for (const char* name : kNames)
     long_options.push_back({name, required_argument, nullptr, 0});
