--- a/src/app/caller_api.cc
+++ b/src/app/caller_api.cc
@@ -165,11 +165,11 @@
   search.deadline = Now() + allowed - kReplyMargin;
   search.explain = body->value("explain", false);
   event.connection = request.connection;
-  event.respond = std::move(respond);
+  event.respond = respond;
   if (search_->Post(std::move(event)))
     return;
   front_->metrics().Add("searches.ring_full");
-  event.respond(Refusal(ResultCode::kRingFull, "too many requests wait"));
+  respond(Refusal(ResultCode::kRingFull, "too many requests wait"));
 }
 
 void CallerApi::OnWrite(WriteAction action,
@@ -207,9 +207,9 @@
   write.request_id = NextRequestId();
   write.caller = caller.name;
   write.deadline = Now() + allowed - kReplyMargin;
-  event.respond = std::move(respond);
+  event.respond = respond;
   if (!write_->Post(std::move(event)))
-    event.respond(Refusal(ResultCode::kRingFull, "too many requests wait"));
+    respond(Refusal(ResultCode::kRingFull, "too many requests wait"));
 }
 
 }  // namespace limpetrudder
--- a/src/app/control_duty.cc
+++ b/src/app/control_duty.cc
@@ -14,7 +14,9 @@
 constexpr Duration kProbeTimeout = Millis(400);
 constexpr Duration kPullTimeout = Millis(800);
 constexpr Duration kPlatformRetry = Millis(500);
+constexpr Duration kPlatformRetryBeside = Seconds(5);  // On other than relays.
 constexpr Duration kListInterval = Seconds(1);
+constexpr Duration kWatchCheck = Millis(200);
 constexpr Duration kMergeInterval = Seconds(1);
 constexpr Duration kListedLeavingMemory = Seconds(30);
 constexpr std::size_t kConfirmationsAfterFreeze = 3;
@@ -260,8 +262,11 @@
 void ControlDuty::FollowPlatform(Time now) {
   const bool relay = membership_.IsRelay();
   // NOTE Only relays follow the platform; the others ask it while they have no
-  // configuration at all.
-  const bool wants_root = relay || distributor_.revision() == 0;
+  // configuration at all. A fresh instance asks its peers first, which spares
+  // the platform a read for each part at each restart.
+  const bool alone = listed_once_ && membership_.Live().size() <= 1;
+  const bool wants_root = (membership_.joined() || alone) &&
+                          (relay || distributor_.revision() == 0);
   if (wants_root && !watching_ && now >= next_watch_) {
     watching_ = true;
     ReadRoot(/*watch=*/relay && root_kv_revision_ > 0);
@@ -276,7 +281,7 @@
     }
   }
   if (!wants_root || watching_)
-    next_watch_ = now + Seconds(1);
+    next_watch_ = now + kWatchCheck;
 }
 
 void ControlDuty::ReadRoot(bool watch) {
@@ -297,7 +302,8 @@
   if (status == KvStatus::kUnchanged)
     return;
   if (status != KvStatus::kOk) {
-    next_watch_ = now + kPlatformRetry;
+    next_watch_ =
+        now + (membership_.IsRelay() ? kPlatformRetry : kPlatformRetryBeside);
     root_kv_revision_ = 0;
     return;
   }
@@ -313,6 +319,7 @@
 
 void ControlDuty::On(const PlatformListRead& event, Time now) {
   listing_ = false;
+  listed_once_ = true;
   if (!event.list)
     return;
   membership_.OnSeeds(event.list->instances, now);
--- a/src/app/control_duty.h
+++ b/src/app/control_duty.h
@@ -210,6 +210,7 @@
   std::uint64_t root_kv_revision_ = 0;
   bool watching_ = false;
   bool listing_ = false;
+  bool listed_once_ = false;
   bool platform_up_ = false;
   bool left_ = false;
   Time next_watch_{};
--- a/src/app/operator_api.cc
+++ b/src/app/operator_api.cc
@@ -4,6 +4,7 @@
 #include <ctime>
 #include <utility>
 
+#include "app/internal/console_page.h"
 #include "app/internal/json_api.h"
 #include "config/document.h"
 #include "framework/hash.h"
@@ -69,6 +70,8 @@
 }
 
 void OperatorApi::OnRequest(ServerRequest request, Responder respond) {
+  if (request.method == "GET" && request.path == "/")
+    return respond({kHttpOk, std::string(ConsolePage()), "text/html"});
   if (Sha256Hex(request.bearer_token) != token_sha256_) {
     return respond(
         Refusal(ResultCode::kNotAuthorised, "the bearer token isn't known"));
--- a/src/app/server_app.cc
+++ b/src/app/server_app.cc
@@ -6,6 +6,7 @@
 #include <thread>
 #include <utility>
 
+#include "app/internal/json_api.h"
 #include "framework/hash.h"
 #include "framework/logger.h"
 
@@ -110,26 +111,24 @@
 PeerHandlers ServerApp::MakePeerHandlers() {
   PeerHandlers handlers;
   handlers.search = [this](PeerSearch search, auto reply) {
-    PeerSearchCall call{std::move(search), std::move(reply)};
-    if (search_.Post(std::move(call)))
+    if (search_.Post(PeerSearchCall{std::move(search), reply}))
       return;
-    call.reply({503, RefusalBody(ResultCode::kRingFull, "too many requests"),
-                true, front_.revision()});
+    reply({kHttpTooMany,
+           RefusalBody(ResultCode::kRingFull, "too many requests"), true,
+           front_.revision()});
   };
   handlers.shards = [this](PeerSearch search, auto reply) {
-    PeerShardsCall call{std::move(search), std::move(reply)};
-    if (!search_.Post(std::move(call)))
-      call.reply({{}, front_.revision()});
+    if (!search_.Post(PeerShardsCall{std::move(search), reply}))
+      reply({{}, front_.revision()});
   };
   handlers.write = [this](PeerWrite write, auto reply) {
-    PeerWriteCall call{std::move(write), std::move(reply)};
-    if (write_.Post(std::move(call)))
+    if (write_.Post(PeerWriteCall{std::move(write), reply}))
       return;
     PeerWriteReply refusal;
     refusal.outcome.code = ResultCode::kRingFull;
     refusal.outcome.message = "too many writes wait; not run by this attempt";
     refusal.outcome.retry_after = Seconds(1);
-    call.reply(std::move(refusal));
+    reply(std::move(refusal));
   };
   // NOTE Membership and configuration keep working while callers flood an
   // instance: their calls are few and each is answered, so none is refused.
--- a/src/framework/duty_thread.h
+++ b/src/framework/duty_thread.h
@@ -56,9 +56,9 @@
       thread_.join();
   }
 
-  // Queues `event`. Returns false, leaving `event` as it is, if the ring is
-  // full. Thread safe.
-  bool Post(Event&& event) {
+  // Queues `event`, or returns false if the ring is full; `event` is gone then
+  // too, so whoever must be answered has to be kept apart. Thread safe.
+  bool Post(Event event) {
     bool was_empty = false;
     if (!ring_.TryPush(std::move(event), &was_empty))
       return false;
@@ -69,7 +69,7 @@
 
   // Queues the result of work that was admitted before; never refused.
   // Thread safe.
-  void PostResult(Event&& event) {
+  void PostResult(Event event) {
     bool was_empty = false;
     ring_.PushResult(std::move(event), &was_empty);
     if (was_empty)
--- a/src/framework/tests/framework_test.cc
+++ b/src/framework/tests/framework_test.cc
@@ -1,10 +1,12 @@
 #include <fstream>
+#include <future>
 #include <set>
 #include <sstream>
 
 #include <doctest/doctest.h>
 
 #include "framework/bounded_ring.h"
+#include "framework/duty_thread.h"
 #include "framework/json_schema.h"
 #include "framework/metrics.h"
 #include "framework/result_code.h"
@@ -59,6 +61,40 @@
   }
 }
 
+// Holds its thread in the first event until it is let go.
+struct BlockingHandler {
+  void Handle(int event, Time) {
+    if (event == 0) {
+      busy.set_value();
+      go.get_future().wait();
+    }
+    handled.push_back(event);
+    if (event == 4)
+      done.set_value();
+  }
+  Time Turn(Time) { return kNever; }
+
+  std::promise<void> busy;
+  std::promise<void> go;
+  std::promise<void> done;
+  std::vector<int> handled;
+};
+
+TEST_CASE("A duty that is busy refuses work beyond its ring, but no result") {
+  BlockingHandler handler;
+  DutyThread<int, BlockingHandler> duty(2, &handler);
+  duty.Start();
+  REQUIRE(duty.Post(0));
+  handler.busy.get_future().wait();
+  CHECK(duty.Post(1));
+  CHECK(duty.Post(2));
+  CHECK_FALSE(duty.Post(3));
+  duty.PostResult(4);
+  handler.go.set_value();
+  handler.done.get_future().wait();
+  CHECK(handler.handled == std::vector<int>{0, 1, 2, 4});
+}
+
 TEST_CASE("A schema names each fault by pointer and number") {
   const JsonSchema schema(R"({
     "type": "object", "additionalProperties": false, "required": ["port"],
--- a/src/query/internal/adaptive_strategy.cc
+++ b/src/query/internal/adaptive_strategy.cc
@@ -103,7 +103,8 @@
   for (const auto& server : input.shard->servers) {
     if (!IsEligible(*server, input, now)) {
       choice.wait |= server->standing() == ServerStanding::kSuspect &&
-                     !server->MayTakeWork(now);
+                     server->paused_until() > now &&
+                     server->paused_until() < input.deadline;
     } else if (server->HasRoom(now)) {
       best = std::min(best, server->ExpectedLatency(typical));
     } else {
--- a/src/query/internal/collection_runner.cc
+++ b/src/query/internal/collection_runner.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "query/internal/answer_composer.h"
 #include "query/internal/snapshot_choice.h"
 
 namespace limpetrudder::detail {
@@ -49,8 +50,9 @@
     : collection_(std::move(collection)),
       context_(std::move(context)),
       strategy_(*collection_),
+      roster_(context_.data_centre),
       next_id_(first_id) {
-  BuildPlan(plan);
+  roster_.Rebuild(*collection_, plan);
 }
 
 template <QueryStrategy S>
@@ -59,81 +61,16 @@
     HomePlan plan) {
   collection_ = std::move(collection);
   strategy_.Reconfigure(*collection_);
-  BuildPlan(plan);
-}
-
-template <QueryStrategy S>
-std::shared_ptr<ServerState> CollectionRunner<S>::FindOrAddServer(
-    const Server& info,
-    HomePlan plan) {
-  auto& server = servers_[info.name];
-  if (server && server->info().address == info.address)
-    server->Reconfigure(info, plan.homes, plan.connections_per_home);
-  else
-    server = std::make_shared<ServerState>(info, plan.homes,
-                                           plan.connections_per_home);
-  server->SetListedLeaving(listed_leaving_.count(info.name) > 0);
-  return server;
-}
-
-template <QueryStrategy S>
-void CollectionRunner<S>::BuildPlan(HomePlan plan) {
-  home_plan_ = plan;
-  std::map<std::string, std::shared_ptr<ShardState>> known;
-  if (plan_.map_epoch == collection_->map_epoch) {
-    for (const auto& shard : plan_.shards)
-      known[shard->name] = shard;
-  }
-  std::map<std::string, std::shared_ptr<ServerState>> kept;
-  plan_ = ShardPlan();
-  plan_.map_epoch = collection_->map_epoch;
-  for (const auto& service : collection_->services) {
-    for (const auto& shard : service.shards) {
-      auto& state = known[shard.name];
-      if (!state)
-        state = std::make_shared<ShardState>();
-      state->name = shard.name;
-      state->servers.clear();
-      state->remote_data_centres.clear();
-      for (const auto& server : shard.servers) {
-        if (server.data_centre == context_.data_centre) {
-          auto local = FindOrAddServer(server, plan);
-          kept[server.name] = local;
-          state->servers.push_back(std::move(local));
-          continue;
-        }
-        auto& remote = state->remote_data_centres;
-        if (!server.leaving && std::find(remote.begin(), remote.end(),
-                                         server.data_centre) == remote.end()) {
-          remote.push_back(server.data_centre);
-        }
-      }
-      plan_.shards.push_back(state);
-    }
-  }
-  servers_ = std::move(kept);
-}
-
-template <QueryStrategy S>
-void CollectionRunner<S>::SetRemoteHomes(std::vector<RemoteHomes> homes) {
-  remote_homes_ = std::move(homes);
-}
-
-template <QueryStrategy S>
-void CollectionRunner<S>::SetListedLeaving(
-    const std::set<std::string>& servers) {
-  listed_leaving_ = servers;
-  for (const auto& [name, server] : servers_)
-    server->SetListedLeaving(listed_leaving_.count(name) > 0);
+  roster_.Rebuild(*collection_, plan);
 }
 
 template <QueryStrategy S>
 ShardPlan CollectionRunner<S>::PlanFor(const SearchRequest& request) const {
   if (request.only_shards.empty())
-    return plan_;
+    return roster_.plan();
   ShardPlan plan;
-  plan.map_epoch = plan_.map_epoch;
-  for (const auto& shard : plan_.shards) {
+  plan.map_epoch = roster_.plan().map_epoch;
+  for (const auto& shard : roster_.plan().shards) {
     if (std::find(request.only_shards.begin(), request.only_shards.end(),
                   shard->name) != request.only_shards.end()) {
       plan.shards.push_back(shard);
@@ -174,14 +111,7 @@
           return server->standing() == ServerStanding::kServing ||
                  server->standing() == ServerStanding::kSuspect;
         });
-    if (here)
-      return true;
-    const auto& holders = shard->remote_data_centres;
-    return std::any_of(
-        remote_homes_.begin(), remote_homes_.end(), [&](const auto& homes) {
-          return std::find(holders.begin(), holders.end(), homes.data_centre) !=
-                 holders.end();
-        });
+    return here || remote_.IsReachable(shard->remote_data_centres);
   };
   return std::all_of(plan.shards.begin(), plan.shards.end(), is_reachable);
 }
@@ -201,24 +131,32 @@
   }
   if (admission.code != ResultCode::kOk)
     return Refuse(id, request, admission, shard_count);
-
-  auto owned =
+  auto query =
       std::make_unique<QueryState>(id, std::move(request), std::move(plan));
-  QueryState* query = owned.get();
-  queries_[id] = std::move(owned);
+  Begin(query.get(), now);
+  queries_[id] = std::move(query);
+  LaunchAll(id, now);
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::Begin(QueryState* query, Time now) {
   query->started = now;
-  query->open = shard_count;
+  query->open = static_cast<std::uint32_t>(query->shards.size());
   query->trail.Begin(now);
   query->pinned = query->request.pinned;
   if (query->pinned.version == 0)
     query->pinned = {query->plan.map_epoch, ChooseVersion(query->plan, now)};
   query->trail.Add(now, DecisionKind::kPinned, "", "", query->pinned.version);
-  timers_.Add({query->request.deadline, TimerKind::kQueryEnd, id});
-  if (const auto cut = strategy_.TailCutAfter();
-      cut && !IsWholeNeeded(query->request)) {
-    timers_.Add({now + *cut, TimerKind::kTailCut, id});
-  }
-  for (std::uint32_t shard = 0; shard < shard_count; ++shard)
+  timers_.Add({query->request.deadline, TimerKind::kQueryEnd, query->id});
+  const auto cut = strategy_.TailCutAfter();
+  if (cut && !IsWholeNeeded(query->request))
+    timers_.Add({now + *cut, TimerKind::kTailCut, query->id});
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::LaunchAll(QueryId id, Time now) {
+  QueryState* query = FindQuery(id);
+  for (std::uint32_t shard = 0; shard < query->shards.size(); ++shard)
     Launch(query, shard, now);
   FlushBatches(query, now);
   Settle(id, now);
@@ -229,24 +167,7 @@
                                  std::uint32_t shard,
                                  Time now) {
   ShardProgress& progress = query->shards[shard];
-  ShardState* state = query->plan.shards[shard].get();
-  ChoiceInput input;
-  input.shard = state;
-  input.snapshot = query->pinned;
-  input.excluded = &progress.excluded;
-  input.ahead = state->queue.AheadOf(query->request.caller_class);
-  ServerChoice choice = strategy_.Choose(input, now, context_.random);
-  if (!choice.server && !choice.wait) {
-    input.guess_newer = true;
-    choice = strategy_.Choose(input, now, context_.random);
-  }
-  const bool nowhere_else = !progress.data_centres_asked.empty() ||
-                            state->remote_data_centres.empty();
-  if (!choice.server && !choice.wait && !progress.excluded.empty() &&
-      nowhere_else) {
-    progress.excluded.clear();
-    choice = strategy_.Choose(input, now, context_.random);
-  }
+  const ServerChoice choice = ChooseServer(query, shard, now);
   if (choice.server) {
     const DecisionKind kind =
         progress.attempts == 0 ? DecisionKind::kSent : DecisionKind::kRetried;
@@ -256,13 +177,41 @@
     return Enqueue(query, shard, now);
   if (AskElsewhere(query, shard) || !progress.live.empty())
     return;
+  const auto& servers = query->plan.shards[shard]->servers;
   const bool reachable =
-      std::any_of(state->servers.begin(), state->servers.end(),
+      std::any_of(servers.begin(), servers.end(),
                   [&](const auto& server) { return server->MayTakeWork(now); });
   GiveUp(query, shard,
          reachable ? ResultCode::kVersionNotHeld : ResultCode::kNoServer, now);
 }
 
+template <QueryStrategy S>
+ServerChoice CollectionRunner<S>::ChooseServer(QueryState* query,
+                                               std::uint32_t shard,
+                                               Time now) {
+  ShardProgress& progress = query->shards[shard];
+  ShardState* state = query->plan.shards[shard].get();
+  ChoiceInput input;
+  input.shard = state;
+  input.snapshot = query->pinned;
+  input.deadline = query->request.deadline;
+  input.excluded = &progress.excluded;
+  input.ahead = state->queue.AheadOf(query->request.caller_class);
+  ServerChoice choice = strategy_.Choose(input, now, context_.random);
+  if (choice.IsPossible())
+    return choice;
+  input.guess_newer = true;
+  choice = strategy_.Choose(input, now, context_.random);
+  const bool nowhere_else = !progress.data_centres_asked.empty() ||
+                            state->remote_data_centres.empty();
+  if (choice.IsPossible() || progress.excluded.empty() || !nowhere_else)
+    return choice;
+  // NOTE All servers failed this sub-query once; a second time is the last
+  // resort.
+  progress.excluded.clear();
+  return strategy_.Choose(input, now, context_.random);
+}
+
 template <QueryStrategy S>
 void CollectionRunner<S>::Send(QueryState* query,
                                std::uint32_t shard,
@@ -390,48 +339,32 @@
   if (!query->request.only_shards.empty())
     return false;
   ShardProgress& progress = query->shards[shard];
-  const auto& holders = query->plan.shards[shard]->remote_data_centres;
-  for (const auto& homes : remote_homes_) {
-    const bool holds = std::find(holders.begin(), holders.end(),
-                                 homes.data_centre) != holders.end();
-    auto& asked = progress.data_centres_asked;
-    const bool again =
-        std::find(asked.begin(), asked.end(), homes.data_centre) != asked.end();
-    if (!holds || again || homes.peers.empty())
-      continue;
-    asked.push_back(homes.data_centre);
-    progress.in_batch = true;
-    pending_batches_[homes.data_centre].push_back(shard);
-    return true;
-  }
-  return false;
+  progress.in_batch =
+      remote_.Reserve(shard, query->plan.shards[shard]->remote_data_centres,
+                      &progress.data_centres_asked);
+  return progress.in_batch;
 }
 
 template <QueryStrategy S>
 void CollectionRunner<S>::FlushBatches(QueryState* query, Time now) {
-  for (auto& [data_centre, shards] : std::exchange(pending_batches_, {})) {
-    const auto homes = std::find_if(
-        remote_homes_.begin(), remote_homes_.end(),
-        [&](const auto& entry) { return entry.data_centre == data_centre; });
-    const std::string& peer =
-        homes->peers[context_.random->Below(homes->peers.size())];
+  for (auto& [data_centre, shards] : remote_.TakeReserved()) {
     AskDataCentre ask;
     ask.batch = next_id_++;
-    ask.peer = peer;
+    ask.peer = remote_.PeerIn(data_centre, context_.random);
     ask.request = query->request;
     ask.request.pinned = query->pinned;
     for (std::uint32_t shard : shards) {
       const std::string& name = query->plan.shards[shard]->name;
       ask.request.only_shards.push_back(name);
-      query->trail.Add(now, DecisionKind::kAskedDataCentre, name, peer,
+      query->trail.Add(now, DecisionKind::kAskedDataCentre, name, ask.peer,
                        ask.batch);
       ShardProgress& progress = query->shards[shard];
-      if (progress.attempts > 0)
+      if (progress.attempts > 0 && !progress.given_back)
         ++query->extra_sub_queries;
       ++progress.attempts;
       ++query->sub_queries;
     }
-    batches_[ask.batch] = {query->id, data_centre, std::move(shards)};
+    remote_.AddBatch(ask.batch, {query->id, data_centre, std::move(shards)});
     context_.actions->push_back(std::move(ask));
   }
 }
@@ -523,32 +456,34 @@
   attempts_.erase(found);
   ObserveServer(attempt, result, now);
   QueryState* query = FindQuery(attempt.query);
-  if (query != nullptr) {
+  if (query != nullptr && query->Owns(attempt) && !attempt.cancelled_at) {
     ShardProgress& progress = query->shards[attempt.shard];
     std::erase(progress.live, result.attempt);
-    if (progress.status == ShardStatus::kOpen) {
-      const bool right_snapshot =
-          result.answer.snapshot.map_epoch == query->plan.map_epoch &&
-          (query->pinned.version == 0 ||
-           result.answer.snapshot == query->pinned);
-      if (result.code == ResultCode::kOk && right_snapshot) {
-        query->trail.Add(now, DecisionKind::kAnswered,
-                         attempt.shard_state->name, attempt.server->info().name,
-                         result.attempt);
-        OnShardAnswered(query, attempt.shard, result.answer, now);
-      } else if (!attempt.spare) {
-        const ResultCode reason = result.code == ResultCode::kOk
-                                      ? ResultCode::kVersionNotHeld
-                                      : result.code;
-        OnShardFailed(query, attempt.shard, attempt, reason, now);
-      }
-      FlushBatches(query, now);
-      Settle(attempt.query, now);
-    }
+    if (progress.status == ShardStatus::kOpen)
+      OnOpenShard(query, attempt, result, now);
   }
   DispatchFor(*attempt.server, now);
 }
 
+template <QueryStrategy S>
+void CollectionRunner<S>::OnOpenShard(QueryState* query,
+                                      const AttemptState& attempt,
+                                      const AttemptResult& result,
+                                      Time now) {
+  const QueryId id = query->id;
+  const bool answered = result.code == ResultCode::kOk;
+  if (answered && query->Accepts(result.answer.snapshot)) {
+    query->trail.Add(now, DecisionKind::kAnswered, attempt.shard_state->name,
+                     attempt.server->info().name, result.attempt);
+    OnShardAnswered(query, attempt.shard, result.answer, now);
+  } else if (!attempt.spare) {
+    OnShardFailed(query, attempt.shard, attempt,
+                  answered ? ResultCode::kVersionNotHeld : result.code, now);
+  }
+  FlushBatches(query, now);
+  Settle(id, now);
+}
+
 template <QueryStrategy S>
 void CollectionRunner<S>::OnShardAnswered(QueryState* query,
                                           std::uint32_t shard,
@@ -670,52 +605,71 @@
 void CollectionRunner<S>::OnBatch(BatchId id,
                                   std::vector<ShardAnswer> answers,
                                   Time now) {
-  const auto found = batches_.find(id);
-  if (found == batches_.end())
+  const std::optional<BatchState> taken = remote_.TakeBatch(id);
+  if (!taken)
     return;
-  const BatchState batch = std::move(found->second);
-  batches_.erase(found);
+  const BatchState& batch = *taken;
   QueryState* query = FindQuery(batch.query);
   if (query == nullptr)
     return;
   for (std::uint32_t shard : batch.shards) {
-    ShardProgress& progress = query->shards[shard];
-    progress.in_batch = false;
-    if (progress.status != ShardStatus::kOpen)
-      continue;
-    ShardState& state = *query->plan.shards[shard];
+    query->shards[shard].in_batch = false;
+    const std::string& name = query->plan.shards[shard]->name;
     const auto answer = std::find_if(
         answers.begin(), answers.end(),
-        [&](const ShardAnswer& entry) { return entry.shard == state.name; });
-    if (answer != answers.end() && !answer->held.empty())
-      state.remote_held = answer->held;
-    const bool answered =
-        answer != answers.end() && answer->code == ResultCode::kOk &&
-        answer->snapshot.map_epoch == query->plan.map_epoch &&
-        (query->pinned.version == 0 || answer->snapshot == query->pinned);
-    if (answered) {
-      query->trail.Add(now, DecisionKind::kAnswered, state.name,
-                       batch.data_centre, id);
-      OnShardAnswered(query, shard, std::move(*answer), now);
-      continue;
-    }
-    const ResultCode reason =
-        answer == answers.end() ? ResultCode::kPeerUnreachable : answer->code;
-    query->trail.Add(now, DecisionKind::kRefused, state.name, batch.data_centre,
-                     id, reason);
-    if (!AskElsewhere(query, shard))
-      GiveUp(query, shard, reason, now);
+        [&](const ShardAnswer& entry) { return entry.shard == name; });
+    if (answer != answers.end())
+      OnRemoteAnswer(query, shard, batch.data_centre, std::move(*answer), now);
+    else
+      OnRemoteRefusal(query, shard, batch.data_centre,
+                      ResultCode::kPeerUnreachable, now);
   }
   FlushBatches(query, now);
   Settle(batch.query, now);
 }
 
+template <QueryStrategy S>
+void CollectionRunner<S>::OnRemoteAnswer(QueryState* query,
+                                         std::uint32_t shard,
+                                         const std::string& data_centre,
+                                         ShardAnswer answer,
+                                         Time now) {
+  ShardState& state = *query->plan.shards[shard];
+  if (!answer.held.empty())
+    state.remote_held = answer.held;
+  if (query->shards[shard].status != ShardStatus::kOpen)
+    return;
+  if (answer.code != ResultCode::kOk) {
+    return OnRemoteRefusal(query, shard, data_centre, answer.code, now);
+  }
+  if (!query->Accepts(answer.snapshot)) {
+    return OnRemoteRefusal(query, shard, data_centre,
+                           ResultCode::kVersionNotHeld, now);
+  }
+  query->trail.Add(now, DecisionKind::kAnswered, state.name, data_centre);
+  OnShardAnswered(query, shard, std::move(answer), now);
+}
+
+template <QueryStrategy S>
+void CollectionRunner<S>::OnRemoteRefusal(QueryState* query,
+                                          std::uint32_t shard,
+                                          const std::string& data_centre,
+                                          ResultCode reason,
+                                          Time now) {
+  if (query->shards[shard].status != ShardStatus::kOpen)
+    return;
+  query->trail.Add(now, DecisionKind::kRefused, query->plan.shards[shard]->name,
+                   data_centre, 0, reason);
+  if (!AskElsewhere(query, shard))
+    GiveUp(query, shard, reason, now);
+}
+
 template <QueryStrategy S>
 void CollectionRunner<S>::OnProbe(const std::string& name,
                                   const std::optional<ServerReport>& report,
                                   Time now) {
-  const auto found = servers_.find(name);
-  if (found == servers_.end())
+  const auto found = roster_.servers().find(name);
+  if (found == roster_.servers().end())
     return;
   if (report)
     found->second->OnReport(*report, now);
@@ -724,41 +678,15 @@
   DispatchFor(*found->second, now);
 }
 
-template <QueryStrategy S>
-std::uint32_t CollectionRunner<S>::GivenUp(const QueryState& query) const {
-  return static_cast<std::uint32_t>(std::count_if(
-      query.shards.begin(), query.shards.end(), [](const auto& progress) {
-        return progress.status == ShardStatus::kGivenUp;
-      }));
-}
-
-template <QueryStrategy S>
-bool CollectionRunner<S>::IsSplit(const QueryState& query) const {
-  const Snapshot best = query.book.Best();
-  for (std::uint32_t shard = 0; shard < query.shards.size(); ++shard) {
-    const ShardProgress& progress = query.shards[shard];
-    const bool refused_snapshot =
-        progress.status == ShardStatus::kGivenUp &&
-        (progress.reason == ResultCode::kVersionNotHeld ||
-         progress.reason == ResultCode::kMapNotHeld);
-    const bool answered_another = query.open == 0 &&
-                                  progress.status == ShardStatus::kAnswered &&
-                                  !query.book.Has(shard, best);
-    if (refused_snapshot || answered_another)
-      return true;
-  }
-  return false;
-}
-
 template <QueryStrategy S>
 void CollectionRunner<S>::Settle(QueryId id, Time now) {
   QueryState* query = FindQuery(id);
   if (query == nullptr)
     return;
-  const bool lost_one = GivenUp(*query) > 0;
+  const bool lost_one = query->GivenUp() > 0;
   if (query->open > 0 && !lost_one)
     return;
-  if (IsSplit(*query) && (RestartOnNewMap(query, now) || Repin(query, now)))
+  if (query->IsSplit() && (RestartOnNewMap(query, now) || Repin(query, now)))
     return;
   if (query->open > 0 && !IsWholeNeeded(query->request))
     return;
@@ -767,26 +695,24 @@
 
 template <QueryStrategy S>
 bool CollectionRunner<S>::RestartOnNewMap(QueryState* query, Time now) {
-  if (query->plan.map_epoch == plan_.map_epoch ||
+  if (query->plan.map_epoch == roster_.plan().map_epoch ||
       query->restarts >= kMaxRestarts || !query->request.only_shards.empty() ||
       query->book.CountAt(query->book.Best()) == query->shards.size()) {
     return false;
   }
-  DropBatches(query->id);
+  remote_.DropBatchesOf(query->id);
   for (std::uint32_t shard = 0; shard < query->shards.size(); ++shard)
     CancelLive(query, shard, now);
   ++query->restarts;
-  query->plan = plan_;
-  query->shards.assign(plan_.shards.size(), ShardProgress());
-  query->book = AnswerBook(plan_.shards.size());
-  query->open = static_cast<std::uint32_t>(plan_.shards.size());
-  query->pinned = {plan_.map_epoch, ChooseVersion(plan_, now)};
+  query->plan = roster_.plan();
+  query->shards.assign(roster_.plan().shards.size(), ShardProgress());
+  query->book = AnswerBook(roster_.plan().shards.size());
+  query->open = static_cast<std::uint32_t>(roster_.plan().shards.size());
+  query->pinned = {roster_.plan().map_epoch,
+                   ChooseVersion(roster_.plan(), now)};
   query->trail.Add(now, DecisionKind::kRepinned, "", "", query->pinned.version,
                    ResultCode::kMapNotHeld);
-  for (std::uint32_t shard = 0; shard < query->shards.size(); ++shard)
-    Launch(query, shard, now);
-  FlushBatches(query, now);
-  Settle(query->id, now);
+  LaunchAll(query->id, now);
   return true;
 }
 
@@ -794,7 +720,7 @@
 bool CollectionRunner<S>::Repin(QueryState* query, Time now) {
   const std::uint32_t total = static_cast<std::uint32_t>(query->shards.size());
   const std::uint32_t attainable =
-      query->open > 0 ? total - GivenUp(*query)
+      query->open > 0 ? total - query->GivenUp()
                       : query->book.CountAt(query->book.Best());
   if (attainable == total || query->repins >= kMaxRepins ||
       !query->request.only_shards.empty()) {
@@ -809,7 +735,7 @@
   query->pinned = next;
   query->trail.Add(now, DecisionKind::kRepinned, "", "", next.version,
                    ResultCode::kVersionNotHeld);
-  DropBatches(query->id);
+  remote_.DropBatchesOf(query->id);
   std::vector<std::uint32_t> again;
   for (std::uint32_t shard = 0; shard < query->shards.size(); ++shard) {
     if (query->book.Has(shard, next))
@@ -831,12 +757,6 @@
   return true;
 }
 
-template <QueryStrategy S>
-void CollectionRunner<S>::DropBatches(QueryId query) {
-  std::erase_if(batches_,
-                [&](const auto& entry) { return entry.second.query == query; });
-}
-
 template <QueryStrategy S>
 void CollectionRunner<S>::CutTail(QueryId id, Time now) {
   QueryState* query = FindQuery(id);
@@ -852,77 +772,12 @@
   Finish(query, ResultCode::kAnswerLate, now);
 }
 
-template <QueryStrategy S>
-void CollectionRunner<S>::CollectHeld(const ShardState& shard,
-                                      std::vector<Snapshot>* held) const {
-  for (const auto& server : shard.servers) {
-    for (const Snapshot& snapshot : server->report().held) {
-      if (std::find(held->begin(), held->end(), snapshot) == held->end())
-        held->push_back(snapshot);
-    }
-  }
-}
-
-template <QueryStrategy S>
-SearchAnswer CollectionRunner<S>::ComposeAnswer(QueryState* query,
-                                                ResultCode late_reason,
-                                                Time now) const {
-  SearchAnswer answer;
-  answer.request_id = query->request.request_id;
-  answer.took = now - query->started;
-  answer.sub_queries = query->sub_queries;
-  answer.extra_sub_queries = query->extra_sub_queries;
-  answer.execution =
-      query->sub_queries > 0 ? Execution::kRun : Execution::kNotRun;
-  const Snapshot best = query->book.Best();
-  answer.snapshot = best;
-  answer.snapshot_age = query->book.Age(best);
-  answer.coverage.shards_total =
-      static_cast<std::uint32_t>(query->shards.size());
-  answer.coverage.shards_answered = query->book.CountAt(best);
-  for (std::uint32_t shard = 0; shard < query->shards.size(); ++shard) {
-    const ShardProgress& progress = query->shards[shard];
-    const ShardState& state = *query->plan.shards[shard];
-    if (!query->request.only_shards.empty()) {
-      ShardAnswer entry;
-      entry.shard = state.name;
-      entry.code = progress.status == ShardStatus::kGivenUp ? progress.reason
-                                                            : late_reason;
-      if (!query->book.of(shard).empty())
-        entry = query->book.of(shard).back();
-      CollectHeld(state, &entry.held);
-      answer.shard_answers.push_back(std::move(entry));
-    }
-    if (query->book.Has(shard, best))
-      continue;
-    const ResultCode reason = progress.status == ShardStatus::kGivenUp
-                                  ? progress.reason
-                              : progress.status == ShardStatus::kAnswered
-                                  ? ResultCode::kVersionNotHeld
-                                  : late_reason;
-    answer.coverage.missing.push_back({state.name, reason});
-  }
-  if (answer.coverage.complete()) {
-    answer.hits = query->book.Merge(best, query->request.limit);
-    return answer;
-  }
-  answer.retry_after = kRetryAfterPartial;
-  if (IsWholeNeeded(query->request)) {
-    answer.code = ResultCode::kNotWhole;
-    return answer;
-  }
-  answer.code = answer.coverage.shards_answered == 0
-                    ? ResultCode::kNoAnswer
-                    : ResultCode::kPartialAnswer;
-  answer.hits = query->book.Merge(best, query->request.limit);
-  return answer;
-}
-
 template <QueryStrategy S>
 void CollectionRunner<S>::Finish(QueryState* query,
                                  ResultCode late_reason,
                                  Time now) {
-  SearchAnswer answer = ComposeAnswer(query, late_reason, now);
+  SearchAnswer answer =
+      ComposeAnswer(*query, IsWholeNeeded(query->request), late_reason, now);
   if (answer.code == ResultCode::kOk)
     strategy_.OnQueryDone(answer.took);
   const QueryId id = query->id;
@@ -977,7 +832,7 @@
 
 template <QueryStrategy S>
 void CollectionRunner<S>::ProbeServers(Time now) {
-  for (const auto& [name, server] : servers_) {
+  for (const auto& [name, server] : roster_.servers()) {
     if (!server->IsProbeDue(now))
       continue;
     server->OnProbeSent(now);
--- a/src/query/internal/collection_runner.h
+++ b/src/query/internal/collection_runner.h
@@ -11,18 +11,14 @@
 #include "query/internal/adaptive_strategy.h"
 #include "query/internal/baseline_strategy.h"
 #include "query/internal/query_state.h"
+#include "query/internal/remote_shards.h"
+#include "query/internal/server_roster.h"
 #include "query/internal/strategy.h"
 #include "query/internal/timer_queue.h"
 #include "routing/home_plan.h"
 
 namespace limpetrudder::detail {
 
-// The homes of a collection in other data centres, nearest first.
-struct RemoteHomes {
-  std::string data_centre;
-  std::vector<std::string> peers;
-};
-
 // What a runner shares with its engine.
 struct RunnerContext {
   std::vector<QueryAction>* actions = nullptr;
@@ -45,8 +41,12 @@
 
   // Takes a new configuration. Queries that run keep their shard plan.
   void Reconfigure(std::shared_ptr<const Collection> collection, HomePlan plan);
-  void SetRemoteHomes(std::vector<RemoteHomes> homes);
-  void SetListedLeaving(const std::set<std::string>& servers);
+  void SetRemoteHomes(std::vector<RemoteHomes> homes) {
+    remote_.SetHomes(std::move(homes));
+  }
+  void SetListedLeaving(const std::set<std::string>& servers) {
+    roster_.SetListedLeaving(servers);
+  }
 
   void Start(QueryId query, SearchRequest request, Time now);
   void Abandon(QueryId query, Time now);
@@ -61,17 +61,10 @@
 
   bool idle() const { return queries_.empty() && attempts_.empty(); }
   const Collection& collection() const { return *collection_; }
-  HomePlan home_plan() const { return home_plan_; }
-  const std::map<std::string, std::shared_ptr<ServerState>>& servers() const {
-    return servers_;
-  }
+  HomePlan home_plan() const { return roster_.homes(); }
+  const ServerRoster::Servers& servers() const { return roster_.servers(); }
 
  private:
-  // Building the plan.
-  void BuildPlan(HomePlan plan);
-  std::shared_ptr<ServerState> FindOrAddServer(const Server& info,
-                                               HomePlan plan);
-
   // Admission.
   ShardPlan PlanFor(const SearchRequest& request) const;
   bool IsWholeNeeded(const SearchRequest& request) const;
@@ -81,7 +74,11 @@
               Admission admission,
               std::uint32_t shards);
 
+  void Begin(QueryState* query, Time now);
+  void LaunchAll(QueryId id, Time now);
+
   // One sub-query.
+  ServerChoice ChooseServer(QueryState* query, std::uint32_t shard, Time now);
   void Launch(QueryState* query, std::uint32_t shard, Time now);
   void Send(QueryState* query,
             std::uint32_t shard,
@@ -106,6 +103,20 @@
   void ObserveServer(const AttemptState& attempt,
                      const AttemptResult& result,
                      Time now);
+  void OnOpenShard(QueryState* query,
+                   const AttemptState& attempt,
+                   const AttemptResult& result,
+                   Time now);
+  void OnRemoteAnswer(QueryState* query,
+                      std::uint32_t shard,
+                      const std::string& data_centre,
+                      ShardAnswer answer,
+                      Time now);
+  void OnRemoteRefusal(QueryState* query,
+                       std::uint32_t shard,
+                       const std::string& data_centre,
+                       ResultCode reason,
+                       Time now);
   void OnShardAnswered(QueryState* query,
                        std::uint32_t shard,
                        ShardAnswer answer,
@@ -122,37 +133,23 @@
 
   // The whole query.
   void Settle(QueryId id, Time now);
-  std::uint32_t GivenUp(const QueryState& query) const;
-
-  // Whether shards lack an answer because they hold other snapshots.
-  bool IsSplit(const QueryState& query) const;
   bool Repin(QueryState* query, Time now);
   bool RestartOnNewMap(QueryState* query, Time now);
-  void DropBatches(QueryId query);
   void CutTail(QueryId id, Time now);
   void Finish(QueryState* query, ResultCode late_reason, Time now);
-  SearchAnswer ComposeAnswer(QueryState* query,
-                             ResultCode late_reason,
-                             Time now) const;
   void RemoveQuery(QueryState* query, Time now);
 
   QueryState* FindQuery(QueryId id);
   void RunTimer(const Timer& timer, Time now);
   void ProbeServers(Time now);
-  void CollectHeld(const ShardState& shard, std::vector<Snapshot>* held) const;
 
   std::shared_ptr<const Collection> collection_;
   RunnerContext context_;
   Strategy strategy_;
-  ShardPlan plan_;
-  HomePlan home_plan_;
-  std::set<std::string> listed_leaving_;
-  std::map<std::string, std::shared_ptr<ServerState>> servers_;
-  std::vector<RemoteHomes> remote_homes_;
+  ServerRoster roster_;
+  RemoteShards remote_;
   std::unordered_map<QueryId, std::unique_ptr<QueryState>> queries_;
   std::unordered_map<AttemptId, AttemptState> attempts_;
-  std::unordered_map<BatchId, BatchState> batches_;
-  std::map<std::string, std::vector<std::uint32_t>> pending_batches_;
   std::vector<std::shared_ptr<ShardState>> waiting_;  // With a queue.
   TimerQueue timers_;
   std::uint64_t next_id_;
--- a/src/query/internal/query_state.h
+++ b/src/query/internal/query_state.h
@@ -29,6 +29,19 @@
   std::optional<WaitTicket> ticket;
 };
 
+// One request to one server.
+struct AttemptState {
+  QueryId query = 0;
+  std::uint32_t shard = 0;
+  std::shared_ptr<ServerState> server;
+  std::shared_ptr<ShardState> shard_state;
+  Time sent{};
+  bool fresh_connection = false;
+  bool spare = false;    // Sent to learn the server's latency.
+  bool doubted = false;  // Nothing heard in time; another attempt was made.
+  std::optional<Time> cancelled_at;
+};
+
 struct QueryState {
   QueryState(QueryId query_id, SearchRequest search, ShardPlan shard_plan)
       : id(query_id),
@@ -37,6 +50,25 @@
         shards(plan.shards.size()),
         book(plan.shards.size()) {}
 
+  // Whether an attempt is for a shard of the present plan; one from before a
+  // restart on a new map isn't.
+  bool Owns(const AttemptState& attempt) const {
+    return attempt.shard < plan.shards.size() &&
+           plan.shards[attempt.shard] == attempt.shard_state;
+  }
+
+  // Whether an answer of `snapshot` is one that was asked for.
+  bool Accepts(Snapshot snapshot) const {
+    return snapshot.map_epoch == plan.map_epoch &&
+           (pinned.version == 0 || snapshot == pinned);
+  }
+
+  // How many shards were given up.
+  std::uint32_t GivenUp() const;
+
+  // Whether shards lack an answer because they hold other snapshots.
+  bool IsSplit() const;
+
   QueryId id;
   SearchRequest request;
   ShardPlan plan;
@@ -52,26 +84,6 @@
   DecisionTrail trail;
 };
 
-// One request to one server.
-struct AttemptState {
-  QueryId query = 0;
-  std::uint32_t shard = 0;
-  std::shared_ptr<ServerState> server;
-  std::shared_ptr<ShardState> shard_state;
-  Time sent{};
-  bool fresh_connection = false;
-  bool spare = false;    // Sent to learn the server's latency.
-  bool doubted = false;  // Nothing heard in time; another attempt was made.
-  std::optional<Time> cancelled_at;
-};
-
-// Shards of one query that another data centre was asked for.
-struct BatchState {
-  QueryId query = 0;
-  std::string data_centre;
-  std::vector<std::uint32_t> shards;
-};
-
 }  // namespace limpetrudder::detail
 
 #endif  // QUERY_INTERNAL_QUERY_STATE_H_
--- /dev/null
+++ b/src/query/internal/server_roster.h
@@ -0,0 +1,47 @@
+#ifndef QUERY_INTERNAL_SERVER_ROSTER_H_
+#define QUERY_INTERNAL_SERVER_ROSTER_H_
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "query/internal/shard_state.h"
+#include "routing/home_plan.h"
+
+namespace limpetrudder::detail {
+
+// The servers of one collection in this data centre, and the shard plan that
+// they make up. What is known of a server outlives a change of configuration.
+// Not thread safe.
+class ServerRoster {
+ public:
+  using Servers = std::map<std::string, std::shared_ptr<ServerState>>;
+
+  explicit ServerRoster(std::string data_centre)
+      : data_centre_(std::move(data_centre)) {}
+
+  // Builds the plan anew. Shards keep their queues while the map epoch stays.
+  void Rebuild(const Collection& collection, HomePlan homes);
+
+  // Takes the names of the servers that the platform lists as leaving.
+  void SetListedLeaving(const std::set<std::string>& servers);
+
+  const ShardPlan& plan() const { return plan_; }
+  const Servers& servers() const { return servers_; }
+  HomePlan homes() const { return homes_; }
+
+ private:
+  void AddServers(const Shard& shard, ShardState* state, Servers* kept);
+  std::shared_ptr<ServerState> FindOrAdd(const Server& info);
+
+  const std::string data_centre_;
+  HomePlan homes_;
+  ShardPlan plan_;
+  Servers servers_;
+  std::set<std::string> listed_leaving_;
+};
+
+}  // namespace limpetrudder::detail
+
+#endif  // QUERY_INTERNAL_SERVER_ROSTER_H_
--- a/src/query/internal/strategy.h
+++ b/src/query/internal/strategy.h
@@ -14,12 +14,15 @@
 struct ServerChoice {
   std::shared_ptr<ServerState> server;  // Send to it now.
   bool wait = false;                    // A server will have room later.
+
+  bool IsPossible() const { return server != nullptr || wait; }
 };
 
 // What a choice depends on.
 struct ChoiceInput {
   ShardState* shard = nullptr;
   Snapshot snapshot;
+  Time deadline{};
   const std::vector<const ServerState*>* excluded = nullptr;
   std::size_t ahead = 0;     // Sub-queries that wait before this one.
   bool guess_newer = false;  // Also ask servers that may have advanced.
--- a/src/query/query_engine.h
+++ b/src/query/query_engine.h
@@ -50,6 +50,9 @@
  public:
   explicit QueryEngine(QueryEngineSettings settings);
 
+  QueryEngine(const QueryEngine&) = delete;
+  QueryEngine& operator=(const QueryEngine&) = delete;
+
   // A configuration came into force. Searches that run keep the shard map that
   // they began with.
   void OnConfig(std::shared_ptr<const ConfigInForce> config, Time now);
--- a/src/query/tests/snapshot_test.cc
+++ b/src/query/tests/snapshot_test.cc
@@ -89,6 +89,27 @@
     CHECK(session.answer(query).coverage.complete());
   }
 
+  TEST_CASE("Answers from before a restart on a smaller map are dropped") {
+    Session session({.shards = 5});
+    session.Ask();
+    for (int shard = 0; shard < 4; ++shard)
+      session.server(shard, 0).service = session.server(shard, 1).service =
+          Millis(60);
+    SetHeld(&session, 4, {{2, 9}});
+    const QueryId query = session.Search();
+    for (int shard = 0; shard < 4; ++shard)
+      SetHeld(&session, shard, {{1, 3}, {2, 9}});
+    session.Reconfigure([](Collection* collection) {
+      collection->map_epoch = 2;
+      collection->services[0].shards.resize(2);
+    });
+    session.Run(Millis(300));
+    REQUIRE(session.HasAnswer(query));
+    CHECK(session.answer(query).coverage.shards_total == 2);
+    CHECK(session.answer(query).coverage.complete());
+    CHECK(session.answer(query).snapshot.map_epoch == 2);
+  }
+
   // Whether some version is held by a server of each shard.
   bool HasCommonVersion(Session * session, int shards) {
     for (std::uint64_t version = 1; version < 20; ++version) {
--- a/src/routing/server_state.h
+++ b/src/routing/server_state.h
@@ -111,6 +111,7 @@
 
   const Server& info() const { return info_; }
   ServerStanding standing() const { return standing_; }
+  Time paused_until() const { return paused_until_; }
   std::uint32_t in_flight() const { return in_flight_; }
   std::uint32_t limit() const;
   const ServerReport& report() const { return report_; }
