--- a/src/app/caller_api.cc
+++ b/src/app/caller_api.cc
@@ -6,6 +6,7 @@
 
 #include "app/internal/json_api.h"
 #include "config/document.h"
+#include "framework/clock.h"
 #include "framework/hash.h"
 #include "framework/json_schema.h"
 
@@ -52,11 +53,6 @@
   }
 })json";
 
-Time Now() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
-
 // Parses and checks a body; answers the caller and returns nothing if it is
 // refused.
 std::optional<Json> ReadBody(const JsonSchema& schema,
@@ -162,7 +158,7 @@
   search.limit = body->value("limit", kDefaultLimit);
   search.caller = caller.name;
   search.caller_class = caller.caller_class;
-  search.deadline = Now() + allowed - kReplyMargin;
+  search.deadline = SteadyNow() + allowed - kReplyMargin;
   search.explain = body->value("explain", false);
   event.connection = request.connection;
   event.respond = respond;
@@ -206,7 +202,7 @@
   }
   write.request_id = NextRequestId();
   write.caller = caller.name;
-  write.deadline = Now() + allowed - kReplyMargin;
+  write.deadline = SteadyNow() + allowed - kReplyMargin;
   event.respond = respond;
   if (!write_->Post(std::move(event)))
     respond(Refusal(ResultCode::kRingFull, "too many requests wait"));
--- a/src/app/operator_api.cc
+++ b/src/app/operator_api.cc
@@ -1,12 +1,11 @@
 #include "app/operator_api.h"
 
-#include <chrono>
-#include <ctime>
 #include <utility>
 
 #include "app/internal/console_page.h"
 #include "app/internal/json_api.h"
 #include "config/document.h"
+#include "framework/clock.h"
 #include "framework/hash.h"
 #include "framework/json_schema.h"
 #include "query/answer_json.h"
@@ -27,16 +26,6 @@
   }
 })json";
 
-std::string UtcNow() {
-  const std::time_t now =
-      std::chrono::system_clock::to_time_t(std::chrono::system_clock::now());
-  std::tm parts{};
-  gmtime_r(&now, &parts);
-  char text[32];
-  std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%SZ", &parts);
-  return text;
-}
-
 }  // namespace
 
 std::string WriteFaults(const std::vector<Error>& faults) {
--- a/src/app/server_app.cc
+++ b/src/app/server_app.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "app/internal/json_api.h"
+#include "framework/clock.h"
 #include "framework/hash.h"
 #include "framework/logger.h"
 
@@ -24,13 +25,6 @@
 // Time for the last answers to leave the sockets.
 constexpr Duration kFlush = Millis(100);
 
-std::uint64_t WallMillis() {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
-}
-
 std::string MakeSecret() {
   std::random_device device;
   std::string secret;
@@ -43,7 +37,7 @@
 
 ServerApp::ServerApp(Settings settings)
     : settings_(std::move(settings)),
-      incarnation_(WallMillis()),
+      incarnation_(static_cast<std::uint64_t>(UnixMillis())),
       target_http_(kTargetRing),
       platform_http_(kPlatformRing),
       targets_(settings_.instance + "-" + std::to_string(incarnation_),
--- a/src/app/settings.cc
+++ b/src/app/settings.cc
@@ -42,13 +42,6 @@
   }
 })json";
 
-constexpr EnumNames<LogLevel, 4> kLogLevelNames{{
-    {LogLevel::kDebug, "debug"},
-    {LogLevel::kInfo, "info"},
-    {LogLevel::kWarning, "warning"},
-    {LogLevel::kError, "error"},
-}};
-
 constexpr std::int64_t kDefaultLameDuckMs = 2000;
 constexpr std::int64_t kDefaultStopBoundMs = 10000;
 constexpr int kHighestPort = 65535;
--- a/src/config/tests/fake_platform.h
+++ b/src/config/tests/fake_platform.h
@@ -22,7 +22,7 @@
       late_.push_back(call);
       return {KvStatus::kUnknown, 0, std::string()};
     }
-    const KvReply reply = Carry(call);
+    KvReply reply = Carry(call);
     if (lost_replies_ > 0 && call.kind == KvCallKind::kWrite &&
         call.key == kRootKey) {
       --lost_replies_;
--- a/src/framework/duty_thread.h
+++ b/src/framework/duty_thread.h
@@ -11,6 +11,7 @@
 #include <asio.hpp>
 
 #include "framework/bounded_ring.h"
+#include "framework/clock.h"
 #include "framework/time.h"
 
 namespace limpetrudder {
@@ -77,20 +78,15 @@
   }
 
  private:
-  static Time Now() {
-    return std::chrono::time_point_cast<Duration>(
-        std::chrono::steady_clock::now());
-  }
-
   void Drain() {
     ring_.Drain(&batch_);
     for (auto& event : batch_)
-      handler_->Handle(std::move(event), Now());
+      handler_->Handle(std::move(event), SteadyNow());
     Turn();
   }
 
   void Turn() {
-    const Time next = handler_->Turn(Now());
+    const Time next = handler_->Turn(SteadyNow());
     if (next == kNever) {
       timer_.cancel();
       return;
--- a/src/framework/json_schema.cc
+++ b/src/framework/json_schema.cc
@@ -63,6 +63,10 @@
       return std::string();
     begin = end;
   }
+  if (node->contains("minimum") && node->contains("maximum")) {
+    return "allowed " + (*node)["minimum"].dump() + " to " +
+           (*node)["maximum"].dump();
+  }
   for (const char* keyword : {"enum", "pattern", "type"}) {
     if (node->contains(keyword))
       return std::string(keyword) + " " + (*node)[keyword].dump();
--- a/src/framework/logger.cc
+++ b/src/framework/logger.cc
@@ -1,7 +1,5 @@
 #include "framework/logger.h"
 
-#include <chrono>
-#include <ctime>
 #include <memory>
 
 #include <log4cplus/consoleappender.h>
@@ -9,18 +7,11 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 
-#include "framework/enum_names.h"
+#include "framework/clock.h"
 
 namespace limpetrudder {
 namespace {
 
-constexpr EnumNames<LogLevel, 4> kLevelNames{{
-    {LogLevel::kDebug, "debug"},
-    {LogLevel::kInfo, "info"},
-    {LogLevel::kWarning, "warning"},
-    {LogLevel::kError, "error"},
-}};
-
 struct LogState {
   log4cplus::Initializer initializer;
   log4cplus::Logger logger;
@@ -46,23 +37,6 @@
   return log4cplus::INFO_LOG_LEVEL;
 }
 
-std::string UtcNow() {
-  const auto now = std::chrono::system_clock::now();
-  const std::time_t seconds = std::chrono::system_clock::to_time_t(now);
-  const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(
-                          now.time_since_epoch())
-                          .count() %
-                      1000;
-  std::tm parts{};
-  gmtime_r(&seconds, &parts);
-  char text[40];
-  const std::size_t length =
-      std::strftime(text, sizeof(text), "%Y-%m-%dT%H:%M:%S", &parts);
-  std::snprintf(text + length, sizeof(text) - length, ".%03dZ",
-                static_cast<int>(millis));
-  return text;
-}
-
 }  // namespace
 
 void StartLogging(const LogSettings& settings) {
@@ -83,7 +57,7 @@
     return;
   nlohmann::ordered_json line;
   line["time"] = UtcNow();
-  line["level"] = NameOf(kLevelNames, level);
+  line["level"] = NameOf(kLogLevelNames, level);
   line["event"] = event;
   line["instance"] = state->settings.instance;
   line["data_centre"] = state->settings.data_centre;
--- a/src/framework/logger.h
+++ b/src/framework/logger.h
@@ -6,10 +6,19 @@
 
 #include <nlohmann/json.hpp>
 
+#include "framework/enum_names.h"
+
 namespace limpetrudder {
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
 
+inline constexpr EnumNames<LogLevel, 4> kLogLevelNames{{
+    {LogLevel::kDebug, "debug"},
+    {LogLevel::kInfo, "info"},
+    {LogLevel::kWarning, "warning"},
+    {LogLevel::kError, "error"},
+}};
+
 struct LogSettings {
   std::string instance;
   std::string data_centre;
--- a/src/framework/tests/framework_test.cc
+++ b/src/framework/tests/framework_test.cc
@@ -114,12 +114,13 @@
     const Error fault = only_fault(R"({"port": 70000})");
     CHECK(fault.code == ResultCode::kFieldOutOfRange);
     CHECK(fault.pointer == "/port");
-    CHECK(fault.message.find("65535") != std::string::npos);
+    CHECK(fault.message.find("allowed 1 to 65535") != std::string::npos);
   }
   SUBCASE("a value of the wrong type") {
     const Error fault = only_fault(R"({"port": "80"})");
     CHECK(fault.code == ResultCode::kFieldWrongType);
-    CHECK(fault.message.find("integer") != std::string::npos);
+    CHECK(fault.message.find("'type'") != std::string::npos);
+    CHECK(fault.message.find("allowed 1 to 65535") != std::string::npos);
   }
   SUBCASE("a field that is missing") {
     CHECK(only_fault("{}").code == ResultCode::kFieldMissing);
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -8,6 +8,7 @@
 #include <curl/curl.h>
 
 #include "framework/bounded_ring.h"
+#include "framework/clock.h"
 
 namespace limpetrudder {
 namespace {
@@ -21,11 +22,6 @@
 // How long a silence is remembered, so that older connections are avoided.
 constexpr Duration kSilenceMemory = Seconds(60);
 
-Time Now() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
-
 struct Transfer {
   HttpRequest request;
   HttpClient::Handler handler;
@@ -149,7 +145,7 @@
   void Take(Command command) {
     if (!command.abort)
       return Begin(std::move(command));
-    silent_since_[command.request.address] = Now();
+    silent_since_[command.request.address] = SteadyNow();
     const auto found = transfers_.find(command.request.tag);
     if (found == transfers_.end())
       return;
@@ -223,7 +219,7 @@
     const auto found = silent_since_.find(address);
     if (found == silent_since_.end())
       return 0;
-    const Duration since = Now() - found->second;
+    const Duration since = SteadyNow() - found->second;
     if (since >= kSilenceMemory) {
       silent_since_.erase(found);
       return 0;
--- a/src/net/peer_server.cc
+++ b/src/net/peer_server.cc
@@ -4,6 +4,7 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include "framework/clock.h"
 #include "net/internal/peer_codec.h"
 #include "peer.grpc.pb.h"
 
@@ -13,11 +14,6 @@
 constexpr int kMaxMessageBytes = 8 << 20;
 constexpr int kShortestPingMillis = 5'000;
 
-Time Now() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
-
 class CallService : public wire::Peer::CallbackService {
  public:
   explicit CallService(PeerHandlers handlers)
@@ -27,7 +23,7 @@
                                    const wire::SearchCall* call,
                                    wire::SearchReply* reply) override {
     auto* reactor = context->DefaultReactor();
-    handlers_.search(detail::FromWire(*call, Now()),
+    handlers_.search(detail::FromWire(*call, SteadyNow()),
                      MakeReplier<PeerSearchReply>(reactor, reply));
     return reactor;
   }
@@ -36,7 +32,7 @@
                                    const wire::SearchCall* call,
                                    wire::ShardsReply* reply) override {
     auto* reactor = context->DefaultReactor();
-    handlers_.shards(detail::FromWire(*call, Now()),
+    handlers_.shards(detail::FromWire(*call, SteadyNow()),
                      MakeReplier<PeerShardsReply>(reactor, reply));
     return reactor;
   }
@@ -45,7 +41,7 @@
                                   const wire::WriteCall* call,
                                   wire::WriteReply* reply) override {
     auto* reactor = context->DefaultReactor();
-    handlers_.write(detail::FromWire(*call, Now()),
+    handlers_.write(detail::FromWire(*call, SteadyNow()),
                     MakeReplier<PeerWriteReply>(reactor, reply));
     return reactor;
   }
--- a/src/net/target_client.cc
+++ b/src/net/target_client.cc
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "framework/clock.h"
 #include "net/internal/target_codec.h"
 
 namespace limpetrudder {
@@ -19,15 +20,7 @@
 constexpr Duration kAttemptGrace = Seconds(5);
 
 std::int64_t UnixMillisAt(Time time, Time now) {
-  const auto wall = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(wall +
-                                                               (time - now))
-      .count();
-}
-
-Time Now() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
+  return UnixMillis() + WholeMillis(time - now);
 }
 
 RunResult RunResultOf(TransferStatus status) {
@@ -133,7 +126,9 @@
       body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   request.timeout = write.deadline - now;
   request.own_connection = true;
-  request.may_send = [write] { return KeyLedger::MayStillRun(write, Now()); };
+  request.may_send = [write] {
+    return KeyLedger::MayStillRun(write, SteadyNow());
+  };
   const std::string key = write.key;
   const bool queued =
       http_->Send(std::move(request), [this, key](HttpResponse response) {
--- a/src/net/tests/http_test.cc
+++ b/src/net/tests/http_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
 
+#include "framework/clock.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/target_client.h"
@@ -19,11 +20,6 @@
   return acceptor.local_endpoint().port();
 }
 
-Time Now() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::steady_clock::now());
-}
-
 class Client {
  public:
   Client() : http(64) { http.Start(); }
@@ -124,15 +120,15 @@
     });
     WriteRequest write;
     write.key = "k";
-    write.deadline = Now() + Seconds(20);
+    write.deadline = SteadyNow() + Seconds(20);
     SUBCASE("sent and lost") {
-      targets.RunWrite(write, "shard", broken.address(), Now());
+      targets.RunWrite(write, "shard", broken.address(), SteadyNow());
       CHECK(ended.get_future().get().result == RunResult::kLost);
     }
     SUBCASE("past its deadline when the connection was ready") {
       RawServer sound([](int) { return HttpAnswer("{}"); });
       WriteRequest late = write;
-      late.deadline = Now() - Millis(1);
+      late.deadline = SteadyNow() - Millis(1);
       targets.RunWrite(late, "shard", sound.address(),
                        late.deadline - Seconds(5));
       CHECK(ended.get_future().get().result == RunResult::kNeverSent);
--- a/testing/load_tool.cc
+++ b/testing/load_tool.cc
@@ -22,7 +22,7 @@
   if (sorted->empty())
     return 0;
   const auto index = static_cast<std::size_t>(
-      q * static_cast<double>(sorted->size() - 1) + 0.5);
+      std::lround(q * static_cast<double>(sorted->size() - 1)));
   return (*sorted)[index];
 }
 
@@ -150,26 +150,15 @@
   return result;
 }
 
-Json Floor(int shards,
-           double service_ms,
-           double sigma,
-           double straggler_share,
-           double straggler_factor) {
+Json Floor(int shards, const ServiceTime& service) {
   constexpr int kQueries = 200'000;
   Random random(1);
   std::vector<double> slowest;
   slowest.reserve(kQueries);
   for (int i = 0; i < kQueries; ++i) {
     double longest = 0;
-    for (int shard = 0; shard < shards; ++shard) {
-      const double u = std::max(random.Unit(), 1e-12);
-      const double normal = std::sqrt(-2.0 * std::log(u)) *
-                            std::cos(2.0 * 3.14159265358979 * random.Unit());
-      double ms = service_ms * std::exp(sigma * normal - sigma * sigma / 2);
-      if (random.Unit() < straggler_share)
-        ms *= straggler_factor;
-      longest = std::max(longest, ms);
-    }
+    for (int shard = 0; shard < shards; ++shard)
+      longest = std::max(longest, Sample(service, &random));
     slowest.push_back(longest);
   }
   return Quantiles(&slowest);
--- a/testing/load_tool.h
+++ b/testing/load_tool.h
@@ -7,6 +7,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "testing/service_time.h"
+
 namespace limpetrudder::testbed {
 
 struct LoadOptions {
@@ -26,11 +28,7 @@
 
 // The time that a query over `shards` shards takes if nothing queues: the
 // slowest of that many service times. Returns its quantiles in milliseconds.
-nlohmann::ordered_json Floor(int shards,
-                             double service_ms,
-                             double sigma,
-                             double straggler_share,
-                             double straggler_factor);
+nlohmann::ordered_json Floor(int shards, const ServiceTime& service);
 
 }  // namespace limpetrudder::testbed
 
--- a/testing/target_stand_in.cc
+++ b/testing/target_stand_in.cc
@@ -1,9 +1,11 @@
 #include "testing/target_stand_in.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
+#include "framework/clock.h"
+#include "testing/service_time.h"
+
 namespace limpetrudder::testbed {
 namespace {
 
@@ -11,12 +13,6 @@
 
 constexpr std::uint64_t kHeldVersions = 3;
 
-std::int64_t UnixMillis() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
 std::chrono::microseconds Micros(double millis) {
   return std::chrono::microseconds(static_cast<std::int64_t>(millis * 1000));
 }
@@ -119,8 +115,7 @@
   if (request.path == "/v1/health")
     return respond({200, LaggedReport().dump()});
   if (request.path == "/v1/cancel") {
-    return OnCancel(Json::parse(request.body, nullptr, false),
-                    std::move(respond));
+    return OnCancel(Json::parse(request.body, nullptr, false), respond);
   }
   const bool write = request.path == "/v1/write";
   const bool fresh = seen_connections_.insert(request.connection).second;
@@ -206,15 +201,10 @@
 }
 
 double TargetStandIn::SampleServiceMs() {
-  // A normal sample from two uniform ones (Box and Muller).
-  const double u = std::max(random_.Unit(), 1e-12);
-  const double normal = std::sqrt(-2.0 * std::log(u)) *
-                        std::cos(2.0 * 3.14159265358979 * random_.Unit());
-  const double sigma = behaviour_.service_sigma;
-  double ms = behaviour_.service_ms * behaviour_.slow_factor *
-              std::exp(sigma * normal - sigma * sigma / 2);
-  if (random_.Unit() < behaviour_.straggler_share)
-    ms *= behaviour_.straggler_factor;
+  double ms = behaviour_.slow_factor *
+              Sample({behaviour_.service_ms, behaviour_.service_sigma,
+                      behaviour_.straggler_share, behaviour_.straggler_factor},
+                     &random_);
   if (behaviour_.cold_requests > 0) {
     --behaviour_.cold_requests;
     ms *= behaviour_.cold_factor;
--- a/testing/testbed_main.cc
+++ b/testing/testbed_main.cc
@@ -155,10 +155,11 @@
 }
 
 int RunFloor(const Options& options) {
-  std::cout << Floor(std::stoi(options.at("shards")),
-                     std::stod(ValueOr(options, "service-ms", "10")), 0.4,
-                     std::stod(ValueOr(options, "straggler-share", "0.01")), 8)
-                   .dump()
+  ServiceTime service;
+  service.mean_ms = std::stod(ValueOr(options, "service-ms", "10"));
+  service.straggler_share =
+      std::stod(ValueOr(options, "straggler-share", "0.01"));
+  std::cout << Floor(std::stoi(options.at("shards")), service).dump()
             << std::endl;
   return 0;
 }
@@ -174,7 +175,7 @@
 }
 
 int Main(int argc, char** argv) {
-  static const char* const kNames[] = {
+  static constexpr const char* kNames[] = {
       "kind",       "directory", "base-port",  "address",
       "spec",       "seed",      "addresses",  "tokens",
       "collection", "terms",     "rate",       "seconds",
