--- a/src/query/query_engine.cc
+++ b/src/query/query_engine.cc
@@ -196,7 +196,9 @@
   }
   const Homes homes = HomesIn(*collection, settings_.data_centre);
   if (!forwarded && !IsHome(homes) && !homes.names.empty()) {
-    forwards_[query] = {std::move(request), 0, false};
+    Forward& forward = forwards_[query];
+    forward.request = std::move(request);
+    forward.trail.Begin(now);
     return ForwardNext(query, now);
   }
   RunnerSlot* slot = FindOrAddRunner(request.collection);
@@ -218,6 +220,7 @@
       forward.request.deadline <= now) {
     Refuse(query, forward.request, ResultCode::kNoHome,
            forward.may_have_run ? Execution::kUnknown : Execution::kNotRun);
+    archive_.Keep(forward.request.request_id, forward.trail.Take());
     forwards_.erase(found);
     return;
   }
@@ -227,6 +230,7 @@
       Hash64(forward.request.request_id) % homes.names.size());
   const std::size_t pick = (first + forward.tries) % homes.names.size();
   ++forward.tries;
+  forward.trail.Add(now, DecisionKind::kForwarded, "", homes.names[pick]);
   actions_.push_back(ForwardSearch{query, homes.names[pick], forward.request});
 }
 
@@ -234,12 +238,18 @@
   const auto found = forwards_.find(query);
   if (found == forwards_.end())
     return;
+  Forward& forward = found->second;
   if (outcome == ForwardOutcome::kAnswered) {
+    archive_.Keep(forward.request.request_id, forward.trail.Take());
     forwards_.erase(found);
     return;
   }
   if (outcome == ForwardOutcome::kFailed)
-    found->second.may_have_run = true;
+    forward.may_have_run = true;
+  forward.trail.Add(now, DecisionKind::kRefused, "", "", 0,
+                    outcome == ForwardOutcome::kFailed
+                        ? ResultCode::kPeerUnreachable
+                        : ResultCode::kNoHome);
   ForwardNext(query, now);
 }
 
--- a/src/query/query_engine.h
+++ b/src/query/query_engine.h
@@ -117,6 +117,7 @@
     SearchRequest request;
     std::uint32_t tries = 0;
     bool may_have_run = false;
+    detail::DecisionTrail trail;
   };
 
   RunnerSlot* FindOrAddRunner(const std::string& collection);
--- a/src/query/query_types.h
+++ b/src/query/query_types.h
@@ -87,11 +87,12 @@
   kCancelled,
   kRepinned,
   kAskedDataCentre,
+  kForwarded,
   kGaveUp,
   kTailCut,
 };
 
-inline constexpr EnumNames<DecisionKind, 15> kDecisionKindNames{{
+inline constexpr EnumNames<DecisionKind, 16> kDecisionKindNames{{
     {DecisionKind::kPinned, "pinned"},
     {DecisionKind::kSent, "sent"},
     {DecisionKind::kQueued, "queued"},
@@ -105,6 +106,7 @@
     {DecisionKind::kCancelled, "cancelled"},
     {DecisionKind::kRepinned, "repinned"},
     {DecisionKind::kAskedDataCentre, "asked_data_centre"},
+    {DecisionKind::kForwarded, "forwarded"},
     {DecisionKind::kGaveUp, "gave_up"},
     {DecisionKind::kTailCut, "tail_cut"},
 }};
--- a/src/query/tests/engine_test.cc
+++ b/src/query/tests/engine_test.cc
@@ -44,6 +44,15 @@
     session.Run(Millis(1));
     CHECK(session.answer(query).execution == Execution::kUnknown);
   }
+  SUBCASE("is explained by where it went") {
+    session.engine().OnForward(query, ForwardOutcome::kNotRun, session.now());
+    session.engine().OnForward(query, ForwardOutcome::kAnswered, session.now());
+    const auto* decisions = session.engine().Explain("r1");
+    REQUIRE(decisions != nullptr);
+    REQUIRE(decisions->size() == 3);
+    CHECK((*decisions)[2].kind == DecisionKind::kForwarded);
+    CHECK((*decisions)[2].target != (*decisions)[0].target);
+  }
   SUBCASE("is run where it arrives if another instance sent it") {
     session.SearchAs(request, /*forwarded=*/true);
     CHECK(session.forwarded.size() == 1);
--- a/testing/layout.cc
+++ b/testing/layout.cc
@@ -160,7 +160,7 @@
         settings["peer_address"] = ports_.Next();
         settings["platform_address"] = platform_;
         settings["operator_token_sha256"] = Sha256Hex("operator-token");
-        settings["lame_duck_ms"] = 500;
+        settings["lame_duck_ms"] = 2000;
         settings["stop_bound_ms"] = 5000;
         WriteFile(directory_ / "settings" / (name + ".json"), settings);
         list["instances"].push_back({{"name", name},
@@ -249,6 +249,13 @@
            {"collections", names},
            {"may_write", true}});
     }
+    // A caller of one collection only, who may not write.
+    document["callers"].push_back(
+        {{"name", "rival-1"},
+         {"class", "browse"},
+         {"token_sha256", Sha256Hex("rival-token")},
+         {"collections", {town_.loads.front().collection}},
+         {"may_write", false}});
     WriteFile(directory_ / "document.json", document);
   }
 
