--- a/scripts/fleet_test.sh
+++ b/scripts/fleet_test.sh
@@ -351,6 +351,60 @@
   [ "$(jq -r .outcome "$dir/a.json")" = unknown ] || fail "$(cat "$dir/a.json")"
 }
 
+# Promise 5: an issuer killed before, or in the middle of, a write.
+case_issuer_killed() {
+  local key body issuer entry runs moment expected
+  caller() {
+    curl -s --noproxy '*' -H 'Authorization: Bearer till-token' "$@"
+  }
+  runs_of() {
+    for spec in "$dir"/targets-*.json; do
+      curl -s --noproxy '*' \
+        "http://$(jq -r .admin_address "$spec")/admin/counters"
+    done | jq -s --arg k "$1" '[.[][].runs_by_key[$k] // 0] | add'
+  }
+  for moment in before during; do
+    for spec in "$dir"/targets-*.json; do
+      town_change "$(jq -r .admin_address "$spec")" \
+        '{"servers":"all","change":{"service_ms":1500,"straggler_share":0}}'
+    done
+    key=$(caller --data '{"collection":"order-tracking"}' \
+      "http://$(field_of kingston-1 caller_address)/v1/keys" | jq -r .key)
+    issuer=${key%%~*}
+    entry=$(echo kingston-1 kingston-2 kingston-3 | tr ' ' '\n' |
+      grep -vx "$issuer" | head -n 1)
+    body=$(jq -n -c --arg k "$key" '{key: $k, collection: "order-tracking",
+      route: "tier-stand", body: "hold 1", deadline_ms: 4000}')
+    expected=1
+    if [ $moment = before ]; then
+      expected=0
+      kill -STOP "$(pid_of "$issuer")"
+    fi
+    caller --data "$body" "http://$(field_of "$entry" caller_address)/v1/writes" \
+      >"$dir/a.json" &
+    local write=$!
+    sleep 0.7
+    kill -KILL "$(pid_of "$issuer")"
+    wait "$write"
+    [ "$(jq -r .outcome "$dir/a.json")" = unknown ] ||
+      fail "killed $moment: $(cat "$dir/a.json")"
+    restart "$issuer"
+    for name in "$entry" "$issuer" montego-1; do
+      caller --data "$body" \
+        "http://$(field_of "$name" caller_address)/v1/writes" >"$dir/a.json"
+      [ "$(jq -r .outcome "$dir/a.json")" = unknown ] ||
+        fail "after killed $moment: $(cat "$dir/a.json")"
+    done
+    runs=$(runs_of "$key")
+    [ "$runs" = "$expected" ] ||
+      fail "killed $moment: the hold ran $runs times"
+  done
+  for spec in "$dir"/targets-*.json; do
+    town_change "$(jq -r .admin_address "$spec")" \
+      '{"servers":"all","change":{"service_ms":5,"straggler_share":0.01}}'
+  done
+}
+
 # Bad input: a numbered refusal each, and the process lives.
 case_bad_input() {
   local address number
@@ -388,7 +442,7 @@
 
 town_start demo >/dev/null 2>&1
 wait_revision 1 $all
-for name in ${only:-bad_input grants connections hold_once lost_reply racing_operators
+for name in ${only:-bad_input grants connections hold_once issuer_killed lost_reply racing_operators
   relay_kill platform_down platform_restored freeze leaving_target stop_waits
   rolling_restart}; do
   echo "case $name"
--- a/src/net/tests/peer_test.cc
+++ b/src/net/tests/peer_test.cc
@@ -1,3 +1,4 @@
+#include <atomic>
 #include <future>
 #include <thread>
 
@@ -8,6 +9,7 @@
 #include "net/internal/peer_codec.h"
 #include "net/peer_client.h"
 #include "net/peer_server.h"
+#include "net/tests/tcp_relay.h"
 
 namespace limpetrudder {
 namespace {
@@ -111,6 +113,44 @@
 }
 
 TEST_SUITE("promise-5") {
+  TEST_CASE("A write whose connection is cut is not sent again by gRPC") {
+    const std::string address = FreeAddress();
+    std::atomic<int> writes{0};
+    std::promise<void> arrived;
+    std::function<void(PeerWriteReply)> held;
+    PeerHandlers handlers;
+    handlers.write = [&](PeerWrite, auto reply) {
+      held = reply;
+      if (++writes == 1)
+        arrived.set_value();
+    };
+    handlers.probe = [](PeerProbe, auto reply) { reply(PeerProbeReply()); };
+    PeerServer server(address, handlers);
+    REQUIRE(server.Start());
+    TcpRelay relay(static_cast<std::uint16_t>(
+        std::stoi(address.substr(address.find(':') + 1))));
+    PeerClient client;
+    std::promise<bool> replied;
+    PeerWrite write;
+    write.request.key = "k";
+    write.request.deadline = Time() + Seconds(60);
+    client.Write(relay.address(), write, Time(),
+                 [&](auto reply) { replied.set_value(reply.has_value()); });
+    arrived.get_future().get();
+    relay.Cut();
+    CHECK_FALSE(replied.get_future().get());
+
+    bool heard = false;
+    for (int i = 0; i < 200 && !heard; ++i) {
+      heard = Probe(&client, relay.address(), Seconds(1)).has_value();
+      std::this_thread::sleep_for(Millis(50));
+    }
+    CHECK(heard);
+    CHECK(writes == 1);
+    held(PeerWriteReply());
+    client.Stop();
+  }
+
   TEST_CASE("A peer's write of an unknown action runs nothing") {
     wire::WriteCall call;
     call.set_action(static_cast<wire::WriteAction>(77));
