Ask another data centre to take over a straggler nobody here can

Cause, worked out rather than traced: with half the servers gone or slow the rest run at 70% of their slots, 1% of requests take eight times as long, and a hedge needs another server here that is fast and has room. None has, so every shard whose one good server holds a long request waits it out. Ruled out: admission (5 refused of 1,604). Change: such a shard is asked of another data centre from the hedge budget, while the local attempt goes on. A refusal from there doesn't end it.

--- a/src/query/internal/collection_runner.cc
+++ b/src/query/internal/collection_runner.cc
@@ -402,7 +402,7 @@
   input.excluded = &excluded;
   const auto server = strategy_.ChooseHedge(input, now, context_.random);
   if (!server)
-    return;
+    return HedgeElsewhere(query, attempt.shard, now);
   if (!strategy_.TrySpendHedge()) {
     query->trail.Add(now, DecisionKind::kHedgeLeftOut,
                      attempt.shard_state->name, server->info().name, id,
@@ -412,6 +412,20 @@
   Send(query, attempt.shard, server, DecisionKind::kHedged, now);
 }
 
+template <QueryStrategy S>
+void CollectionRunner<S>::HedgeElsewhere(QueryState* query,
+                                         std::uint32_t shard,
+                                         Time now) {
+  const auto& holders = query->plan.shards[shard]->remote_data_centres;
+  if (!query->request.only_shards.empty() || !remote_.IsReachable(holders) ||
+      !query->shards[shard].data_centres_asked.empty() ||
+      !strategy_.TrySpendHedge()) {
+    return;
+  }
+  AskElsewhere(query, shard);
+  FlushBatches(query, now);
+}
+
 template <QueryStrategy S>
 void CollectionRunner<S>::ObserveServer(const AttemptState& attempt,
                                         const AttemptResult& result,
@@ -660,7 +674,9 @@
     return;
   query->trail.Add(now, DecisionKind::kRefused, query->plan.shards[shard]->name,
                    data_centre, 0, reason);
-  if (!AskElsewhere(query, shard))
+  const ShardProgress& progress = query->shards[shard];
+  const bool hopes_here = !progress.live.empty() || progress.ticket;
+  if (!hopes_here && !AskElsewhere(query, shard))
     GiveUp(query, shard, reason, now);
 }
 
--- a/src/query/internal/collection_runner.h
+++ b/src/query/internal/collection_runner.h
@@ -96,6 +96,10 @@
               Time now);
   void Hedge(AttemptId attempt, Time now);
 
+  // Asks another data centre for the shard of a straggler that no server here
+  // can take over.
+  void HedgeElsewhere(QueryState* query, std::uint32_t shard, Time now);
+
   // Sends a spare request to a server that was left alone for long as slow.
   void Explore(QueryState* query, std::uint32_t shard, Time now);
 
--- a/src/query/tests/coverage_test.cc
+++ b/src/query/tests/coverage_test.cc
@@ -123,6 +123,42 @@
             ResultCode::kPeerUnreachable);
     }
   }
+
+  TEST_CASE(
+      "A straggler that no server here can take over is asked of another "
+      "data centre") {
+    Session session({});
+    session.engine().OnFleet({{"kingston-0", "kingston", "kingston-0"},
+                              {"montego-0", "montego", "montego-0"}},
+                             session.now());
+    session.Reconfigure([](Collection* collection) {
+      for (auto& shard : collection->services[0].shards)
+        shard.servers.push_back({shard.name + "-far", shard.name + "-far",
+                                 "montego", 2, 25, false});
+    });
+    session.server(1, 1).dead = true;
+    session.WarmUp(60);
+    session.server(1, 0).service = Seconds(2);
+    const QueryId query = session.Search();
+    session.Run(Millis(100));
+    REQUIRE(session.asked.size() == 1);
+    CHECK(session.asked[0].request.only_shards ==
+          std::vector<std::string>{"shard-1"});
+
+    SUBCASE("and its answer completes the page long before") {
+      ShardAnswer far;
+      far.shard = "shard-1";
+      far.snapshot = session.asked[0].request.pinned;
+      session.engine().OnBatch(session.asked[0].batch, {far}, session.now());
+      session.Run(Millis(1));
+      CHECK(session.answer(query).coverage.complete());
+    }
+    SUBCASE("and if that refuses, the straggler may still make it") {
+      session.engine().OnBatch(session.asked[0].batch, {}, session.now());
+      session.Run(Millis(10));
+      CHECK_FALSE(session.HasAnswer(query));
+    }
+  }
 }
 
 TEST_SUITE("promise-3") {
