--- a/src/app/search_duty.cc
+++ b/src/app/search_duty.cc
@@ -12,11 +12,7 @@
                        FrontState* front,
                        TargetClient* targets,
                        PeerClient* peers)
-    : engine_(settings),
-      data_centre_(settings.data_centre),
-      front_(front),
-      targets_(targets),
-      peers_(peers) {}
+    : engine_(settings), front_(front), targets_(targets), peers_(peers) {}
 
 void SearchDuty::Handle(SearchEvent event, Time now) {
   std::visit([&](auto& entry) { On(std::move(entry), now); }, event);
--- a/src/app/search_duty.h
+++ b/src/app/search_duty.h
@@ -148,7 +148,6 @@
   void Forget(QueryId query);
 
   QueryEngine engine_;
-  const std::string data_centre_;
   FrontState* const front_;
   TargetClient* const targets_;
   PeerClient* const peers_;
--- a/src/query/internal/collection_runner.cc
+++ b/src/query/internal/collection_runner.cc
@@ -802,12 +802,12 @@
     CancelLive(query, shard, now);
   if (explain)
     answer.decisions = query->trail.decisions();
-  RemoveQuery(query, now);
+  RemoveQuery(query);
   context_.actions->push_back(ReplySearch{id, std::move(answer)});
 }
 
 template <QueryStrategy S>
-void CollectionRunner<S>::RemoveQuery(QueryState* query, Time) {
+void CollectionRunner<S>::RemoveQuery(QueryState* query) {
   context_.archive->Keep(query->request.request_id, query->trail.Take());
   queries_.erase(query->id);
 }
@@ -821,7 +821,7 @@
     CancelLive(query, shard, now);
   query->trail.Add(now, DecisionKind::kGaveUp, "", "", 0,
                    ResultCode::kCallerLeft);
-  RemoveQuery(query, now);
+  RemoveQuery(query);
 }
 
 template <QueryStrategy S>
--- a/src/query/internal/collection_runner.h
+++ b/src/query/internal/collection_runner.h
@@ -141,7 +141,7 @@
   bool RestartOnNewMap(QueryState* query, Time now);
   void CutTail(QueryId id, Time now);
   void Finish(QueryState* query, ResultCode late_reason, Time now);
-  void RemoveQuery(QueryState* query, Time now);
+  void RemoveQuery(QueryState* query);
 
   QueryState* FindQuery(QueryId id);
   void RunTimer(const Timer& timer, Time now);
--- a/testing/shared_http.cc
+++ b/testing/shared_http.cc
@@ -17,7 +17,6 @@
     if (restinio::holds_alternative<restinio::connection_state::accepted_t>(
             cause)) {
       ++open;
-      last = std::max<std::uint64_t>(last, notice.connection_id());
       most = std::max(most, open);
     } else {
       --open;
@@ -26,7 +25,6 @@
 
   int open = 0;
   int most = 0;
-  std::uint64_t last = 0;
 };
 
 struct Traits : public restinio::default_single_thread_traits_t {
@@ -125,8 +123,4 @@
   return impl_->counter().most;
 }
 
-std::uint64_t SharedHttp::last_connection() const {
-  return impl_->counter().last;
-}
-
 }  // namespace limpetrudder::testbed
--- a/testing/shared_http.h
+++ b/testing/shared_http.h
@@ -28,7 +28,6 @@
 
   int connections() const;
   int most_connections() const;
-  std::uint64_t last_connection() const;
 
  private:
   class Impl;
