--- a/src/app/command_line.cc
+++ b/src/app/command_line.cc
@@ -28,6 +28,10 @@
     {"", "serve", Serve,
      "serve --settings FILE\n"
      "  Runs one instance until SIGTERM; a second SIGTERM cuts the waiting.\n"},
+    {"", "entry", Entry,
+     "entry --settings FILE\n"
+     "  Runs one entry instance on the users' platform until SIGTERM; SIGHUP\n"
+     "  reads the settings again.\n"},
     {"", "query", Query,
      "query --address IP:PORT --collection NAME --terms TEXT\n"
      "      [--token TOKEN | --token-file FILE] [--deadline-ms N] [--limit N]\n"
--- /dev/null
+++ b/src/app/dispatch_duty.cc
@@ -0,0 +1,265 @@
+#include "app/dispatch_duty.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "app/settings.h"
+#include "framework/clock.h"
+#include "framework/logger.h"
+#include "platform/caller_codec.h"
+#include "platform/target_codec.h"
+
+namespace limpetrudder {
+namespace {
+
+using Json = nlohmann::json;
+
+// Ids of probes lie above those of sends.
+constexpr std::uint64_t kProbeIds = std::uint64_t{1} << 62;
+
+// A health answer that takes longer comes from a server in no state to work.
+constexpr Duration kProbeTimeout = Millis(400);
+
+constexpr std::size_t kMostBodyBytes = 8 << 20;
+constexpr std::size_t kMostHeaderBytes = 64 << 10;
+constexpr auto kReadTimeout = std::chrono::seconds(120);
+
+constexpr int kOk = 200;
+constexpr int kMultipleChoices = 300;
+constexpr int kBadRequest = 400;
+
+Json FailedLegs(const CallRecord& record) {
+  Json legs = Json::array();
+  for (const auto& leg : record.failed_legs) {
+    legs.push_back({{"service", leg.service},
+                    {"server", leg.server},
+                    {"sends", leg.sends},
+                    {"code", NumberOf(leg.code)}});
+  }
+  return legs;
+}
+
+}  // namespace
+
+DispatchDuty::DispatchDuty(DispatchSettings settings, EntryState* state)
+    : state_(state), engine_(std::move(settings)), next_probe_(kProbeIds) {}
+
+DispatchDuty::~DispatchDuty() = default;
+
+Result<void> DispatchDuty::Open(const std::string& caller_address,
+                                Mailbox* mailbox) {
+  asio::io_context* context = mailbox->context();
+  timer_ = std::make_unique<asio::steady_timer>(*context);
+  pool_ = std::make_unique<TargetPool>(
+      context, PoolSettings(),
+      [this](PoolResponse response) { OnResponse(std::move(response)); });
+  const Endpoint endpoint = SplitAddress(caller_address);
+  callers_ = std::make_unique<HttpServer>(
+      HttpServerSettings{endpoint.ip, endpoint.port, kMostBodyBytes,
+                         kMostHeaderBytes, kReadTimeout, context},
+      [this](ServerRequest request, Responder respond) {
+        OnRequest(std::move(request), std::move(respond));
+      },
+      [this](std::uint64_t connection) { OnClosed(connection); });
+  return callers_->Start();
+}
+
+void DispatchDuty::OnRequest(ServerRequest request, Responder respond) {
+  const Time now = SteadyNow();
+  const CallId id = next_call_++;
+  const std::uint64_t connection = request.connection;
+  auto call = DecodeCall(std::move(request), id);
+  if (!call) {
+    const Error& error = call.error();
+    Log(LogLevel::kWarning, "request_malformed",
+        {{"connection", connection},
+         {"code", NumberOf(error.code)},
+         {"message", error.message}});
+    ServerResponse response;
+    response.status = kBadRequest;
+    response.body = RefusalBody(error.code, error.message);
+    return respond(std::move(response));
+  }
+  auto [calls, is_new] = by_connection_.try_emplace(connection);
+  calls->second.push_back(id);
+  call.assume_value().new_connection = is_new;
+  waiters_[id] = {connection, std::move(respond)};
+  ++state_->active_calls;
+  engine_.OnCall(std::move(call.assume_value()), now);
+  Pump(now);
+}
+
+void DispatchDuty::OnClosed(std::uint64_t connection) {
+  const auto found = by_connection_.find(connection);
+  if (found == by_connection_.end())
+    return;
+  const Time now = SteadyNow();
+  for (const CallId id : found->second) {
+    if (waiters_.erase(id) == 0)
+      continue;
+    --state_->active_calls;
+    state_->metrics().Add("caller_left");
+    engine_.OnCallerLeft(id, now);
+  }
+  by_connection_.erase(found);
+  Pump(now);
+}
+
+void DispatchDuty::OnResponse(PoolResponse response) {
+  const Time now = SteadyNow();
+  if (response.id >= kProbeIds) {
+    const auto probe = probes_.find(response.id);
+    if (probe != probes_.end()) {
+      const bool healthy = response.outcome == SendOutcome::kAnswered &&
+                           response.status == kOk;
+      engine_.OnProbe(probe->second, healthy, now);
+      probes_.erase(probe);
+    }
+  } else {
+    engine_.OnReply(DecodeReply(std::move(response)), now);
+  }
+  Pump(now);
+}
+
+void DispatchDuty::Handle(DispatchEvent event, Time now) {
+  std::visit([&](auto&& e) { On(std::forward<decltype(e)>(e), now); },
+             std::move(event));
+}
+
+Time DispatchDuty::Turn(Time now) {
+  Pump(now);
+  return kNever;
+}
+
+void DispatchDuty::On(RoutesChanged event, Time now) {
+  const std::uint64_t before = engine_.routes_version();
+  const std::uint64_t version = event.routes->version();
+  const std::size_t routes = event.routes->routes().size();
+  engine_.OnRoutes(std::move(event.routes), now);
+  if (engine_.routes_version() == before)
+    return;
+  state_->SetRoutesKnown();
+  Log(LogLevel::kInfo, "routes_in_force",
+      {{"version", version}, {"before", before}, {"routes", routes}});
+}
+
+void DispatchDuty::On(const ServersChanged& event, Time now) {
+  engine_.OnServers(event.change, now);
+  for (const auto& id : event.change.removed)
+    pool_->Drop(id);
+  state_->SetServersKnown();
+}
+
+void DispatchDuty::On(const InstancesChanged& event, Time) {
+  engine_.OnInstances(event.instances);
+}
+
+void DispatchDuty::On(const CloseCallerDoor&, Time) {
+  callers_->CloseDoor();
+}
+
+void DispatchDuty::Pump(Time now) {
+  const Time next = engine_.Turn(now);
+  CarryOut();
+  if (next == kNever || next >= timer_at_)
+    return;
+  // NOTE A later time leaves the timer as it is: an early turn costs less than
+  // setting it anew at each event.
+  timer_at_ = next;
+  timer_->expires_at(next);
+  timer_->async_wait([this](const asio::error_code& error) {
+    if (error)
+      return;
+    timer_at_ = kNever;
+    Pump(SteadyNow());
+  });
+}
+
+void DispatchDuty::CarryOut() {
+  for (auto& action : engine_.TakeActions())
+    std::visit([this](auto&& a) { Carry(std::move(a)); }, std::move(action));
+}
+
+void DispatchDuty::Carry(SendToServer action) {
+  pool_->Send(EncodeSend(action));
+}
+
+void DispatchDuty::Carry(const CancelSend& action) {
+  pool_->Cancel(action.send);
+}
+
+void DispatchDuty::Carry(const ProbeHealth& action) {
+  const std::uint64_t id = next_probe_++;
+  probes_[id] = action.server;
+  pool_->Send(EncodeProbe(action, id));
+  state_->metrics().Add("health_probes");
+  auto timer = std::make_shared<asio::steady_timer>(timer_->get_executor());
+  timer->expires_after(kProbeTimeout);
+  timer->async_wait([this, id, timer](const asio::error_code&) {
+    if (probes_.erase(id) > 0)
+      pool_->Cancel(id);
+  });
+}
+
+void DispatchDuty::Carry(CompleteCall action) {
+  Count(action.record);
+  const auto found = waiters_.find(action.call);
+  if (found == waiters_.end())
+    return;
+  const Waiter waiter = std::move(found->second);
+  waiters_.erase(found);
+  --state_->active_calls;
+  const auto calls = by_connection_.find(waiter.connection);
+  if (calls != by_connection_.end())
+    std::erase(calls->second, action.call);
+  waiter.respond(
+      EncodeReply(std::move(action.reply), action.record, state_->stopping()));
+}
+
+void DispatchDuty::Carry(const ServerBelief& action) {
+  state_->metrics().Add(action.reason == ResultCode::kOk ? "server_up"
+                                                         : "server_down");
+  Log(LogLevel::kWarning,
+      action.reason == ResultCode::kOk ? "server_up" : "server_down",
+      {{"server", action.server},
+       {"service", action.service},
+       {"code", NumberOf(action.reason)},
+       {"unheard_ms", WholeMillis(action.unheard)},
+       {"in_flight", action.in_flight}});
+}
+
+void DispatchDuty::Count(const CallRecord& record) {
+  Metrics& metrics = state_->metrics();
+  metrics.Add("calls");
+  metrics.Add("sends", record.sends);
+  metrics.Add("hedges", record.hedges);
+  metrics.Add("rejections", record.rejections);
+  metrics.Add("budget_refusals", record.budget_refusals);
+  metrics.Record("call", record.took);
+  const bool whole = record.status >= kOk && record.status < kMultipleChoices &&
+                     record.parts == record.parts_wanted;
+  metrics.Add(whole ? "answered_whole"
+                    : (record.status < kMultipleChoices ? "answered_in_part"
+                                                        : "not_answered"));
+  Json line = {{"request_id", record.request_id},
+               {"route", record.route},
+               {"version", record.routes_version},
+               {"status", record.status},
+               {"ms", ToMillis(record.took)},
+               {"sends", record.sends}};
+  if (!whole) {
+    line["code"] = NumberOf(record.code);
+    line["parts"] = record.parts;
+    line["parts_wanted"] = record.parts_wanted;
+    line["rejections"] = record.rejections;
+    line["budget_refusals"] = record.budget_refusals;
+    line["failed"] = FailedLegs(record);
+  }
+  if (record.hedges > 0)
+    line["hedges"] = record.hedges;
+  Log(LogLevel::kInfo, "call_ended", line);
+}
+
+}  // namespace limpetrudder
--- /dev/null
+++ b/src/app/dispatch_duty.h
@@ -0,0 +1,99 @@
+#ifndef APP_DISPATCH_DUTY_H_
+#define APP_DISPATCH_DUTY_H_
+
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+#include <variant>
+#include <vector>
+
+#include <asio/steady_timer.hpp>
+
+#include "app/entry_state.h"
+#include "discovery/discovery_types.h"
+#include "dispatch/dispatch_engine.h"
+#include "framework/duty_thread.h"
+#include "net/http_server.h"
+#include "net/target_pool.h"
+
+namespace limpetrudder {
+
+// Events of the dispatch duty from other threads.
+
+struct RoutesChanged {
+  std::shared_ptr<const RouteTable> routes;
+};
+struct ServersChanged {
+  DirectoryChange change;
+};
+struct InstancesChanged {
+  std::uint32_t instances = 0;
+};
+struct CloseCallerDoor {};
+
+using DispatchEvent = std::variant<RoutesChanged,
+                                   ServersChanged,
+                                   InstancesChanged,
+                                   CloseCallerDoor>;
+
+// Runs the dispatch engine on one thread, together with callers' and servers'
+// connections: feeds it events and carries out its actions. Not thread safe.
+class DispatchDuty {
+ public:
+  using Mailbox = DutyThread<DispatchEvent, DispatchDuty>;
+
+  // `state` must outlive this object.
+  DispatchDuty(DispatchSettings settings, EntryState* state);
+  ~DispatchDuty();
+
+  // Opens the callers' port on the mailbox's thread. Call once, before the
+  // thread runs; the mailbox must outlive this object's use.
+  // Errors: kStartFailed.
+  Result<void> Open(const std::string& caller_address, Mailbox* mailbox);
+
+  void Handle(DispatchEvent event, Time now);
+  Time Turn(Time now);
+
+ private:
+  // Who waits for the answer to a call.
+  struct Waiter {
+    std::uint64_t connection = 0;
+    Responder respond;
+  };
+
+  void OnRequest(ServerRequest request, Responder respond);
+  void OnClosed(std::uint64_t connection);
+  void OnResponse(PoolResponse response);
+
+  void On(RoutesChanged event, Time now);
+  void On(const ServersChanged& event, Time now);
+  void On(const InstancesChanged& event, Time now);
+  void On(const CloseCallerDoor& event, Time now);
+
+  // Lets the engine act and sets the timer for its next turn.
+  void Pump(Time now);
+  void CarryOut();
+  void Carry(SendToServer action);
+  void Carry(const CancelSend& action);
+  void Carry(const ProbeHealth& action);
+  void Carry(CompleteCall action);
+  void Carry(const ServerBelief& action);
+  void Count(const CallRecord& record);
+
+  EntryState* const state_;
+  DispatchEngine engine_;
+  std::unique_ptr<TargetPool> pool_;
+  std::unique_ptr<HttpServer> callers_;
+  std::unique_ptr<asio::steady_timer> timer_;
+  Time timer_at_ = kNever;
+  std::unordered_map<CallId, Waiter> waiters_;
+  std::unordered_map<std::uint64_t, std::vector<CallId>> by_connection_;
+  std::unordered_map<std::uint64_t, std::string> probes_;  // Server by id.
+  CallId next_call_ = 1;
+  std::uint64_t next_probe_;
+};
+
+}  // namespace limpetrudder
+
+#endif  // APP_DISPATCH_DUTY_H_
--- /dev/null
+++ b/src/app/entry_app.cc
@@ -0,0 +1,152 @@
+#include "app/entry_app.h"
+
+#include <thread>
+#include <utility>
+
+#include "app/settings.h"
+#include "framework/clock.h"
+#include "framework/hash.h"
+#include "framework/logger.h"
+#include "platform/wire_names.h"
+
+namespace limpetrudder {
+namespace {
+
+constexpr std::size_t kDispatchRing = 4096;
+constexpr std::size_t kDiscoveryRing = 256;
+constexpr std::size_t kStoreRing = 64;
+
+// The balancer asks once a second and takes an instance out after two misses.
+constexpr Duration kBalancerNotices = Millis(2700);
+
+// After the last answer a caller may send one more request on a connection
+// that it keeps.
+constexpr Duration kQuietBeforeExit = Millis(300);
+
+// The exit leaves this much of the stop bound for the process to end.
+constexpr Duration kExitMargin = Millis(600);
+constexpr Duration kIdlePoll = Millis(20);
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+HttpServerSettings Listen(const std::string& address,
+                          asio::io_context* context) {
+  const Endpoint endpoint = SplitAddress(address);
+  HttpServerSettings settings;
+  settings.address = endpoint.ip;
+  settings.port = endpoint.port;
+  settings.context = context;
+  return settings;
+}
+
+}  // namespace
+
+EntryApp::EntryApp(EntrySettings settings)
+    : settings_(std::move(settings)),
+      http_(kStoreRing),
+      store_(settings_.store_address, &http_),
+      dispatch_duty_({settings_.data_centre, settings_.regions,
+                      settings_.retry_budget,
+                      Hash64(settings_.instance,
+                             static_cast<std::uint64_t>(UnixMillis()))},
+                     &state_),
+      discovery_duty_(
+          {Millis(1000), Hash64(settings_.instance)},
+          [this](const FeedCall& call, StoreClient::Handler handler) {
+            state_.metrics().Add("store_calls");
+            store_.Call(call, std::move(handler));
+          }),
+      dispatch_(kDispatchRing, &dispatch_duty_),
+      discovery_(kDiscoveryRing, &discovery_duty_),
+      ready_server_(
+          Listen(settings_.ready_address, dispatch_.context()),
+          [this](const ServerRequest&, const Responder& respond) {
+            AnswerReady(respond);
+          },
+          nullptr),
+      peer_server_(
+          Listen(settings_.peer_address, dispatch_.context()),
+          [this](const ServerRequest& request, const Responder& respond) {
+            AnswerInternal(request, respond);
+          },
+          nullptr) {
+  discovery_duty_.SetMailboxes(&discovery_, &dispatch_);
+}
+
+EntryApp::~EntryApp() {
+  StopThreads();
+}
+
+Result<void> EntryApp::Start() {
+  if (auto opened = dispatch_duty_.Open(settings_.caller_address, &dispatch_);
+      !opened) {
+    return opened;
+  }
+  for (HttpServer* server : {&ready_server_, &peer_server_}) {
+    if (auto opened = server->Start(); !opened)
+      return opened;
+  }
+  dispatch_.Start();
+  http_.Start();
+  discovery_.Start();
+  Log(LogLevel::kInfo, "started",
+      {{"caller_address", settings_.caller_address},
+       {"store_address", settings_.store_address}});
+  return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void EntryApp::AnswerReady(const Responder& respond) {
+  ServerResponse response;
+  response.status = state_.ready() ? kOk : kUnavailable;
+  response.content_type = "text/plain";
+  response.body = state_.ready() ? "ready" : "not ready";
+  respond(std::move(response));
+}
+
+void EntryApp::AnswerInternal(const ServerRequest& request,
+                              const Responder& respond) {
+  ServerResponse response;
+  if (request.path == "/metrics") {
+    response.body = state_.metrics().Snapshot().dump();
+  } else {
+    response.status = kNotFound;
+    response.body = RefusalBody(ResultCode::kNoSuchPath, "no such path");
+  }
+  respond(std::move(response));
+}
+
+bool EntryApp::Stop(const std::function<bool()>& hurry) {
+  const Time began = SteadyNow();
+  const Time cut_at = began + settings_.stop_bound - kExitMargin;
+  state_.BeginStop();
+  Log(LogLevel::kInfo, "stopping", {{"in_flight", state_.active_calls.load()}});
+  bool door_open = true;
+  Time quiet_since = began;
+  while (SteadyNow() < cut_at && !hurry()) {
+    std::this_thread::sleep_for(kIdlePoll);
+    const Time now = SteadyNow();
+    if (door_open && now - began >= kBalancerNotices) {
+      dispatch_.PostResult(CloseCallerDoor{});
+      door_open = false;
+    }
+    if (door_open || state_.active_calls > 0)
+      quiet_since = now;
+    if (now - quiet_since >= kQuietBeforeExit)
+      break;
+  }
+  const std::size_t cut = state_.active_calls;
+  StopThreads();
+  Log(LogLevel::kInfo, "stopped",
+      {{"cut", cut}, {"took_ms", WholeMillis(SteadyNow() - began)}});
+  return cut == 0;
+}
+
+void EntryApp::StopThreads() {
+  dispatch_.Stop();
+  discovery_.Stop();
+  http_.Stop();
+}
+
+}  // namespace limpetrudder
--- a/src/app/internal/commands.cc
+++ b/src/app/internal/commands.cc
@@ -10,6 +10,8 @@
 
 #include "app/internal/http_call.h"
 #include "app/operator_api.h"
+#include "app/entry_app.h"
+#include "app/entry_settings.h"
 #include "app/server_app.h"
 #include "app/settings.h"
 #include "config/document.h"
@@ -101,42 +103,91 @@
   }
 }
 
-}  // namespace
-
-ExitCode Serve(const CommandOptions& options) {
-  const auto json = ReadJsonFile(options.settings);
+// Reads and checks a settings file with `read`.
+template <typename S, typename Reader>
+CheckedResult<S> ReadSettingsFile(const std::string& path, Reader read) {
+  const auto json = ReadJsonFile(path);
   if (!json) {
-    PrintFaults({json.error()});
-    return ExitCode::kSettingsFaulty;
+    return BOOST_OUTCOME_V2_NAMESPACE::failure(
+        std::vector<Error>{json.error()});
   }
-  const auto settings = ReadSettings(json.assume_value());
-  if (!settings) {
-    PrintFaults(settings.error());
-    return ExitCode::kSettingsFaulty;
+  return read(json.assume_value());
+}
+
+// Takes over what may change while the instance runs. Faulty settings change
+// nothing.
+void ReloadEntrySettings(const std::string& path) {
+  const auto settings = ReadSettingsFile<EntrySettings>(path, ReadEntrySettings);
+  if (settings) {
+    SetLogLevel(settings.assume_value().log_level);
+    Log(LogLevel::kInfo, "settings_reloaded");
+    return;
   }
+  for (const Error& fault : settings.error()) {
+    Log(LogLevel::kError, "settings_refused",
+        {{"code", NumberOf(fault.code)},
+         {"pointer", fault.pointer},
+         {"message", fault.message}});
+  }
+}
+
+// Runs an instance until SIGTERM or SIGINT; SIGHUP calls `reload`.
+template <typename App, typename S, typename Reload>
+ExitCode RunUntilStopped(const S& settings, Reload reload) {
   // NOTE Signals are taken by this thread alone; the others inherit the mask.
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
 
-  StartLogging({settings.assume_value().instance,
-                settings.assume_value().data_centre,
-                settings.assume_value().log_level});
-  ServerApp app(settings.assume_value());
-  if (const auto started = app.Start(); !started) {
-    PrintFaults({started.error()});
-    return ExitCode::kFailed;
+  StartLogging({settings.instance, settings.data_centre, settings.log_level});
+  ExitCode exit_code = ExitCode::kDone;
+  {
+    App app(settings);
+    if (const auto started = app.Start(); !started) {
+      PrintFaults({started.error()});
+      StopLogging();
+      return ExitCode::kFailed;
+    }
+    int received = 0;
+    while (sigwait(&signals, &received) == 0 && received == SIGHUP)
+      reload();
+    sigdelset(&signals, SIGHUP);
+    const bool clean = app.Stop([&signals] {
+      const timespec no_wait{};
+      return sigtimedwait(&signals, nullptr, &no_wait) > 0;
+    });
+    exit_code = clean ? ExitCode::kDone : ExitCode::kRequestsCut;
+  }
+  StopLogging();
+  return exit_code;
+}
+
+}  // namespace
+
+ExitCode Serve(const CommandOptions& options) {
+  const auto settings =
+      ReadSettingsFile<Settings>(options.settings, ReadSettings);
+  if (!settings) {
+    PrintFaults(settings.error());
+    return ExitCode::kSettingsFaulty;
+  }
+  return RunUntilStopped<ServerApp>(settings.assume_value(), [] {});
+}
+
+ExitCode Entry(const CommandOptions& options) {
+  const auto settings =
+      ReadSettingsFile<EntrySettings>(options.settings, ReadEntrySettings);
+  if (!settings) {
+    PrintFaults(settings.error());
+    return ExitCode::kSettingsFaulty;
   }
-  int received = 0;
-  sigwait(&signals, &received);
-  const bool clean = app.Stop([&signals] {
-    const timespec no_wait{};
-    return sigtimedwait(&signals, nullptr, &no_wait) > 0;
+  return RunUntilStopped<EntryApp>(settings.assume_value(), [&options] {
+    ReloadEntrySettings(options.settings);
   });
-  return clean ? ExitCode::kDone : ExitCode::kRequestsCut;
 }
 
 ExitCode Query(const CommandOptions& options) {
--- a/src/app/internal/commands.h
+++ b/src/app/internal/commands.h
@@ -36,6 +36,7 @@
 };
 
 ExitCode Serve(const CommandOptions& options);
+ExitCode Entry(const CommandOptions& options);
 ExitCode Query(const CommandOptions& options);
 ExitCode ConfigCheck(const CommandOptions& options);
 ExitCode ConfigSubmit(const CommandOptions& options);
--- a/src/app/settings.cc
+++ b/src/app/settings.cc
@@ -46,19 +46,6 @@
 constexpr std::int64_t kDefaultStopBoundMs = 10000;
 constexpr int kHighestPort = 65535;
 
-// The schema can't bound the numbers inside an address.
-void CheckAddress(const nlohmann::json& json,
-                  const std::string& field,
-                  std::vector<Error>* errors) {
-  const std::string address = json.at(field);
-  const int port = std::stoi(address.substr(address.find(':') + 1));
-  if (port < 1 || port > kHighestPort) {
-    errors->push_back(
-        {ResultCode::kFieldOutOfRange, "/" + field,
-         "port " + std::to_string(port) + " isn't between 1 and 65535"});
-  }
-}
-
 Settings ReadChecked(const nlohmann::json& json) {
   Settings settings;
   settings.instance = json.at("instance");
@@ -86,6 +73,18 @@
 
 }  // namespace
 
+void CheckAddress(const nlohmann::json& json,
+                  const std::string& field,
+                  std::vector<Error>* errors) {
+  const std::string address = json.at(field);
+  const int port = std::stoi(address.substr(address.find(':') + 1));
+  if (port < 1 || port > kHighestPort) {
+    errors->push_back(
+        {ResultCode::kFieldOutOfRange, "/" + field,
+         "port " + std::to_string(port) + " isn't between 1 and 65535"});
+  }
+}
+
 CheckedResult<Settings> ReadSettings(const nlohmann::json& json) {
   static const JsonSchema schema(kSchema);
   std::vector<Error> errors = schema.Check(json);
--- /dev/null
+++ b/src/discovery/discovery_types.h
@@ -0,0 +1,68 @@
+#ifndef DISCOVERY_DISCOVERY_TYPES_H_
+#define DISCOVERY_DISCOVERY_TYPES_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "discovery/server_directory.h"
+#include "routing/route_table.h"
+
+namespace limpetrudder {
+
+// Another instance, or this one, as it registered.
+struct InstanceEntry {
+  std::string name;
+  std::string data_centre;
+  std::string peer_address;
+};
+
+struct ServerGone {
+  std::string id;
+};
+
+struct InstanceGone {
+  std::string name;
+};
+
+// One thing that the store says, in the product's terms.
+using FeedItem = std::variant<std::shared_ptr<const RouteTable>,
+                              ServerEntry,
+                              ServerGone,
+                              InstanceEntry,
+                              InstanceGone>;
+
+enum class FeedStatus {
+  kOk,
+  kHistoryLost,  // Changes since the asked revision are no longer kept.
+  kRefused,      // The store turned the call away; nothing was done.
+  kNoReply,
+};
+
+struct FeedReply {
+  FeedStatus status = FeedStatus::kNoReply;
+  std::vector<FeedItem> items;
+  std::uint64_t revision = 0;  // Of the store, when it answered.
+  std::string last_key;        // Of a page of the listing.
+  bool has_more = false;
+};
+
+// Calls that follow the store.
+
+// One page of everything, after `after_key`; empty: from the beginning.
+struct ListPage {
+  std::string after_key;
+};
+
+// Everything that changed since a revision.
+struct ReadChanges {
+  std::uint64_t after_revision = 0;
+};
+
+using FeedCall = std::variant<ListPage, ReadChanges>;
+
+}  // namespace limpetrudder
+
+#endif  // DISCOVERY_DISCOVERY_TYPES_H_
--- /dev/null
+++ b/src/discovery/store_follower.h
@@ -0,0 +1,75 @@
+#ifndef DISCOVERY_STORE_FOLLOWER_H_
+#define DISCOVERY_STORE_FOLLOWER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "discovery/discovery_types.h"
+#include "framework/random.h"
+#include "framework/time.h"
+
+namespace limpetrudder {
+
+struct StoreFollowerSettings {
+  // Between two reads of what changed. The sum of this, an answer's time and a
+  // time-out stays under the bounds for drains and configurations.
+  Duration interval = Millis(1000);
+  std::uint64_t seed = 0;
+};
+
+// What a reply brings.
+struct FeedBatch {
+  std::vector<FeedItem> items;
+  bool whole = false;       // All there is; what isn't in it is gone.
+  bool store_back = false;  // The store was away and may have lost entries.
+};
+
+// Follows the store: lists everything once, then collects what changed at
+// intervals, one call at a time. A waiting watch would be answered by each
+// heartbeat of each server, so none waits. Lists anew when the store has
+// dropped its history, and backs off while it refuses or is away. Holds no
+// clock and does no I/O. Not thread safe.
+class StoreFollower {
+ public:
+  // Without an answer for this long, servers' entries may have lapsed.
+  static constexpr Duration kAwayTime = Millis(2500);
+
+  explicit StoreFollower(StoreFollowerSettings settings)
+      : settings_(settings), random_(settings.seed) {}
+
+  // Returns the call that is due, if any; `next` is when to ask again.
+  std::optional<FeedCall> Turn(Time now, Time* next);
+
+  // The answer to the call; returns what it brings, once it is complete.
+  std::optional<FeedBatch> OnReply(FeedReply reply, Time now);
+
+  // Whether the store answered the last call.
+  bool in_contact() const { return failures_ == 0 && last_ok_ != Time::min(); }
+  // When it answered last; Time::min() before the first answer.
+  Time last_contact() const { return last_ok_; }
+
+ private:
+  void OnFailure(FeedStatus status, Time now);
+  std::optional<FeedBatch> OnPage(FeedReply reply, Time now);
+  void NoteContact(Time now);
+  Duration Jittered(Duration duration);
+
+  StoreFollowerSettings settings_;
+  Random random_;
+  bool calling_ = false;
+  bool listing_ = true;
+  std::string after_key_;
+  std::uint64_t list_revision_ = 0;  // Of the first page.
+  std::vector<FeedItem> pages_;
+  std::uint64_t revision_ = 0;
+  Time due_ = Time::min();
+  Time last_ok_ = Time::min();
+  bool away_ = false;
+  std::uint32_t failures_ = 0;
+};
+
+}  // namespace limpetrudder
+
+#endif  // DISCOVERY_STORE_FOLLOWER_H_
--- /dev/null
+++ b/src/dispatch/dispatch_engine.h
@@ -0,0 +1,162 @@
+#ifndef DISPATCH_DISPATCH_ENGINE_H_
+#define DISPATCH_DISPATCH_ENGINE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "discovery/server_directory.h"
+#include "dispatch/dispatch_types.h"
+#include "dispatch/internal/active_call.h"
+#include "dispatch/internal/route_profiles.h"
+#include "dispatch/internal/server_placer.h"
+#include "dispatch/internal/server_table.h"
+#include "dispatch/internal/topology.h"
+#include "dispatch/internal/weighted_split.h"
+#include "framework/random.h"
+#include "limits/retry_budget.h"
+#include "routing/route_table.h"
+
+namespace limpetrudder {
+
+struct DispatchSettings {
+  std::string data_centre;
+  std::map<std::string, std::string> regions;  // By data centre.
+  RetryBudgetTerms retry_budget;
+  std::uint64_t seed = 0;
+};
+
+// Answers callers' requests by one server or by one server of each shard:
+// decides where each goes, what is asked a second time, when an answer is
+// final, and what is refused.
+//
+// Holds no clock and does no I/O: events come in with the time, actions go out
+// through TakeActions(). The same events, times and seed give the same actions.
+// Not thread safe.
+class DispatchEngine {
+ public:
+  explicit DispatchEngine(DispatchSettings settings);
+
+  DispatchEngine(const DispatchEngine&) = delete;
+  DispatchEngine& operator=(const DispatchEngine&) = delete;
+
+  // A version of the routes came into force. Calls that run keep the one that
+  // they began with. A lower version than the last is ignored.
+  void OnRoutes(std::shared_ptr<const RouteTable> routes, Time now);
+
+  // Servers came, changed or went.
+  void OnServers(const DirectoryChange& change, Time now);
+
+  // The number of instances that are live, this one included.
+  void OnInstances(std::uint32_t instances);
+
+  // A request of a caller; its id must be new.
+  void OnCall(CallRequest call, Time now);
+
+  // The caller is gone: its work is cancelled and no answer follows.
+  void OnCallerLeft(CallId call, Time now);
+
+  // What became of a SendToServer.
+  void OnReply(TargetReply reply, Time now);
+
+  // What became of a ProbeHealth.
+  void OnProbe(const std::string& server, bool healthy, Time now);
+
+  // Carries out what is due and returns when to be called next.
+  Time Turn(Time now);
+
+  // Returns and clears the actions due.
+  std::vector<DispatchAction> TakeActions();
+
+  bool has_routes() const { return routes_ != nullptr; }
+  std::uint64_t routes_version() const {
+    return routes_ ? routes_->version() : 0;
+  }
+  std::size_t active_calls() const { return calls_.size(); }
+
+ private:
+  using Leg = detail::Leg;
+  using ActiveCall = detail::ActiveCall;
+  using ServerLoad = detail::ServerLoad;
+
+  // A request at a server; it outlives its call if its answer still tells
+  // something about the server.
+  struct OpenSend {
+    CallId call = 0;  // 0: nobody waits for the answer.
+    std::size_t leg = 0;
+    std::shared_ptr<ServerLoad> server;
+    detail::ServerGroup* group = nullptr;
+    std::shared_ptr<const RouteTable> table;
+    const Route* route = nullptr;
+    Time sent{};
+  };
+
+  // Whether a server gave what its leg needs.
+  enum class Verdict { kGood, kRejected, kFailed, kLost };
+
+  void Refuse(const CallRequest& call,
+              int status,
+              ResultCode code,
+              std::optional<Duration> retry_after);
+  void BeginLegs(ActiveCall* call, Time now);
+  void TrySend(ActiveCall* call, std::size_t leg_index, Time now);
+  void Send(ActiveCall* call,
+            std::size_t leg_index,
+            const detail::Placement& choice,
+            Time now);
+  void PlanHedge(ActiveCall* call, Leg* leg, const ServerLoad& first, Time now);
+  void TryHedge(ActiveCall* call, std::size_t leg_index, Time now);
+  void Wait(ActiveCall* call, std::size_t leg_index);
+  void StopWaiting(const ActiveCall& call, std::size_t leg_index);
+  void ServeWaiting(detail::ServerGroup* group, Time now);
+
+  Verdict Judge(const OpenSend& send, const TargetReply& reply) const;
+  void Learn(const OpenSend& send,
+             const TargetReply& reply,
+             Verdict verdict,
+             Time now);
+  void OnVerdict(ActiveCall* call,
+                 std::size_t leg_index,
+                 TargetReply* reply,
+                 Verdict verdict,
+                 Time now);
+  void RetryOrFail(ActiveCall* call, std::size_t leg_index, Time now);
+  void FailLeg(ActiveCall* call, std::size_t leg_index, ResultCode code);
+
+  // Finishes the call if it is decided; returns whether it is gone.
+  bool Settle(ActiveCall* call, Time now);
+  void Schedule(ActiveCall* call, Time now);
+  void Advance(ActiveCall* call, Time now);
+  CallReply ComposeAnswer(ActiveCall* call) const;
+  CallReply ComposeFailure(ActiveCall* call, Time now);
+  void Finish(ActiveCall* call, CallReply reply, Time now);
+  void Forget(ActiveCall* call, Time now, bool cancel_now);
+  void CancelOrphans(Time now);
+  void SendProbes(Time now);
+  void Believe(const ServerLoad& server, ResultCode reason, Time now);
+
+  const DispatchSettings settings_;
+  Random random_;
+  detail::Topology topology_;
+  detail::ServerTable servers_;
+  detail::RouteProfiles profiles_;
+  detail::WeightedSplit split_;
+  detail::ServerPlacer placer_;
+  std::shared_ptr<const RouteTable> routes_;
+  std::unordered_map<CallId, std::unique_ptr<ActiveCall>> calls_;
+  std::unordered_map<SendId, OpenSend> sends_;
+  std::set<std::pair<Time, CallId>> wakes_;
+  std::deque<std::pair<Time, SendId>> orphans_;  // By when they are cancelled.
+  std::set<std::string> down_;                   // Servers to probe.
+  std::vector<DispatchAction> actions_;
+  SendId next_send_ = 1;
+};
+
+}  // namespace limpetrudder
+
+#endif  // DISPATCH_DISPATCH_ENGINE_H_
--- /dev/null
+++ b/src/dispatch/dispatch_types.h
@@ -0,0 +1,150 @@
+#ifndef DISPATCH_DISPATCH_TYPES_H_
+#define DISPATCH_DISPATCH_TYPES_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "framework/enum_names.h"
+#include "framework/result_code.h"
+#include "framework/time.h"
+
+namespace limpetrudder {
+
+using CallId = std::uint64_t;  // One request of a caller.
+using SendId = std::uint64_t;  // One request to a server.
+
+struct HeaderField {
+  std::string name;
+  std::string value;
+};
+
+// A caller's request as it is passed on. Immutable, shared by all sends.
+struct RequestMessage {
+  std::string request_id;
+  std::string method;
+  std::string host;
+  std::string target;  // Path and query.
+  std::vector<HeaderField> headers;
+  std::string body;
+};
+
+struct CallRequest {
+  CallId id = 0;
+  std::shared_ptr<const RequestMessage> message;
+  Duration caller_timeout{0};  // 0: the caller names none.
+  bool new_connection = false;
+  bool forwarded = false;  // By another instance; never forwarded again.
+};
+
+// What a server says of its load beside an answer.
+struct LoadReport {
+  std::uint32_t running = 0;
+  std::uint32_t waiting = 0;
+  std::uint32_t slots = 0;
+  double slowness = 1;  // How long work takes there now, against the usual.
+};
+
+enum class SendOutcome {
+  kAnswered,
+  kNotSent,  // No connection; no byte of the request left.
+  kBroken,   // It may have run; there is no whole answer.
+};
+
+struct TargetReply {
+  SendId send = 0;
+  SendOutcome outcome = SendOutcome::kBroken;
+  int status = 0;
+  std::vector<HeaderField> headers;
+  std::string body;
+  bool not_executed = false;  // The server says that it didn't run it.
+  bool misdirected = false;   // Another server has the address now.
+  std::string signature;      // Names the run; empty if the server gave none.
+  std::optional<LoadReport> load;
+  Duration connect_time{0};  // 0: the connection was open.
+};
+
+// A final answer to a caller.
+struct CallReply {
+  int status = 200;
+  std::vector<HeaderField> headers;
+  std::string body;
+  std::vector<std::string> part_signatures;  // Of a merged answer.
+  std::uint32_t missing_parts = 0;
+  std::optional<Duration> retry_after;
+  bool from_server = false;  // Status, headers and body are a server's.
+};
+
+// What became of one shard, or of the one server asked, for the log.
+struct LegRecord {
+  std::string service;
+  std::string server;  // The last one asked.
+  std::uint32_t sends = 0;
+  ResultCode code = ResultCode::kOk;
+};
+
+// Why a call ended as it did, for the log.
+struct CallRecord {
+  std::string request_id;
+  std::string route;
+  std::uint64_t routes_version = 0;
+  int status = 0;
+  ResultCode code = ResultCode::kOk;
+  Duration took{0};
+  std::uint32_t parts = 0;
+  std::uint32_t parts_wanted = 0;
+  std::uint32_t sends = 0;
+  std::uint32_t hedges = 0;
+  std::uint32_t rejections = 0;
+  std::uint32_t budget_refusals = 0;  // Sends left out for want of budget.
+  std::vector<LegRecord> failed_legs;
+};
+
+// What the engine asks its owner to do.
+
+struct SendToServer {
+  SendId send = 0;
+  std::string server;
+  std::string address;
+  std::shared_ptr<const RequestMessage> message;
+  Duration time_left{0};
+  bool fresh_connection = false;  // Or one that was used a moment ago.
+};
+
+struct CancelSend {
+  SendId send = 0;
+};
+
+struct ProbeHealth {
+  std::string server;
+  std::string address;
+  std::string path;
+};
+
+struct CompleteCall {
+  CallId call = 0;
+  CallReply reply;
+  CallRecord record;
+};
+
+// The engine's belief about a server changed.
+struct ServerBelief {
+  std::string server;
+  std::string service;
+  ResultCode reason = ResultCode::kOk;  // kOk: it takes work again.
+  Duration unheard{0};  // Since the server's last answer.
+  std::uint32_t in_flight = 0;
+};
+
+using DispatchAction = std::variant<SendToServer,
+                                    CancelSend,
+                                    ProbeHealth,
+                                    CompleteCall,
+                                    ServerBelief>;
+
+}  // namespace limpetrudder
+
+#endif  // DISPATCH_DISPATCH_TYPES_H_
--- /dev/null
+++ b/src/dispatch/internal/active_call.h
@@ -0,0 +1,64 @@
+#ifndef DISPATCH_INTERNAL_ACTIVE_CALL_H_
+#define DISPATCH_INTERNAL_ACTIVE_CALL_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "dispatch/dispatch_types.h"
+#include "dispatch/internal/server_table.h"
+#include "routing/route_table.h"
+
+namespace limpetrudder::detail {
+
+enum class LegState { kOpen, kAnswered, kFailed };
+
+// One shard's part of a call, or the whole of a call to one server.
+struct Leg {
+  ServerGroup* group = nullptr;
+  LegState state = LegState::kOpen;
+  std::vector<SendId> open_sends;
+  std::vector<const ServerLoad*> asked;
+  std::string last_server;
+  std::uint32_t sends = 0;
+  std::uint32_t runs = 0;      // Sends that ran or may have.
+  std::uint32_t arrivals = 0;  // Sends that reached a server.
+  bool waiting = false;        // In its group's queue.
+  Time hedge_at = kNever;
+  Time retry_at = kNever;
+  std::string signature;
+  std::string body;
+  ResultCode code = ResultCode::kOk;  // Why the last send gave no answer.
+};
+
+// A caller's request that has no final answer yet.
+struct ActiveCall {
+  CallRequest call;
+  std::shared_ptr<const RouteTable> table;  // Keeps `route` alive.
+  const Route* route = nullptr;
+  Time received{};
+  Time deadline{};   // The final answer leaves by then.
+  Time answer_by{};  // An answer that leaves by then is within the target.
+  Time wake = kNever;
+  std::vector<Leg> legs;
+  std::uint32_t answered = 0;
+  std::uint32_t failed = 0;
+  std::optional<TargetReply> final_reply;  // Of the one server asked.
+  CallRecord record;
+
+  bool may_repeat() const { return route->kind == RequestKind::kIdempotent; }
+
+  // Whether any server ran it or may have.
+  bool may_have_run() const {
+    for (const Leg& leg : legs) {
+      if (leg.runs > 0 || !leg.open_sends.empty())
+        return true;
+    }
+    return false;
+  }
+};
+
+}  // namespace limpetrudder::detail
+
+#endif  // DISPATCH_INTERNAL_ACTIVE_CALL_H_
--- /dev/null
+++ b/src/dispatch/internal/answer_policy.cc
@@ -0,0 +1,44 @@
+#include "dispatch/internal/answer_policy.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace limpetrudder::detail {
+namespace {
+
+// Keeps the least count on the right side of rounding.
+constexpr double kRounding = 1e-9;
+
+}  // namespace
+
+std::uint32_t FewestParts(const Route& route) {
+  const double wanted =
+      route.coverage_floor * static_cast<double>(route.shards.size());
+  return std::max(1U,
+                  static_cast<std::uint32_t>(std::ceil(wanted - kRounding)));
+}
+
+AnswerDecision DecideAnswer(const ActiveCall& call, Time now) {
+  const auto legs = static_cast<std::uint32_t>(call.legs.size());
+  if (!call.route->is_scatter()) {
+    if (call.answered > 0)
+      return AnswerDecision::kAnswer;
+    return call.failed > 0 || now >= call.deadline ? AnswerDecision::kGiveUp
+                                                   : AnswerDecision::kWait;
+  }
+  const std::uint32_t fewest = FewestParts(*call.route);
+  if (call.answered >= fewest) {
+    const bool all_known = call.answered + call.failed == legs;
+    return all_known || now >= call.answer_by ? AnswerDecision::kAnswer
+                                              : AnswerDecision::kWait;
+  }
+  const bool out_of_reach = legs - call.failed < fewest;
+  return out_of_reach || now >= call.deadline ? AnswerDecision::kGiveUp
+                                              : AnswerDecision::kWait;
+}
+
+Time NextAnswerDecision(const ActiveCall& call, Time now) {
+  return now < call.answer_by ? call.answer_by : call.deadline;
+}
+
+}  // namespace limpetrudder::detail
--- /dev/null
+++ b/src/dispatch/internal/answer_policy.h
@@ -0,0 +1,31 @@
+#ifndef DISPATCH_INTERNAL_ANSWER_POLICY_H_
+#define DISPATCH_INTERNAL_ANSWER_POLICY_H_
+
+#include "dispatch/internal/active_call.h"
+#include "framework/time.h"
+
+namespace limpetrudder::detail {
+
+// What a call should do now.
+enum class AnswerDecision {
+  kWait,
+  kAnswer,  // With what is in.
+  kGiveUp,  // It can't be answered any more.
+};
+
+// Decides when a call has its final answer. A whole answer goes out at once.
+// When the time for the latency target is up, an answer above the coverage
+// floor goes out rather than wait for the last shards: a late answer is worth a
+// fraction, a missing shard in twenty a tenth. Answers the load of days on
+// which servers pause, and of shards that nobody serves. Thread safe.
+AnswerDecision DecideAnswer(const ActiveCall& call, Time now);
+
+// The fewest shards that an answer must hold: its share is not below the floor.
+std::uint32_t FewestParts(const Route& route);
+
+// Returns when DecideAnswer() may decide otherwise without further news.
+Time NextAnswerDecision(const ActiveCall& call, Time now);
+
+}  // namespace limpetrudder::detail
+
+#endif  // DISPATCH_INTERNAL_ANSWER_POLICY_H_
--- /dev/null
+++ b/src/dispatch/internal/route_profiles.cc
@@ -0,0 +1,60 @@
+#include "dispatch/internal/route_profiles.h"
+
+#include <algorithm>
+#include <set>
+
+namespace limpetrudder::detail {
+namespace {
+
+// What a route that says nothing yet is taken to need, as parts of its latency
+// target: operators set targets at several times the usual work.
+constexpr int kMedianPart = 8;
+constexpr int kHighPart = 4;
+
+// Slow servers among the pool don't stretch what counts as usual beyond this
+// many medians.
+constexpr int kMostSpread = 3;
+
+constexpr double kHighQuantile = 0.95;
+constexpr double kMedianQuantile = 0.5;
+
+}  // namespace
+
+RouteProfiles::Profile& RouteProfiles::ProfileOf(const Route& route) {
+  auto [row, is_new] = profiles_.try_emplace(route.name);
+  if (is_new)
+    Refresh(route, &row->second);
+  return row->second;
+}
+
+void RouteProfiles::Refresh(const Route& route, Profile* profile) {
+  profile->fresh = 0;
+  profile->times.median = profile->window.Quantile(
+      kMedianQuantile, route.latency_target / kMedianPart);
+  const Duration median = profile->times.median;
+  profile->times.high = std::clamp(
+      profile->window.Quantile(kHighQuantile, route.latency_target / kHighPart),
+      median, median * kMostSpread);
+}
+
+const WorkTimes& RouteProfiles::TimesOf(const Route& route) {
+  return ProfileOf(route).times;
+}
+
+void RouteProfiles::Record(const Route& route, Duration work) {
+  Profile& profile = ProfileOf(route);
+  profile.window.Record(std::max(work, Duration(0)));
+  if (++profile.fresh >= kRefresh)
+    Refresh(route, &profile);
+}
+
+void RouteProfiles::Keep(const RouteTable& table) {
+  std::set<std::string> names;
+  for (const Route& route : table.routes())
+    names.insert(route.name);
+  std::erase_if(profiles_, [&names](const auto& entry) {
+    return names.count(entry.first) == 0;
+  });
+}
+
+}  // namespace limpetrudder::detail
--- /dev/null
+++ b/src/dispatch/internal/server_load.cc
@@ -0,0 +1,188 @@
+#include "dispatch/internal/server_load.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace limpetrudder::detail {
+namespace {
+
+// Weight of one sample in the running means.
+constexpr double kSampleWeight = 0.25;
+
+// Time in which an old finding loses most of its weight. A slow or refusing
+// server is tried again about then, so it costs one second attempt each time.
+constexpr Duration kFade = Millis(2500);
+
+// A load report is news for about one service time of the slowest requests.
+constexpr Duration kLoadFade = Millis(100);
+
+// A server that left requests unanswered for this long is more than paused:
+// the longest pause that services announce is a quarter of a second.
+constexpr Duration kLongestPause = Millis(300);
+
+// Latencies beyond this ratio that end together are taken as one pause.
+constexpr double kHighRatio = 2;
+constexpr Duration kSamePause = Millis(50);
+
+constexpr std::uint32_t kUnansweredBeforeDown = 2;
+constexpr Duration kFirstProbe = Millis(500);
+constexpr Duration kLongestProbe = Seconds(4);
+
+// Extra time of work on a server that has just started.
+constexpr double kWarmupSlowness = 1.6;
+
+double Fade(Duration age, Duration scale) {
+  return std::exp(-static_cast<double>(std::max(age, Duration(0)).count()) /
+                  static_cast<double>(scale.count()));
+}
+
+Duration Times(Duration duration, double factor) {
+  return Duration(
+      static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
+}  // namespace
+
+void ServerLoad::FadingRatio::Add(double sample, Time now) {
+  value_ = Value(now);
+  value_ += kSampleWeight * (sample - value_);
+  last_ = now;
+}
+
+double ServerLoad::FadingRatio::Value(Time now) const {
+  return value_ == 0 ? 0 : value_ * Fade(now - last_, kFade);
+}
+
+void ServerLoad::RecentRatios::Add(double ratio, Time now) {
+  if (ratio > kHighRatio) {
+    if (now - high_at_ < kSamePause)
+      return;
+    high_at_ = now;
+  }
+  last_[next_] = ratio;
+  next_ = (next_ + 1) % last_.size();
+  added_ = now;
+}
+
+double ServerLoad::RecentRatios::Value(Time now) const {
+  auto sorted = last_;
+  std::sort(sorted.begin(), sorted.end());
+  return 1 + (sorted[1] - 1) * Fade(now - added_, kFade);
+}
+
+void ServerLoad::Update(const ServerEntry& entry) {
+  if (entry.started_ms != entry_.started_ms || entry.address != entry_.address) {
+    const std::uint32_t in_flight = in_flight_;
+    *this = ServerLoad(entry);
+    in_flight_ = in_flight;
+    return;
+  }
+  entry_ = entry;
+}
+
+double ServerLoad::Slowness(Time now) const {
+  const double warmup =
+      entry_.warmup_left > Duration::zero() ? kWarmupSlowness : 1.0;
+  return std::max(slowness_.Value(now), warmup);
+}
+
+double ServerLoad::RejectRatio(Time now) const {
+  return rejects_.Value(now);
+}
+
+double ServerLoad::FailureRatio(Time now) const {
+  return failures_.Value(now);
+}
+
+double ServerLoad::Queue(Time now) const {
+  const double reported =
+      (load_.running + load_.waiting) * Fade(now - load_at_, kLoadFade);
+  return std::max(static_cast<double>(in_flight_), reported);
+}
+
+Duration ServerLoad::SilentFor(Time now) const {
+  return in_flight_ == 0 ? Duration(0) : now - waiting_since_;
+}
+
+Duration ServerLoad::ExpectedLatency(Duration work,
+                                     Duration round_trip,
+                                     Time now) const {
+  const double slots = std::max(1U, entry_.slots);
+  const double ahead = std::max(0.0, Queue(now) + 1 - slots);
+  return round_trip + Times(work, Slowness(now) * (1 + ahead / slots));
+}
+
+void ServerLoad::OnSent(Time now) {
+  if (in_flight_++ == 0)
+    waiting_since_ = now;
+}
+
+void ServerLoad::OnAnswer(double ratio, Time now) {
+  last_heard_ = now;
+  waiting_since_ = now;
+  unanswered_ = 0;
+  downs_ = 0;
+  slowness_.Add(ratio, now);
+  rejects_.Add(0, now);
+  failures_.Add(0, now);
+}
+
+void ServerLoad::OnLoad(const LoadReport& report, Time now) {
+  load_ = report;
+  load_at_ = now;
+}
+
+void ServerLoad::OnRejected(Time now) {
+  last_heard_ = now;
+  waiting_since_ = now;
+  unanswered_ = 0;
+  rejects_.Add(1, now);
+}
+
+void ServerLoad::OnFailed(Time now) {
+  last_heard_ = now;
+  waiting_since_ = now;
+  failures_.Add(1, now);
+}
+
+bool ServerLoad::OnUnanswered(double ratio, Duration elapsed, Time now) {
+  if (ratio > slowness_.Value(now))
+    slowness_.Add(ratio, now);
+  if (now - last_heard_ < elapsed)
+    failures_.Add(1, now);  // It answers others meanwhile.
+  if (elapsed < kLongestPause || now - last_heard_ < kLongestPause)
+    return false;
+  if (++unanswered_ < kUnansweredBeforeDown || down_)
+    return false;
+  TakeDown(now);
+  return true;
+}
+
+bool ServerLoad::OnUnreachable(Time now) {
+  if (down_)
+    return false;
+  TakeDown(now);
+  return true;
+}
+
+void ServerLoad::TakeDown(Time now) {
+  down_ = true;
+  next_probe_ = now + std::min(kLongestProbe, kFirstProbe * (1 << std::min(downs_, 4U)));
+  ++downs_;
+}
+
+void ServerLoad::OnProbeSent(Time now) {
+  next_probe_ = now + std::min(kLongestProbe, kFirstProbe * (1 << std::min(downs_, 4U)));
+}
+
+bool ServerLoad::OnProbe(bool healthy, Time now) {
+  if (!healthy || !down_)
+    return false;
+  down_ = false;
+  unanswered_ = kUnansweredBeforeDown - 1;
+  waiting_since_ = now;
+  return true;
+}
+
+}  // namespace limpetrudder::detail
--- /dev/null
+++ b/src/dispatch/internal/server_load.h
@@ -0,0 +1,120 @@
+#ifndef DISPATCH_INTERNAL_SERVER_LOAD_H_
+#define DISPATCH_INTERNAL_SERVER_LOAD_H_
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+#include "discovery/server_directory.h"
+#include "dispatch/dispatch_types.h"
+#include "framework/time.h"
+
+namespace limpetrudder::detail {
+
+// What one instance knows of one server from its own requests and from the load
+// reports beside their answers. Answers the load of a server that pauses, slows
+// down, refuses part of its work or stops answering. Not thread safe.
+class ServerLoad {
+ public:
+  explicit ServerLoad(ServerEntry entry) : entry_(std::move(entry)) {}
+
+  // Takes a new entry; another incarnation starts without a past.
+  void Update(const ServerEntry& entry);
+  void MarkGone() { gone_ = true; }
+
+  // Whether anything new may be sent.
+  bool usable() const { return !gone_ && !entry_.draining && !down_; }
+  bool gone() const { return gone_ || entry_.draining; }
+  bool down() const { return down_; }
+
+  // How long work takes here against the usual; an old finding fades.
+  double Slowness(Time now) const;
+
+  // How likely a request is refused or fails, from 0 to 1; fades as well.
+  double RejectRatio(Time now) const;
+  double FailureRatio(Time now) const;
+
+  // Requests that run or wait there, of all instances as far as known.
+  double Queue(Time now) const;
+
+  // How long it has answered nothing though requests wait.
+  Duration SilentFor(Time now) const;
+
+  // Estimates when a request sent now is answered, where it would run for
+  // `work` on an idle server of usual speed.
+  Duration ExpectedLatency(Duration work, Duration round_trip, Time now) const;
+
+  void OnSent(Time now);
+  // The request left the server, however it ended; call before the others.
+  void OnSettled() { in_flight_ -= in_flight_ > 0 ? 1 : 0; }
+  // `ratio` is its latency against the usual one, without the way there.
+  void OnAnswer(double ratio, Time now);
+  void OnLoad(const LoadReport& report, Time now);
+  void OnRejected(Time now);
+  void OnFailed(Time now);
+
+  // A request was given up after `elapsed` without an answer; `ratio` is that
+  // time against the usual latency. Returns whether the server is taken as down
+  // because of it.
+  bool OnUnanswered(double ratio, Duration elapsed, Time now);
+  // No connection could be opened.
+  bool OnUnreachable(Time now);
+
+  bool IsProbeDue(Time now) const { return down_ && now >= next_probe_; }
+  void OnProbeSent(Time now);
+  // Returns whether the server takes work again.
+  bool OnProbe(bool healthy, Time now);
+  Time next_probe() const { return down_ ? next_probe_ : kNever; }
+
+  const ServerEntry& entry() const { return entry_; }
+  std::uint32_t in_flight() const { return in_flight_; }
+  Time last_heard() const { return last_heard_; }
+
+ private:
+  // An exponentially weighted ratio that fades when it gets no news.
+  class FadingRatio {
+   public:
+    void Add(double sample, Time now);
+    double Value(Time now) const;
+
+   private:
+    double value_ = 0;
+    Time last_{};
+  };
+
+  // The median of the last ratios of latency to the usual one, so that a single
+  // pause or a single long request doesn't count as slowness. Fades to 1.
+  class RecentRatios {
+   public:
+    void Add(double ratio, Time now);
+    double Value(Time now) const;
+
+   private:
+    std::array<double, 3> last_{1, 1, 1};
+    std::size_t next_ = 0;
+    Time added_{};
+    Time high_at_{};
+  };
+
+  void TakeDown(Time now);
+
+  ServerEntry entry_;
+  bool gone_ = false;
+  bool down_ = false;
+  std::uint32_t in_flight_ = 0;
+  std::uint32_t unanswered_ = 0;  // In a row.
+  std::uint32_t downs_ = 0;       // In a row, without an answer in between.
+  Time last_heard_{};
+  Time waiting_since_{};
+  Time next_probe_ = kNever;
+  RecentRatios slowness_;
+  FadingRatio rejects_;
+  FadingRatio failures_;
+  LoadReport load_;
+  Time load_at_{};
+};
+
+}  // namespace limpetrudder::detail
+
+#endif  // DISPATCH_INTERNAL_SERVER_LOAD_H_
--- /dev/null
+++ b/src/dispatch/internal/server_placer.cc
@@ -0,0 +1,100 @@
+#include "dispatch/internal/server_placer.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace limpetrudder::detail {
+namespace {
+
+// Costs of a choice as parts of the route's latency target. A failure costs a
+// second attempt after the first one's whole time, a refusal a round trip.
+constexpr double kFailureCost = 1.0;
+constexpr double kRejectCost = 0.5;
+constexpr double kQuietCost = 0.6;
+
+// Bytes between regions cost about a sixth of what a query earns, between data
+// centres of a region a tenth of that.
+constexpr double kOtherRegionCost = 0.15;
+constexpr double kSameRegionCost = 0.02;
+
+// Servers that cost about the same share the work.
+constexpr double kJitter = 0.1;
+
+// A server is quiet after this many usual work times without an answer, but
+// not sooner than the shortest time that a scheduler's delay explains.
+constexpr int kQuietWorkTimes = 3;
+constexpr Duration kShortestQuiet = Millis(15);
+
+double DistanceCost(Distance distance) {
+  switch (distance) {
+    case Distance::kHere:
+      return 0;
+    case Distance::kSameRegion:
+      return kSameRegionCost;
+    case Distance::kOtherRegion:
+      return kOtherRegionCost;
+  }
+  return kOtherRegionCost;
+}
+
+bool WasAsked(const PlacingRequest& request, const ServerLoad& server) {
+  return std::find(request.asked->begin(), request.asked->end(), &server) !=
+         request.asked->end();
+}
+
+}  // namespace
+
+Duration ServerPlacer::ExpectedLatency(const ServerLoad& server,
+                                       Duration work,
+                                       Time now) const {
+  return server.ExpectedLatency(
+      work, topology_->RoundTrip(server.entry().data_centre), now);
+}
+
+bool ServerPlacer::IsQuiet(const ServerLoad& server,
+                           Duration work,
+                           Time now) const {
+  const Duration usual = topology_->RoundTrip(server.entry().data_centre) +
+                         std::max(work * kQuietWorkTimes, kShortestQuiet);
+  return server.SilentFor(now) > usual;
+}
+
+double ServerPlacer::CostMillis(const ServerLoad& server,
+                                const PlacingRequest& request,
+                                Duration expected,
+                                Time now) const {
+  const double target = ToMillis(request.route->latency_target);
+  double parts = server.FailureRatio(now) * kFailureCost +
+                 server.RejectRatio(now) * kRejectCost +
+                 DistanceCost(topology_->DistanceTo(server.entry().data_centre));
+  if (IsQuiet(server, request.work.high, now))
+    parts += kQuietCost;
+  const double jitter = 1 + kJitter * random_->Unit();
+  return ToMillis(expected) * jitter + parts * target;
+}
+
+Placement ServerPlacer::Choose(const ServerGroup& group,
+                            const PlacingRequest& request,
+                            Time now) const {
+  Placement choice;
+  double least = std::numeric_limits<double>::max();
+  for (const auto& server : group.servers) {
+    if (!server->usable() || WasAsked(request, *server))
+      continue;
+    if (server->in_flight() >= group.connections) {
+      if (choice.status == PlacementStatus::kNoServer)
+        choice.status = PlacementStatus::kFull;
+      continue;
+    }
+    const Duration expected =
+        ExpectedLatency(*server, request.work.median, now);
+    const double cost = CostMillis(*server, request, expected, now);
+    if (cost >= least)
+      continue;
+    least = cost;
+    choice = {PlacementStatus::kFound, server, expected};
+  }
+  return choice;
+}
+
+}  // namespace limpetrudder::detail
--- /dev/null
+++ b/src/dispatch/internal/server_placer.h
@@ -0,0 +1,69 @@
+#ifndef DISPATCH_INTERNAL_SERVER_PLACER_H_
+#define DISPATCH_INTERNAL_SERVER_PLACER_H_
+
+#include <memory>
+#include <vector>
+
+#include "dispatch/internal/route_profiles.h"
+#include "dispatch/internal/server_table.h"
+#include "dispatch/internal/topology.h"
+#include "framework/random.h"
+
+namespace limpetrudder::detail {
+
+// Where a request may go next.
+enum class PlacementStatus {
+  kFound,
+  kFull,      // Servers could take it, but none has room now.
+  kNoServer,  // No server of the service takes work, or all were asked.
+};
+
+struct Placement {
+  PlacementStatus status = PlacementStatus::kNoServer;
+  std::shared_ptr<ServerLoad> server;
+  Duration expected{0};  // Until its answer.
+};
+
+// What is being placed.
+struct PlacingRequest {
+  const Route* route = nullptr;
+  WorkTimes work;
+  const std::vector<const ServerLoad*>* asked = nullptr;
+};
+
+// Places one request on a server of a service: the nearest one unless it is
+// busy, slow, paused, failing or refusing, weighed as time against the route's
+// latency target. Answers the load of days on which some of the servers are
+// much slower than others, and keeps bytes inside a region otherwise. Not
+// thread safe.
+class ServerPlacer {
+ public:
+  ServerPlacer(const Topology* topology, Random* random)
+      : topology_(topology), random_(random) {}
+
+  Placement Choose(const ServerGroup& group,
+                const PlacingRequest& request,
+                Time now) const;
+
+  // The time until an answer of `server` that a request for `work` expects.
+  Duration ExpectedLatency(const ServerLoad& server,
+                           Duration work,
+                           Time now) const;
+
+  // Whether requests wait at `server` for much longer than usual and none is
+  // answered, as when it pauses.
+  bool IsQuiet(const ServerLoad& server, Duration work, Time now) const;
+
+ private:
+  double CostMillis(const ServerLoad& server,
+                    const PlacingRequest& request,
+                    Duration expected,
+                    Time now) const;
+
+  const Topology* const topology_;
+  Random* const random_;
+};
+
+}  // namespace limpetrudder::detail
+
+#endif  // DISPATCH_INTERNAL_SERVER_PLACER_H_
--- /dev/null
+++ b/src/dispatch/internal/server_table.cc
@@ -0,0 +1,96 @@
+#include "dispatch/internal/server_table.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace limpetrudder::detail {
+namespace {
+
+// Part of a server's connections that all instances together open; the rest is
+// for instances that just started and aren't counted yet.
+constexpr double kConnectionShare = 0.9;
+
+// Before the configuration says how many connections a server takes.
+constexpr std::uint32_t kUnknownConnections = 16;
+
+}  // namespace
+
+ServerGroup* ServerTable::Group(const std::string& service) {
+  auto& group = groups_[service];
+  if (!group) {
+    group = std::make_unique<ServerGroup>(
+        ServerGroup{service, "/", ConnectionShare(kUnknownConnections), {},
+                    RetryBudget(terms_, instances_), {}});
+  }
+  return group.get();
+}
+
+void ServerTable::Apply(const DirectoryChange& change) {
+  for (const auto& entry : change.updated)
+    Update(entry);
+  for (const auto& id : change.removed)
+    Remove(id);
+}
+
+void ServerTable::Update(const ServerEntry& entry) {
+  const auto found = servers_.find(entry.id);
+  if (found != servers_.end()) {
+    if (found->second->entry().service == entry.service)
+      return found->second->Update(entry);
+    Remove(entry.id);
+  }
+  auto server = std::make_shared<ServerLoad>(entry);
+  Group(entry.service)->servers.push_back(server);
+  servers_[entry.id] = std::move(server);
+}
+
+void ServerTable::Remove(const std::string& id) {
+  const auto found = servers_.find(id);
+  if (found == servers_.end())
+    return;
+  found->second->MarkGone();
+  std::erase(Group(found->second->entry().service)->servers, found->second);
+  servers_.erase(found);
+}
+
+void ServerTable::Apply(const RouteTable& routes) {
+  for (const Route& route : routes.routes()) {
+    for (const auto& shard : route.shards)
+      Group(shard);
+    for (const auto& backend : route.backends)
+      Group(backend.service);
+  }
+  for (auto& [name, group] : groups_) {
+    const TargetService* service = routes.FindService(name);
+    if (service == nullptr)
+      continue;
+    group->health_path = service->health_path;
+    max_connections_[name] = service->max_connections;
+    group->connections = ConnectionShare(service->max_connections);
+  }
+}
+
+void ServerTable::SetInstances(std::uint32_t instances) {
+  if (instances == instances_ || instances == 0)
+    return;
+  instances_ = instances;
+  for (auto& [name, group] : groups_) {
+    group->budget.SetInstances(terms_, instances);
+    const auto limit = max_connections_.find(name);
+    group->connections = ConnectionShare(
+        limit == max_connections_.end() ? kUnknownConnections : limit->second);
+  }
+}
+
+std::shared_ptr<ServerLoad> ServerTable::Find(const std::string& id) const {
+  const auto found = servers_.find(id);
+  return found == servers_.end() ? nullptr : found->second;
+}
+
+std::uint32_t ServerTable::ConnectionShare(
+    std::uint32_t max_connections) const {
+  return std::max(1U, static_cast<std::uint32_t>(
+                          max_connections * kConnectionShare / instances_));
+}
+
+}  // namespace limpetrudder::detail
--- /dev/null
+++ b/src/dispatch/internal/server_table.h
@@ -0,0 +1,73 @@
+#ifndef DISPATCH_INTERNAL_SERVER_TABLE_H_
+#define DISPATCH_INTERNAL_SERVER_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "dispatch/internal/server_load.h"
+#include "limits/retry_budget.h"
+#include "routing/route_table.h"
+
+namespace limpetrudder::detail {
+
+// A leg of a call that waits until a server of its service has room. Urgent
+// calls come first, then the earliest deadline.
+struct WaitingLeg {
+  std::uint32_t priority = 0;
+  Time deadline{};
+  CallId call = 0;
+  std::size_t leg = 0;
+  auto operator<=>(const WaitingLeg&) const = default;
+};
+
+// The servers of one service, and what is kept for all of them.
+struct ServerGroup {
+  std::string service;
+  std::string health_path;
+  std::uint32_t connections = 1;  // That this instance may open to one server.
+  std::vector<std::shared_ptr<ServerLoad>> servers;
+  RetryBudget budget;
+  std::set<WaitingLeg> waiting;
+};
+
+// All servers by id and by service. Groups live as long as the table, so that
+// calls may point at them. Not thread safe.
+class ServerTable {
+ public:
+  explicit ServerTable(RetryBudgetTerms terms) : terms_(terms) {}
+
+  // Returns the group of `service`, made on first use.
+  ServerGroup* Group(const std::string& service);
+
+  void Apply(const DirectoryChange& change);
+  void Apply(const RouteTable& routes);
+
+  // The number of instances that share connections and budgets.
+  void SetInstances(std::uint32_t instances);
+
+  std::shared_ptr<ServerLoad> Find(const std::string& id) const;
+  const std::unordered_map<std::string, std::shared_ptr<ServerLoad>>& servers()
+      const {
+    return servers_;
+  }
+
+ private:
+  void Update(const ServerEntry& entry);
+  void Remove(const std::string& id);
+  std::uint32_t ConnectionShare(std::uint32_t max_connections) const;
+
+  const RetryBudgetTerms terms_;
+  std::uint32_t instances_ = 1;
+  std::unordered_map<std::string, std::unique_ptr<ServerGroup>> groups_;
+  std::unordered_map<std::string, std::shared_ptr<ServerLoad>> servers_;
+  std::map<std::string, std::uint32_t> max_connections_;  // By service.
+};
+
+}  // namespace limpetrudder::detail
+
+#endif  // DISPATCH_INTERNAL_SERVER_TABLE_H_
--- /dev/null
+++ b/src/dispatch/internal/topology.cc
@@ -0,0 +1,65 @@
+#include "dispatch/internal/topology.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace limpetrudder::detail {
+namespace {
+
+// Usual round trips inside a data centre, inside a region and between regions
+// of one island or coast.
+constexpr Duration kHereRoundTrip = Millis(1);
+constexpr Duration kRegionRoundTrip = Millis(4);
+constexpr Duration kFarRoundTrip = Millis(20);
+
+// A longer time to connect shows load or a lost packet, not distance.
+constexpr Duration kLongestRoundTrip = Millis(150);
+
+// The smallest of recent times is wanted, so a longer one counts little.
+constexpr int kLongerWeight = 16;
+
+}  // namespace
+
+Topology::Topology(std::string data_centre,
+                   std::map<std::string, std::string> regions)
+    : data_centre_(std::move(data_centre)), regions_(std::move(regions)) {}
+
+Distance Topology::DistanceTo(const std::string& data_centre) const {
+  if (data_centre == data_centre_)
+    return Distance::kHere;
+  const auto here = regions_.find(data_centre_);
+  const auto there = regions_.find(data_centre);
+  const bool same = here != regions_.end() && there != regions_.end() &&
+                    here->second == there->second;
+  return same ? Distance::kSameRegion : Distance::kOtherRegion;
+}
+
+Duration Topology::RoundTrip(const std::string& data_centre) const {
+  const auto found = round_trips_.find(data_centre);
+  if (found != round_trips_.end())
+    return found->second;
+  switch (DistanceTo(data_centre)) {
+    case Distance::kHere:
+      return kHereRoundTrip;
+    case Distance::kSameRegion:
+      return kRegionRoundTrip;
+    case Distance::kOtherRegion:
+      return kFarRoundTrip;
+  }
+  return kFarRoundTrip;
+}
+
+void Topology::OnConnected(const std::string& data_centre,
+                           Duration connect_time) {
+  const Duration sample = std::min(connect_time, kLongestRoundTrip);
+  auto [row, is_first] = round_trips_.try_emplace(data_centre, sample);
+  if (is_first)
+    return;
+  Duration& known = row->second;
+  if (sample < known)
+    known = sample;
+  else
+    known += (sample - known) / kLongerWeight;
+}
+
+}  // namespace limpetrudder::detail
--- a/src/framework/duty_thread.h
+++ b/src/framework/duty_thread.h
@@ -49,6 +49,9 @@
     });
   }
 
+  // The loop that the thread runs, for sockets and timers of the same duty.
+  asio::io_context* context() { return &context_; }
+
   // Ends the thread; queued events are not handled. Idempotent. Must not be
   // called from the duty's own thread.
   void Stop() {
--- a/src/framework/logger.cc
+++ b/src/framework/logger.cc
@@ -1,6 +1,13 @@
 #include "framework/logger.h"
 
+#include <atomic>
+#include <condition_variable>
 #include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
@@ -12,16 +19,13 @@
 namespace limpetrudder {
 namespace {
 
-struct LogState {
-  log4cplus::Initializer initializer;
-  log4cplus::Logger logger;
-  LogSettings settings;
-};
+// Lines that wait for the writer, and lines of one second: enough for a line
+// for each request of a small instance, little enough for its processor.
+constexpr std::size_t kMostWaiting = 4096;
+constexpr std::uint32_t kMostPerSecond = 500;
 
-std::unique_ptr<LogState>& State() {
-  static std::unique_ptr<LogState> state;
-  return state;
-}
+// The writer gathers lines for this long, so that it wakes up seldom.
+constexpr auto kGather = std::chrono::milliseconds(100);
 
 log4cplus::LogLevel ToLibraryLevel(LogLevel level) {
   switch (level) {
@@ -37,35 +41,138 @@
   return log4cplus::INFO_LOG_LEVEL;
 }
 
+// Queues lines and writes them on a thread of its own.
+class LineWriter {
+ public:
+  explicit LineWriter(const LogSettings& settings)
+      : settings_(settings), level_(settings.level) {
+    logger_ = log4cplus::Logger::getInstance("limpetrudder");
+    logger_.setLogLevel(log4cplus::ALL_LOG_LEVEL);
+    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(
+        /*logToStdErr=*/false, /*immediateFlush=*/true));
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+    logger_.addAppender(appender);
+    thread_ = std::thread([this] { Run(); });
+  }
+
+  ~LineWriter() {
+    {
+      std::lock_guard lock(mutex_);
+      stopping_ = true;
+    }
+    wake_.notify_one();
+    thread_.join();
+  }
+
+  bool IsEnabledFor(LogLevel level) const { return level >= level_; }
+  void SetLevel(LogLevel level) { level_ = level; }
+  const LogSettings& settings() const { return settings_; }
+
+  void Queue(LogLevel level, std::string line) {
+    bool was_empty = false;
+    {
+      std::lock_guard lock(mutex_);
+      const auto second = SteadyNow().time_since_epoch() / Seconds(1);
+      if (second != second_) {
+        second_ = second;
+        this_second_ = 0;
+      }
+      if (lines_.size() >= kMostWaiting || ++this_second_ > kMostPerSecond) {
+        ++dropped_;
+        return;
+      }
+      was_empty = lines_.empty();
+      lines_.push_back({level, std::move(line)});
+    }
+    if (was_empty)
+      wake_.notify_one();
+  }
+
+ private:
+  struct Line {
+    LogLevel level;
+    std::string text;
+  };
+
+  void Run() {
+    std::vector<Line> batch;
+    std::unique_lock lock(mutex_);
+    while (!stopping_ || !lines_.empty()) {
+      wake_.wait(lock, [this] { return stopping_ || !lines_.empty(); });
+      if (!stopping_)
+        wake_.wait_for(lock, kGather, [this] { return stopping_; });
+      batch.clear();
+      std::swap(batch, lines_);
+      const std::uint64_t dropped = std::exchange(dropped_, 0);
+      lock.unlock();
+      Write(batch, dropped);
+      lock.lock();
+    }
+  }
+
+  void Write(const std::vector<Line>& batch, std::uint64_t dropped) {
+    std::string text;
+    for (const Line& line : batch) {
+      if (!text.empty())
+        text += '\n';
+      text += line.text;
+    }
+    if (dropped > 0) {
+      text += "\n{\"event\":\"log_lines_dropped\",\"count\":" +
+              std::to_string(dropped) + "}";
+    }
+    if (!text.empty())
+      logger_.log(ToLibraryLevel(LogLevel::kInfo), text);
+  }
+
+  log4cplus::Initializer initializer_;
+  log4cplus::Logger logger_;
+  const LogSettings settings_;
+  std::atomic<LogLevel> level_;
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  std::vector<Line> lines_;
+  std::uint64_t dropped_ = 0;
+  std::int64_t second_ = 0;
+  std::uint32_t this_second_ = 0;
+  bool stopping_ = false;
+  std::thread thread_;
+};
+
+std::unique_ptr<LineWriter>& Writer() {
+  static std::unique_ptr<LineWriter> writer;
+  return writer;
+}
+
 }  // namespace
 
 void StartLogging(const LogSettings& settings) {
-  auto state = std::make_unique<LogState>();
-  state->settings = settings;
-  state->logger = log4cplus::Logger::getInstance("limpetrudder");
-  state->logger.setLogLevel(ToLibraryLevel(settings.level));
-  log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(
-      /*logToStdErr=*/true, /*immediateFlush=*/true));
-  appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
-  state->logger.addAppender(appender);
-  State() = std::move(state);
+  Writer() = std::make_unique<LineWriter>(settings);
+}
+
+void StopLogging() {
+  Writer().reset();
+}
+
+void SetLogLevel(LogLevel level) {
+  if (Writer())
+    Writer()->SetLevel(level);
 }
 
 void Log(LogLevel level, std::string_view event, const nlohmann::json& fields) {
-  const auto& state = State();
-  if (!state || !state->logger.isEnabledFor(ToLibraryLevel(level)))
+  const auto& writer = Writer();
+  if (!writer || !writer->IsEnabledFor(level))
     return;
   nlohmann::ordered_json line;
   line["time"] = UtcNow();
   line["level"] = NameOf(kLogLevelNames, level);
   line["event"] = event;
-  line["instance"] = state->settings.instance;
-  line["data_centre"] = state->settings.data_centre;
+  line["instance"] = writer->settings().instance;
+  line["data_centre"] = writer->settings().data_centre;
   for (const auto& [name, value] : fields.items())
     line[name] = value;
-  state->logger.log(
-      ToLibraryLevel(level),
-      line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  writer->Queue(level, line.dump(-1, ' ', false,
+                                 nlohmann::json::error_handler_t::replace));
 }
 
 }  // namespace limpetrudder
--- a/src/limits/token_budget.h
+++ b/src/limits/token_budget.h
@@ -28,6 +28,13 @@
   void Refund() { tokens_ = std::min(tokens_ + 1.0, burst_); }
 
   void set_ratio(double ratio) { ratio_ = ratio; }
+
+  // Tokens beyond the new bound are lost.
+  void set_burst(double burst) {
+    burst_ = burst;
+    tokens_ = std::min(tokens_, burst_);
+  }
+
   double tokens() const { return tokens_; }
 
  private:
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -61,12 +61,18 @@
   auto builder = request->create_response(restinio::http_status_line_t{
       restinio::http_status_code_t{static_cast<std::uint16_t>(response.status)},
       response.status < 400 ? "OK" : "Refused"});
-  builder.append_header(restinio::http_field_t::content_type,
-                        response.content_type);
+  if (!response.content_type.empty()) {
+    builder.append_header(restinio::http_field_t::content_type,
+                          response.content_type);
+  }
   if (response.retry_after_seconds > 0) {
     builder.append_header(restinio::http_field_t::retry_after,
                           std::to_string(response.retry_after_seconds));
   }
+  for (auto& header : response.headers)
+    builder.append_header(std::move(header.name), std::move(header.value));
+  if (response.close)
+    builder.connection_close();
   builder.set_body(std::move(response.body));
   builder.done();
 }
@@ -87,12 +93,16 @@
  public:
   Impl(HttpServerSettings settings, Handler handler, ClosedHandler on_closed)
       : settings_(std::move(settings)), handler_(std::move(handler)) {
+    auto holder = settings_.context == nullptr
+                      ? restinio::own_io_context()
+                      : restinio::external_io_context(*settings_.context);
     server_ = std::make_unique<Server>(
-        restinio::own_io_context(),
+        std::move(holder),
         restinio::server_settings_t<ServerTraits>{}
             .address(settings_.address)
             .port(settings_.port)
             .max_pipelined_requests(kPipelinedRequests)
+            .read_next_http_message_timelimit(settings_.read_timeout)
             .handle_request_timeout(std::chrono::seconds(120))
             .connection_state_listener(
                 std::make_shared<ConnectionWatcher>(std::move(on_closed)))
@@ -114,10 +124,13 @@
                      "can't listen on " + settings_.address + ":" +
                          std::to_string(settings_.port) + ": " + error.what());
     }
-    thread_ = std::thread([this] { server_->io_context().run(); });
+    if (settings_.context == nullptr)
+      thread_ = std::thread([this] { server_->io_context().run(); });
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
 
+  void CloseDoor() { server_->close_sync(); }
+
   void Stop() {
     if (!thread_.joinable())
       return;
@@ -153,6 +166,10 @@
     parsed.method = header.method().c_str();
     parsed.path = std::string(header.path());
     parsed.query = std::string(header.query());
+    parsed.target = header.request_target();
+    parsed.headers.reserve(header.fields_count());
+    for (const auto& field : header)
+      parsed.headers.push_back({field.name(), field.value()});
     parsed.bearer_token = BearerToken(header);
     parsed.body = request->body();
     handler_(std::move(parsed), [request](ServerResponse response) {
@@ -182,6 +199,10 @@
   return impl_->Start();
 }
 
+void HttpServer::CloseDoor() {
+  impl_->CloseDoor();
+}
+
 void HttpServer::Stop() {
   impl_->Stop();
 }
--- /dev/null
+++ b/src/net/internal/response_reader.cc
@@ -0,0 +1,130 @@
+#include "net/internal/response_reader.h"
+
+#include <charconv>
+#include <string_view>
+
+#include "net/http_text.h"
+
+namespace limpetrudder::detail {
+namespace {
+
+constexpr unsigned kFirstFinalStatus = 200;
+
+ResponseReader* ReaderOf(http_parser* parser) {
+  return static_cast<ResponseReader*>(parser->data);
+}
+
+}  // namespace
+
+ResponseReader::ResponseReader() {
+  Begin(false);
+}
+
+void ResponseReader::Begin(bool head_only) {
+  http_parser_init(&parser_, HTTP_RESPONSE);
+  parser_.data = this;
+  state_ = State::kReading;
+  started_ = false;
+  head_only_ = head_only;
+  in_value_ = false;
+  keep_alive_ = false;
+  status_ = 0;
+  headers_.clear();
+  body_.clear();
+}
+
+std::size_t ResponseReader::Read(const char* data, std::size_t size) {
+  started_ = started_ || size > 0;
+  const std::size_t used = http_parser_execute(&parser_, &Callbacks(), data, size);
+  const auto error = HTTP_PARSER_ERRNO(&parser_);
+  if (state_ == State::kComplete)
+    return used;
+  if (error != HPE_OK || parser_.upgrade != 0)
+    state_ = State::kMalformed;
+  return used;
+}
+
+void ResponseReader::ReadEnd() {
+  http_parser_execute(&parser_, &Callbacks(), nullptr, 0);
+  if (state_ != State::kComplete)
+    state_ = State::kMalformed;
+  keep_alive_ = false;
+}
+
+Duration ResponseReader::idle_timeout() const {
+  for (const auto& header : headers_) {
+    if (!EqualsIgnoringCase(header.name, "Keep-Alive"))
+      continue;
+    constexpr std::string_view kTimeout = "timeout=";
+    const std::size_t at = header.value.find(kTimeout);
+    if (at == std::string::npos)
+      return Duration(0);
+    int seconds = 0;
+    const char* begin = header.value.data() + at + kTimeout.size();
+    std::from_chars(begin, header.value.data() + header.value.size(), seconds);
+    return Seconds(seconds);
+  }
+  return Duration(0);
+}
+
+int ResponseReader::OnField(http_parser* parser,
+                            const char* data,
+                            std::size_t size) {
+  ResponseReader* reader = ReaderOf(parser);
+  if (reader->headers_.empty() || reader->in_value_)
+    reader->headers_.emplace_back();
+  reader->in_value_ = false;
+  reader->headers_.back().name.append(data, size);
+  return 0;
+}
+
+int ResponseReader::OnValue(http_parser* parser,
+                            const char* data,
+                            std::size_t size) {
+  ResponseReader* reader = ReaderOf(parser);
+  reader->in_value_ = true;
+  reader->headers_.back().value.append(data, size);
+  return 0;
+}
+
+int ResponseReader::OnHeadersComplete(http_parser* parser) {
+  ResponseReader* reader = ReaderOf(parser);
+  reader->status_ = static_cast<int>(parser->status_code);
+  return reader->head_only_ ? 1 : 0;
+}
+
+int ResponseReader::OnBody(http_parser* parser,
+                           const char* data,
+                           std::size_t size) {
+  ReaderOf(parser)->body_.append(data, size);
+  return 0;
+}
+
+int ResponseReader::OnComplete(http_parser* parser) {
+  ResponseReader* reader = ReaderOf(parser);
+  if (parser->status_code < kFirstFinalStatus) {
+    reader->headers_.clear();
+    reader->in_value_ = false;
+    return 0;
+  }
+  reader->keep_alive_ = http_should_keep_alive(parser) != 0;
+  reader->state_ = State::kComplete;
+  http_parser_pause(parser, 1);
+  return 0;
+}
+
+const http_parser_settings& ResponseReader::Callbacks() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings callbacks;
+    http_parser_settings_init(&callbacks);
+    callbacks.on_header_field = OnField;
+    callbacks.on_header_value = OnValue;
+    callbacks.on_headers_complete = OnHeadersComplete;
+    callbacks.on_body = OnBody;
+    callbacks.on_message_complete = OnComplete;
+    return callbacks;
+  }();
+  return settings;
+}
+
+}  // namespace limpetrudder::detail
--- /dev/null
+++ b/src/net/target_pool.cc
@@ -0,0 +1,375 @@
+#include "net/target_pool.h"
+
+#include <array>
+#include <unordered_map>
+#include <utility>
+
+#include <asio.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
+#include "framework/clock.h"
+#include "net/http_text.h"
+#include "net/internal/response_reader.h"
+
+namespace limpetrudder {
+namespace {
+
+using Tcp = asio::ip::tcp;
+
+// A connection that isn't open by then goes to a host that is down or cut off;
+// the farthest round trip is under 30 ms.
+constexpr Duration kConnectTimeout = Millis(400);
+
+// Unacknowledged bytes for this long mean that the peer is cut off.
+constexpr int kUserTimeoutMs = 3000;
+
+// Idle connections are closed this much before the server would, and after this
+// long if the server doesn't say.
+constexpr Duration kIdleMargin = Millis(700);
+constexpr Duration kDefaultIdle = Seconds(20);
+
+// A connection used this recently is as good as a fresh one.
+constexpr Duration kRecentUse = Millis(300);
+
+// A server that sent nothing for this long may be on a dead connection.
+constexpr Duration kSilence = Millis(250);
+
+constexpr std::size_t kReadBytes = 8 << 10;
+
+asio::ip::tcp::endpoint EndpointOf(const std::string& address,
+                                   asio::error_code* error) {
+  const std::size_t colon = address.rfind(':');
+  if (colon == std::string::npos) {
+    *error = asio::error::invalid_argument;
+    return {};
+  }
+  const auto ip = asio::ip::make_address(address.substr(0, colon), *error);
+  const int port = std::atoi(address.c_str() + colon + 1);
+  return {ip, static_cast<std::uint16_t>(port)};
+}
+
+}  // namespace
+
+class TargetPool::Impl {
+ public:
+  Impl(asio::io_context* context, TargetPoolSettings settings, Handler handler)
+      : context_(context),
+        settings_(std::move(settings)),
+        handler_(std::move(handler)) {}
+
+  ~Impl() {
+    for (auto& [id, connection] : busy_)
+      connection->Shut();
+    for (auto& [server, idle] : idle_) {
+      for (auto& connection : idle)
+        connection->Shut();
+    }
+  }
+
+  void Send(PoolRequest request) {
+    std::shared_ptr<Connection> connection =
+        TakeIdle(request.server, request.fresh_connection);
+    const bool reused = connection != nullptr;
+    if (!reused) {
+      connection = std::make_shared<Connection>(context_);
+      connection->server = request.server;
+    }
+    busy_[request.id] = connection;
+    connection->request = std::move(request);
+    connection->reader.Begin(connection->request.head_only);
+    connection->began = SteadyNow();
+    connection->written = false;
+    connection->sent = false;
+    connection->connect_time = Duration(0);
+    if (reused)
+      Write(connection);
+    else
+      Connect(connection);
+  }
+
+  void Cancel(std::uint64_t id) {
+    const auto found = busy_.find(id);
+    if (found == busy_.end())
+      return;
+    const auto connection = std::move(found->second);
+    busy_.erase(found);
+    const bool silent = !connection->reader.started() &&
+                        SteadyNow() - connection->began > kSilence;
+    connection->Shut();
+    if (silent)
+      Drop(connection->server);
+  }
+
+  void Drop(const std::string& server) {
+    const auto found = idle_.find(server);
+    if (found == idle_.end())
+      return;
+    for (auto& connection : found->second)
+      connection->Shut();
+    idle_.erase(found);
+  }
+
+  std::uint64_t opened() const { return opened_; }
+  std::size_t open() const {
+    std::size_t count = busy_.size();
+    for (const auto& [server, idle] : idle_)
+      count += idle.size();
+    return count;
+  }
+
+ private:
+  struct Connection {
+    explicit Connection(asio::io_context* context)
+        : socket(*context), timer(*context) {}
+
+    void Shut() {
+      closed = true;
+      timer.cancel();
+      asio::error_code ignored;
+      socket.close(ignored);
+    }
+
+    Tcp::socket socket;
+    asio::steady_timer timer;
+    std::string server;
+    PoolRequest request;
+    detail::ResponseReader reader;
+    std::array<char, kReadBytes> buffer;
+    Time began{};
+    Time idle_since{};
+    Time idle_until{};
+    Duration connect_time{0};
+    bool sent = false;     // Some byte of the request may have left.
+    bool written = false;  // All of them have.
+    bool idle = false;
+    bool closed = false;
+  };
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  ConnectionPtr TakeIdle(const std::string& server, bool fresh) {
+    const auto found = idle_.find(server);
+    if (found == idle_.end())
+      return nullptr;
+    auto& list = found->second;
+    const Time now = SteadyNow();
+    while (!list.empty()) {
+      ConnectionPtr connection = std::move(list.back());
+      list.pop_back();
+      if (now >= connection->idle_until) {
+        connection->Shut();
+        continue;
+      }
+      if (fresh && now - connection->idle_since > kRecentUse) {
+        list.push_back(std::move(connection));
+        return nullptr;
+      }
+      connection->idle = false;
+      return connection;
+    }
+    idle_.erase(found);
+    return nullptr;
+  }
+
+  void Connect(const ConnectionPtr& connection) {
+    asio::error_code error;
+    const auto endpoint = EndpointOf(connection->request.address, &error);
+    if (!error)
+      connection->socket.open(Tcp::v4(), error);
+    if (error) {
+      asio::post(*context_, [this, connection] {
+        if (!connection->closed)
+          Fail(connection, SendOutcome::kNotSent);
+      });
+      return;
+    }
+    Configure(&connection->socket);
+    ++opened_;
+    connection->timer.expires_after(kConnectTimeout);
+    connection->timer.async_wait(
+        [this, connection](const asio::error_code& timer_error) {
+          if (!timer_error && !connection->closed && !connection->sent)
+            Fail(connection, SendOutcome::kNotSent);
+        });
+    connection->socket.async_connect(
+        endpoint, [this, connection](const asio::error_code& connect_error) {
+          if (connection->closed)
+            return;
+          connection->timer.cancel();
+          if (connect_error)
+            return Fail(connection, SendOutcome::kNotSent);
+          connection->connect_time =
+              std::max(SteadyNow() - connection->began, Duration(1));
+          Write(connection);
+          Read(connection);
+        });
+  }
+
+  static void Configure(Tcp::socket* socket) {
+    asio::error_code ignored;
+    socket->set_option(Tcp::no_delay(true), ignored);
+    const int timeout = kUserTimeoutMs;
+    // NOTE A kernel without the option leaves it to the request's own bound.
+    setsockopt(socket->native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
+               sizeof(timeout));
+  }
+
+  void Write(const ConnectionPtr& connection) {
+    connection->sent = true;
+    asio::async_write(
+        connection->socket, asio::buffer(connection->request.bytes),
+        [this, connection](const asio::error_code& error, std::size_t) {
+          // NOTE After an error the read ends too, perhaps behind an answer
+          // that came before the whole body was read.
+          connection->written = !error;
+        });
+  }
+
+  void Read(const ConnectionPtr& connection) {
+    connection->socket.async_read_some(
+        asio::buffer(connection->buffer),
+        [this, connection](const asio::error_code& error, std::size_t size) {
+          if (connection->closed)
+            return;
+          if (connection->idle)
+            return Discard(connection);
+          if (error)
+            return OnReadFailed(connection, error);
+          OnBytes(connection, size);
+        });
+  }
+
+  void OnReadFailed(const ConnectionPtr& connection,
+                    const asio::error_code& error) {
+    // NOTE Only an orderly end completes an answer without a length; a reset
+    // may have cut it short.
+    if (error == asio::error::eof) {
+      connection->reader.ReadEnd();
+      if (connection->reader.state() ==
+          detail::ResponseReader::State::kComplete) {
+        return Complete(connection, /*surplus=*/false);
+      }
+    }
+    Fail(connection, SendOutcome::kBroken);
+  }
+
+  void OnBytes(const ConnectionPtr& connection, std::size_t size) {
+    std::size_t used = 0;
+    while (true) {
+      used += connection->reader.Read(connection->buffer.data() + used,
+                                      size - used);
+      switch (connection->reader.state()) {
+        case detail::ResponseReader::State::kReading:
+          return Read(connection);
+        case detail::ResponseReader::State::kMalformed:
+          return Fail(connection, SendOutcome::kBroken);
+        case detail::ResponseReader::State::kComplete:
+          break;
+      }
+      if (BelongsTo(*connection))
+        return Complete(connection, used < size);
+      if (!connection->reader.keep_alive())
+        return Fail(connection, SendOutcome::kBroken);
+      // A late answer to an earlier request; the right one comes behind it.
+      connection->reader.Begin(connection->request.head_only);
+      if (used == size)
+        return Read(connection);
+    }
+  }
+
+  bool BelongsTo(const Connection& connection) const {
+    for (const auto& header : connection.reader.headers()) {
+      if (EqualsIgnoringCase(header.name, settings_.echo_header))
+        return header.value == connection.request.echo;
+    }
+    return true;
+  }
+
+  void Complete(const ConnectionPtr& connection, bool surplus) {
+    PoolResponse response;
+    response.id = connection->request.id;
+    response.outcome = SendOutcome::kAnswered;
+    response.status = connection->reader.status();
+    response.connect_time = connection->connect_time;
+    const bool reusable =
+        connection->reader.keep_alive() && !surplus && connection->written;
+    const Duration announced = connection->reader.idle_timeout();
+    response.headers = connection->reader.TakeHeaders();
+    response.body = connection->reader.TakeBody();
+    busy_.erase(response.id);
+    if (reusable)
+      Keep(connection, announced);
+    else
+      connection->Shut();
+    handler_(std::move(response));
+  }
+
+  void Keep(const ConnectionPtr& connection, Duration announced) {
+    const Time now = SteadyNow();
+    const Duration limit = announced > Duration::zero()
+                               ? std::max(announced - kIdleMargin, Duration(0))
+                               : kDefaultIdle;
+    connection->idle = true;
+    connection->idle_since = now;
+    connection->idle_until = now + limit;
+    connection->request = PoolRequest();
+    idle_[connection->server].push_back(connection);
+    Read(connection);
+  }
+
+  // The server closed an idle connection, or sent bytes that nobody asked for.
+  void Discard(const ConnectionPtr& connection) {
+    connection->Shut();
+    const auto found = idle_.find(connection->server);
+    if (found != idle_.end())
+      std::erase(found->second, connection);
+  }
+
+  void Fail(const ConnectionPtr& connection, SendOutcome outcome) {
+    PoolResponse response;
+    response.id = connection->request.id;
+    response.outcome = outcome;
+    response.connect_time = connection->connect_time;
+    busy_.erase(response.id);
+    connection->Shut();
+    handler_(std::move(response));
+  }
+
+  asio::io_context* const context_;
+  const TargetPoolSettings settings_;
+  const Handler handler_;
+  std::unordered_map<std::uint64_t, ConnectionPtr> busy_;
+  std::unordered_map<std::string, std::vector<ConnectionPtr>> idle_;
+  std::uint64_t opened_ = 0;
+};
+
+TargetPool::TargetPool(asio::io_context* context,
+                       TargetPoolSettings settings,
+                       Handler handler)
+    : impl_(std::make_unique<Impl>(context,
+                                   std::move(settings),
+                                   std::move(handler))) {}
+
+TargetPool::~TargetPool() = default;
+
+void TargetPool::Send(PoolRequest request) {
+  impl_->Send(std::move(request));
+}
+
+void TargetPool::Cancel(std::uint64_t id) {
+  impl_->Cancel(id);
+}
+
+void TargetPool::Drop(const std::string& server) {
+  impl_->Drop(server);
+}
+
+std::uint64_t TargetPool::connections_opened() const {
+  return impl_->opened();
+}
+
+std::size_t TargetPool::connections_open() const {
+  return impl_->open();
+}
+
+}  // namespace limpetrudder
