Keep to servers' connection caps after a loss of power; exit at once when stopped

Processes hung in log4cplus's destructor after the stop (traced by prints around each step) and were killed; callers' connections outlived the duty that they report to (heap corruption, seen once). Change: one connection a server in the first 10 s, spare idle ones closed after 1 s, a limit that shrinks when connections are turned away; exit without libraries' destructors; the server's watcher is disabled first; 3 ms more are left for the way to callers.

--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -112,8 +112,8 @@
   if (response.id >= kProbeIds) {
     const auto probe = probes_.find(response.id);
     if (probe != probes_.end()) {
-      const bool healthy = response.outcome == SendOutcome::kAnswered &&
-                           response.status == kOk;
+      const bool healthy =
+          response.outcome == SendOutcome::kAnswered && response.status == kOk;
       engine_.OnProbe(probe->second, healthy, now);
       probes_.erase(probe);
     }
@@ -243,12 +243,9 @@
   metrics.Add(whole ? "answered_whole"
                     : (record.status < kMultipleChoices ? "answered_in_part"
                                                         : "not_answered"));
-  Json line = {{"request_id", record.request_id},
-               {"route", record.route},
-               {"version", record.routes_version},
-               {"status", record.status},
-               {"ms", ToMillis(record.took)},
-               {"sends", record.sends}};
+  Json line = {{"request_id", record.request_id},  {"route", record.route},
+               {"version", record.routes_version}, {"status", record.status},
+               {"ms", ToMillis(record.took)},      {"sends", record.sends}};
   if (!whole) {
     line["code"] = NumberOf(record.code);
     line["parts"] = record.parts;
--- a/src/app/dispatch_duty.h
+++ b/src/app/dispatch_duty.h
@@ -32,10 +32,8 @@
 };
 struct CloseCallerDoor {};
 
-using DispatchEvent = std::variant<RoutesChanged,
-                                   ServersChanged,
-                                   InstancesChanged,
-                                   CloseCallerDoor>;
+using DispatchEvent = std::
+    variant<RoutesChanged, ServersChanged, InstancesChanged, CloseCallerDoor>;
 
 // Runs the dispatch engine on one thread, together with callers' and servers'
 // connections: feeds it events and carries out its actions. Not thread safe.
--- a/src/app/entry_app.cc
+++ b/src/app/entry_app.cc
@@ -47,19 +47,19 @@
     : settings_(std::move(settings)),
       http_(kStoreRing),
       store_(settings_.store_address, &http_),
-      dispatch_duty_({settings_.data_centre, settings_.regions,
-                      settings_.retry_budget,
-                      Hash64(settings_.instance,
-                             static_cast<std::uint64_t>(UnixMillis()))},
-                     &state_),
+      dispatch_(kDispatchRing, &dispatch_duty_),
+      discovery_(kDiscoveryRing, &discovery_duty_),
+      dispatch_duty_(
+          {settings_.data_centre, settings_.regions, settings_.retry_budget,
+           Hash64(settings_.instance,
+                  static_cast<std::uint64_t>(UnixMillis()))},
+          &state_),
       discovery_duty_(
           {Millis(1000), Hash64(settings_.instance)},
           [this](const FeedCall& call, StoreClient::Handler handler) {
             state_.metrics().Add("store_calls");
             store_.Call(call, std::move(handler));
           }),
-      dispatch_(kDispatchRing, &dispatch_duty_),
-      discovery_(kDiscoveryRing, &discovery_duty_),
       ready_server_(
           Listen(settings_.ready_address, dispatch_.context()),
           [this](const ServerRequest&, const Responder& respond) {
--- a/src/app/entry_app.h
+++ b/src/app/entry_app.h
@@ -42,10 +42,12 @@
   EntryState state_;
   HttpClient http_;
   StoreClient store_;
-  DispatchDuty dispatch_duty_;
-  DiscoveryDuty discovery_duty_;
+  // NOTE The mailboxes outlive their duties, whose sockets and timers belong to
+  // the mailboxes' loops.
   DispatchDuty::Mailbox dispatch_;
   DiscoveryDuty::Mailbox discovery_;
+  DispatchDuty dispatch_duty_;
+  DiscoveryDuty discovery_duty_;
   HttpServer ready_server_;
   HttpServer peer_server_;
 };
--- a/src/app/internal/commands.cc
+++ b/src/app/internal/commands.cc
@@ -8,10 +8,10 @@
 
 #include <pthread.h>
 
-#include "app/internal/http_call.h"
-#include "app/operator_api.h"
 #include "app/entry_app.h"
 #include "app/entry_settings.h"
+#include "app/internal/http_call.h"
+#include "app/operator_api.h"
 #include "app/server_app.h"
 #include "app/settings.h"
 #include "config/document.h"
@@ -117,7 +117,8 @@
 // Takes over what may change while the instance runs. Faulty settings change
 // nothing.
 void ReloadEntrySettings(const std::string& path) {
-  const auto settings = ReadSettingsFile<EntrySettings>(path, ReadEntrySettings);
+  const auto settings =
+      ReadSettingsFile<EntrySettings>(path, ReadEntrySettings);
   if (settings) {
     SetLogLevel(settings.assume_value().log_level);
     Log(LogLevel::kInfo, "settings_reloaded");
--- a/src/discovery/server_directory.cc
+++ b/src/discovery/server_directory.cc
@@ -98,9 +98,8 @@
 
 void ServerDirectory::Drop(const std::string& id) {
   rows_.erase(id);
-  std::erase_if(change_.updated, [&id](const ServerEntry& entry) {
-    return entry.id == id;
-  });
+  std::erase_if(change_.updated,
+                [&id](const ServerEntry& entry) { return entry.id == id; });
   change_.removed.push_back(id);
 }
 
--- a/src/discovery/server_directory.h
+++ b/src/discovery/server_directory.h
@@ -18,9 +18,10 @@
   std::string data_centre;
   std::uint32_t slots = 1;  // Requests that it runs at once.
   bool draining = false;
-  Duration warmup_left{0};     // How much longer it is slow after its start.
-  std::int64_t started_ms = 0;  // Unix time of its start; names its incarnation.
-  std::uint64_t sequence = 0;   // Grows with each entry of an incarnation.
+  Duration warmup_left{0};  // How much longer it is slow after its start.
+  std::int64_t started_ms =
+      0;                       // Unix time of its start; names its incarnation.
+  std::uint64_t sequence = 0;  // Grows with each entry of an incarnation.
 };
 
 // Entries that came, changed or went since the last look.
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -61,8 +61,7 @@
   // NOTE Pages aren't a snapshot: changes since the first one are read again.
   if (after_key_.empty())
     list_revision_ = reply.revision;
-  std::move(reply.items.begin(), reply.items.end(),
-            std::back_inserter(pages_));
+  std::move(reply.items.begin(), reply.items.end(), std::back_inserter(pages_));
   if (reply.has_more && !reply.last_key.empty()) {
     after_key_ = reply.last_key;
     due_ = now;
--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -24,7 +24,7 @@
 
 // Time that an answer takes to its caller, there and back for its request, and
 // for a connection that the request opened: the way to callers is 1 to 3 ms.
-constexpr Duration kCallerRoundTrip = Millis(8);
+constexpr Duration kCallerRoundTrip = Millis(11);
 constexpr Duration kConnectAllowance = Millis(7);
 
 // The final answer leaves this long before the caller stops waiting.
@@ -43,6 +43,13 @@
 // A hedge is put off by this if no server can take it at the moment.
 constexpr Duration kHedgeRetry = Millis(15);
 
+// Legs that wait for room look for it this often besides whenever a request
+// leaves a server, since a server may take another connection by then.
+constexpr Duration kWaitPoll = Millis(10);
+
+// Servers have found the dead connections of a lost instance by then.
+constexpr Duration kStartTime = Seconds(10);
+
 // When a caller may come back: after servers had time to recover.
 constexpr Duration kRetryAfterStart = Millis(500);
 constexpr Duration kRetryAfterFailure = Millis(300);
@@ -60,7 +67,7 @@
 ResultCode CodeOf(const TargetReply& reply) {
   if (reply.outcome == SendOutcome::kNotSent)
     return ResultCode::kConnectFailed;
-  if (reply.outcome == SendOutcome::kBroken)
+  if (reply.outcome != SendOutcome::kAnswered)
     return ResultCode::kTransportFailed;
   if (reply.misdirected)
     return ResultCode::kServerLeaving;
@@ -88,6 +95,8 @@
                               Time now) {
   if (routes_ && routes->version() <= routes_->version())
     return;
+  if (!routes_)
+    started_until_ = now + kStartTime;
   routes_ = std::move(routes);
   servers_.Apply(*routes_);
   profiles_.Keep(*routes_);
@@ -123,8 +132,7 @@
 void DispatchEngine::OnCall(CallRequest call, Time now) {
   if (!routes_)
     return Refuse(call, kUnavailable, ResultCode::kNotReady, kRetryAfterStart);
-  const Route* route =
-      routes_->Find(call.message->host, call.message->target);
+  const Route* route = routes_->Find(call.message->host, call.message->target);
   if (route == nullptr)
     return Refuse(call, kNotFound, ResultCode::kNoSuchPath, std::nullopt);
   auto owned = std::make_unique<ActiveCall>();
@@ -206,8 +214,8 @@
   ++leg.arrivals;
   ++call->record.sends;
   choice.server->OnSent(now);
-  sends_[id] = {call->call.id, leg_index,   choice.server, leg.group,
-                call->table,   call->route, now};
+  sends_[id] = {call->call.id, leg_index, choice.server, leg.group, call->table,
+                call->route,   now};
   actions_.emplace_back(SendToServer{id, entry.id, entry.address,
                                      call->call.message, call->deadline - now,
                                      !call->may_repeat()});
@@ -268,6 +276,7 @@
   leg.waiting = true;
   leg.group->waiting.insert(
       {call->route->priority, call->deadline, call->call.id, leg_index});
+  waiting_groups_.insert(leg.group);
 }
 
 void DispatchEngine::StopWaiting(const ActiveCall& call,
@@ -305,7 +314,7 @@
                                               const TargetReply& reply) const {
   if (reply.outcome == SendOutcome::kNotSent)
     return Verdict::kRejected;
-  if (reply.outcome == SendOutcome::kBroken)
+  if (reply.outcome != SendOutcome::kAnswered)
     return Verdict::kLost;
   if (reply.misdirected || reply.not_executed)
     return Verdict::kRejected;
@@ -350,7 +359,10 @@
       return;
     case Verdict::kFailed:
     case Verdict::kLost:
-      server.OnFailed(now);
+      if (reply.outcome == SendOutcome::kTurnedAway)
+        server.OnTurnedAway(now);
+      else
+        server.OnFailed(now);
       return;
   }
 }
@@ -601,9 +613,8 @@
     }
     if (server->IsProbeDue(now)) {
       const ServerEntry& entry = server->entry();
-      actions_.emplace_back(
-          ProbeHealth{entry.id, entry.address,
-                      servers_.Group(entry.service)->health_path});
+      actions_.emplace_back(ProbeHealth{
+          entry.id, entry.address, servers_.Group(entry.service)->health_path});
       server->OnProbeSent(now);
     }
     ++id;
@@ -639,9 +650,21 @@
   }
   CancelOrphans(now);
   SendProbes(now);
+  if (now >= started_until_) {
+    started_until_ = kNever;
+    servers_.SetStarting(false);
+  }
+  const auto groups = waiting_groups_;
+  for (detail::ServerGroup* group : groups) {
+    ServeWaiting(group, now);
+    if (group->waiting.empty())
+      waiting_groups_.erase(group);
+  }
   Time next = wakes_.empty() ? kNever : wakes_.begin()->first;
   if (!orphans_.empty())
     next = std::min(next, orphans_.front().first);
+  if (!waiting_groups_.empty())
+    next = std::min(next, now + kWaitPoll);
   for (const auto& id : down_) {
     if (const auto server = servers_.Find(id))
       next = std::min(next, server->next_probe());
--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -152,9 +152,11 @@
   std::unordered_map<SendId, OpenSend> sends_;
   std::set<std::pair<Time, CallId>> wakes_;
   std::deque<std::pair<Time, SendId>> orphans_;  // By when they are cancelled.
-  std::set<std::string> down_;                   // Servers to probe.
+  std::set<detail::ServerGroup*> waiting_groups_;
+  std::set<std::string> down_;  // Servers to probe.
   std::vector<DispatchAction> actions_;
   SendId next_send_ = 1;
+  Time started_until_ = kNever;  // When the start is over.
 };
 
 }  // namespace limpetrudder
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -50,8 +50,10 @@
 
 enum class SendOutcome {
   kAnswered,
-  kNotSent,  // No connection; no byte of the request left.
-  kBroken,   // It may have run; there is no whole answer.
+  kNotSent,     // No connection; no byte of the request left.
+  kBroken,      // It may have run; there is no whole answer.
+  kTurnedAway,  // As kBroken, by a reset of the connection just opened for it:
+                // a server takes so many connections, and no more.
 };
 
 struct TargetReply {
@@ -135,15 +137,12 @@
   std::string server;
   std::string service;
   ResultCode reason = ResultCode::kOk;  // kOk: it takes work again.
-  Duration unheard{0};  // Since the server's last answer.
+  Duration unheard{0};                  // Since the server's last answer.
   std::uint32_t in_flight = 0;
 };
 
-using DispatchAction = std::variant<SendToServer,
-                                    CancelSend,
-                                    ProbeHealth,
-                                    CompleteCall,
-                                    ServerBelief>;
+using DispatchAction = std::
+    variant<SendToServer, CancelSend, ProbeHealth, CompleteCall, ServerBelief>;
 
 }  // namespace limpetrudder
 
--- a/src/dispatch/internal/server_load.cc
+++ b/src/dispatch/internal/server_load.cc
@@ -29,6 +29,12 @@
 constexpr Duration kFirstProbe = Millis(500);
 constexpr Duration kLongestProbe = Seconds(4);
 
+// After a connection is turned away, the next one is tried after this time,
+// doubled each time in a row; the limit grows by one in each kLimitGrowth.
+constexpr Duration kFirstReopen = Millis(50);
+constexpr Duration kLongestReopen = Millis(1600);
+constexpr Duration kLimitGrowth = Millis(1000);
+
 // Extra time of work on a server that has just started.
 constexpr double kWarmupSlowness = 1.6;
 
@@ -38,8 +44,8 @@
 }
 
 Duration Times(Duration duration, double factor) {
-  return Duration(
-      static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
+  return Duration(static_cast<std::int64_t>(
+      static_cast<double>(duration.count()) * factor));
 }
 
 }  // namespace
@@ -72,7 +78,8 @@
 }
 
 void ServerLoad::Update(const ServerEntry& entry) {
-  if (entry.started_ms != entry_.started_ms || entry.address != entry_.address) {
+  if (entry.started_ms != entry_.started_ms ||
+      entry.address != entry_.address) {
     const std::uint32_t in_flight = in_flight_;
     *this = ServerLoad(entry);
     in_flight_ = in_flight;
@@ -123,6 +130,7 @@
   waiting_since_ = now;
   unanswered_ = 0;
   downs_ = 0;
+  turned_away_ = 0;
   slowness_.Add(ratio, now);
   rejects_.Add(0, now);
   failures_.Add(0, now);
@@ -159,6 +167,27 @@
   return true;
 }
 
+void ServerLoad::OnTurnedAway(Time now) {
+  connection_limit_ = std::max(1U, in_flight_);
+  const std::uint32_t doublings = std::min(turned_away_, 5U);
+  ++turned_away_;
+  turned_away_at_ = now;
+  open_again_ = now + std::min(kLongestReopen,
+                               kFirstReopen * (std::int64_t{1} << doublings));
+}
+
+std::uint32_t ServerLoad::ConnectionLimit(std::uint32_t share, Time now) const {
+  if (connection_limit_ == 0)
+    return share;
+  // NOTE Without an answer since, there may be no open connection at all.
+  if (now < open_again_)
+    return last_heard_ > turned_away_at_ ? std::min(share, connection_limit_)
+                                         : 0;
+  const auto grown = static_cast<std::uint32_t>(
+      std::max<std::int64_t>(0, (now - turned_away_at_) / kLimitGrowth));
+  return std::min(share, connection_limit_ + grown);
+}
+
 bool ServerLoad::OnUnreachable(Time now) {
   if (down_)
     return false;
@@ -168,12 +197,14 @@
 
 void ServerLoad::TakeDown(Time now) {
   down_ = true;
-  next_probe_ = now + std::min(kLongestProbe, kFirstProbe * (1 << std::min(downs_, 4U)));
+  next_probe_ =
+      now + std::min(kLongestProbe, kFirstProbe * (1 << std::min(downs_, 4U)));
   ++downs_;
 }
 
 void ServerLoad::OnProbeSent(Time now) {
-  next_probe_ = now + std::min(kLongestProbe, kFirstProbe * (1 << std::min(downs_, 4U)));
+  next_probe_ =
+      now + std::min(kLongestProbe, kFirstProbe * (1 << std::min(downs_, 4U)));
 }
 
 bool ServerLoad::OnProbe(bool healthy, Time now) {
--- a/src/dispatch/internal/server_load.h
+++ b/src/dispatch/internal/server_load.h
@@ -61,6 +61,14 @@
   // No connection could be opened.
   bool OnUnreachable(Time now);
 
+  // A connection just opened was reset. Answers the load of the minutes after
+  // instances lost power: the server still counts their dead connections.
+  void OnTurnedAway(Time now);
+
+  // How many requests may be in flight at `now`, where `share` is this
+  // instance's share of the server's connections.
+  std::uint32_t ConnectionLimit(std::uint32_t share, Time now) const;
+
   bool IsProbeDue(Time now) const { return down_ && now >= next_probe_; }
   void OnProbeSent(Time now);
   // Returns whether the server takes work again.
@@ -108,6 +116,10 @@
   Time last_heard_{};
   Time waiting_since_{};
   Time next_probe_ = kNever;
+  std::uint32_t connection_limit_ = 0;  // 0: the whole share.
+  std::uint32_t turned_away_ = 0;       // In a row.
+  Time turned_away_at_{};
+  Time open_again_{};  // When another connection may be tried.
   RecentRatios slowness_;
   FadingRatio rejects_;
   FadingRatio failures_;
--- a/src/dispatch/internal/server_placer.cc
+++ b/src/dispatch/internal/server_placer.cc
@@ -64,9 +64,10 @@
                                 Duration expected,
                                 Time now) const {
   const double target = ToMillis(request.route->latency_target);
-  double parts = server.FailureRatio(now) * kFailureCost +
-                 server.RejectRatio(now) * kRejectCost +
-                 DistanceCost(topology_->DistanceTo(server.entry().data_centre));
+  double parts =
+      server.FailureRatio(now) * kFailureCost +
+      server.RejectRatio(now) * kRejectCost +
+      DistanceCost(topology_->DistanceTo(server.entry().data_centre));
   if (IsQuiet(server, request.work.high, now))
     parts += kQuietCost;
   const double jitter = 1 + kJitter * random_->Unit();
@@ -74,14 +75,15 @@
 }
 
 Placement ServerPlacer::Choose(const ServerGroup& group,
-                            const PlacingRequest& request,
-                            Time now) const {
+                               const PlacingRequest& request,
+                               Time now) const {
   Placement choice;
   double least = std::numeric_limits<double>::max();
   for (const auto& server : group.servers) {
     if (!server->usable() || WasAsked(request, *server))
       continue;
-    if (server->in_flight() >= group.connections) {
+    if (server->in_flight() >=
+        server->ConnectionLimit(group.connections, now)) {
       if (choice.status == PlacementStatus::kNoServer)
         choice.status = PlacementStatus::kFull;
       continue;
--- a/src/dispatch/internal/server_placer.h
+++ b/src/dispatch/internal/server_placer.h
@@ -42,8 +42,8 @@
       : topology_(topology), random_(random) {}
 
   Placement Choose(const ServerGroup& group,
-                const PlacingRequest& request,
-                Time now) const;
+                   const PlacingRequest& request,
+                   Time now) const;
 
   // The time until an answer of `server` that a request for `work` expects.
   Duration ExpectedLatency(const ServerLoad& server,
--- a/src/dispatch/internal/server_table.cc
+++ b/src/dispatch/internal/server_table.cc
@@ -10,6 +10,9 @@
 // for instances that just started and aren't counted yet.
 constexpr double kConnectionShare = 0.9;
 
+// What an instance opens to one server while it starts.
+constexpr std::uint32_t kStartingConnections = 1;
+
 // Before the configuration says how many connections a server takes.
 constexpr std::uint32_t kUnknownConnections = 16;
 
@@ -19,8 +22,12 @@
   auto& group = groups_[service];
   if (!group) {
     group = std::make_unique<ServerGroup>(
-        ServerGroup{service, "/", ConnectionShare(kUnknownConnections), {},
-                    RetryBudget(terms_, instances_), {}});
+        ServerGroup{service,
+                    "/",
+                    ConnectionShare(kUnknownConnections),
+                    {},
+                    RetryBudget(terms_, instances_),
+                    {}});
   }
   return group.get();
 }
@@ -66,16 +73,26 @@
       continue;
     group->health_path = service->health_path;
     max_connections_[name] = service->max_connections;
-    group->connections = ConnectionShare(service->max_connections);
   }
+  DivideConnections();
 }
 
 void ServerTable::SetInstances(std::uint32_t instances) {
   if (instances == instances_ || instances == 0)
     return;
   instances_ = instances;
-  for (auto& [name, group] : groups_) {
+  for (auto& [name, group] : groups_)
     group->budget.SetInstances(terms_, instances);
+  DivideConnections();
+}
+
+void ServerTable::SetStarting(bool starting) {
+  starting_ = starting;
+  DivideConnections();
+}
+
+void ServerTable::DivideConnections() {
+  for (auto& [name, group] : groups_) {
     const auto limit = max_connections_.find(name);
     group->connections = ConnectionShare(
         limit == max_connections_.end() ? kUnknownConnections : limit->second);
@@ -89,8 +106,12 @@
 
 std::uint32_t ServerTable::ConnectionShare(
     std::uint32_t max_connections) const {
-  return std::max(1U, static_cast<std::uint32_t>(
-                          max_connections * kConnectionShare / instances_));
+  const auto share = static_cast<std::uint32_t>(max_connections *
+                                                kConnectionShare / instances_);
+  // NOTE One more for each instance must fit beside the shares, for those that
+  // start anew after a loss of power.
+  const std::uint32_t kept = share > 2 ? share - 1 : share;
+  return std::max(1U, starting_ ? std::min(kept, kStartingConnections) : kept);
 }
 
 }  // namespace limpetrudder::detail
--- a/src/dispatch/internal/server_table.h
+++ b/src/dispatch/internal/server_table.h
@@ -50,6 +50,11 @@
   // The number of instances that share connections and budgets.
   void SetInstances(std::uint32_t instances);
 
+  // An instance that has just started opens one connection to each server:
+  // those of the process before it may still be counted there, if it lost
+  // power, and the sum of both has to fit.
+  void SetStarting(bool starting);
+
   std::shared_ptr<ServerLoad> Find(const std::string& id) const;
   const std::unordered_map<std::string, std::shared_ptr<ServerLoad>>& servers()
       const {
@@ -57,12 +62,17 @@
   }
 
  private:
+  void DivideConnections();
   void Update(const ServerEntry& entry);
   void Remove(const std::string& id);
   std::uint32_t ConnectionShare(std::uint32_t max_connections) const;
 
+  // Until the fleet is known; instances of today come in eights.
+  static constexpr std::uint32_t kLikelyInstances = 8;
+
   const RetryBudgetTerms terms_;
-  std::uint32_t instances_ = 1;
+  std::uint32_t instances_ = kLikelyInstances;
+  bool starting_ = true;
   std::unordered_map<std::string, std::unique_ptr<ServerGroup>> groups_;
   std::unordered_map<std::string, std::shared_ptr<ServerLoad>> servers_;
   std::map<std::string, std::uint32_t> max_connections_;  // By service.
--- a/src/framework/logger.cc
+++ b/src/framework/logger.cc
@@ -125,7 +125,6 @@
       logger_.log(ToLibraryLevel(LogLevel::kInfo), text);
   }
 
-  log4cplus::Initializer initializer_;
   log4cplus::Logger logger_;
   const LogSettings settings_;
   std::atomic<LogLevel> level_;
@@ -147,6 +146,10 @@
 }  // namespace
 
 void StartLogging(const LogSettings& settings) {
+  // NOTE Never destroyed: the end of the library's own threads was seen to hang
+  // the exit of the process.
+  static auto* const initializer = new log4cplus::Initializer();
+  static_cast<void>(initializer);
   Writer() = std::make_unique<LineWriter>(settings);
 }
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -32,6 +32,9 @@
     }
   }
 
+  // Connections that outlive the server, in a shared loop, tell nobody.
+  void Disable() { on_closed_ = nullptr; }
+
  private:
   HttpServer::ClosedHandler on_closed_;
 };
@@ -92,7 +95,9 @@
 class HttpServer::Impl {
  public:
   Impl(HttpServerSettings settings, Handler handler, ClosedHandler on_closed)
-      : settings_(std::move(settings)), handler_(std::move(handler)) {
+      : settings_(std::move(settings)),
+        handler_(std::move(handler)),
+        watcher_(std::make_shared<ConnectionWatcher>(std::move(on_closed))) {
     auto holder = settings_.context == nullptr
                       ? restinio::own_io_context()
                       : restinio::external_io_context(*settings_.context);
@@ -104,8 +109,7 @@
             .max_pipelined_requests(kPipelinedRequests)
             .read_next_http_message_timelimit(settings_.read_timeout)
             .handle_request_timeout(std::chrono::seconds(120))
-            .connection_state_listener(
-                std::make_shared<ConnectionWatcher>(std::move(on_closed)))
+            .connection_state_listener(watcher_)
             .incoming_http_msg_limits(
                 restinio::incoming_http_msg_limits_t{}
                     .max_body_size(kHardMaxBodyBytes)
@@ -116,6 +120,8 @@
             }));
   }
 
+  ~Impl() { watcher_->Disable(); }
+
   Result<void> Start() {
     try {
       server_->open_sync();
@@ -180,6 +186,7 @@
 
   HttpServerSettings settings_;
   Handler handler_;
+  std::shared_ptr<ConnectionWatcher> watcher_;
   std::unique_ptr<Server> server_;
   std::thread thread_;
 };
--- a/src/net/internal/response_reader.cc
+++ b/src/net/internal/response_reader.cc
@@ -35,7 +35,8 @@
 
 std::size_t ResponseReader::Read(const char* data, std::size_t size) {
   started_ = started_ || size > 0;
-  const std::size_t used = http_parser_execute(&parser_, &Callbacks(), data, size);
+  const std::size_t used =
+      http_parser_execute(&parser_, &Callbacks(), data, size);
   const auto error = HTTP_PARSER_ERRNO(&parser_);
   if (state_ == State::kComplete)
     return used;
--- a/src/net/target_pool.cc
+++ b/src/net/target_pool.cc
@@ -4,9 +4,9 @@
 #include <unordered_map>
 #include <utility>
 
-#include <asio.hpp>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <asio.hpp>
 
 #include "framework/clock.h"
 #include "net/http_text.h"
@@ -29,6 +29,10 @@
 constexpr Duration kIdleMargin = Millis(700);
 constexpr Duration kDefaultIdle = Seconds(20);
 
+// A second idle connection to a server is closed after this long: a server
+// takes few, and an instance that loses power leaves its own to be found dead.
+constexpr Duration kSpareIdle = Millis(1000);
+
 // A connection used this recently is as good as a fresh one.
 constexpr Duration kRecentUse = Millis(300);
 
@@ -250,7 +254,11 @@
         return Complete(connection, /*surplus=*/false);
       }
     }
-    Fail(connection, SendOutcome::kBroken);
+    const bool turned_away = error == asio::error::connection_reset &&
+                             connection->connect_time > Duration::zero() &&
+                             !connection->reader.started();
+    Fail(connection,
+         turned_away ? SendOutcome::kTurnedAway : SendOutcome::kBroken);
   }
 
   void OnBytes(const ConnectionPtr& connection, std::size_t size) {
@@ -313,7 +321,12 @@
     connection->idle_since = now;
     connection->idle_until = now + limit;
     connection->request = PoolRequest();
-    idle_[connection->server].push_back(connection);
+    auto& list = idle_[connection->server];
+    list.push_back(connection);
+    if (list.size() > 1 && now - list.front()->idle_since > kSpareIdle) {
+      list.front()->Shut();
+      list.erase(list.begin());
+    }
     Read(connection);
   }
 
--- a/src/net/target_pool.h
+++ b/src/net/target_pool.h
@@ -15,12 +15,12 @@
 
 // One HTTP/1.1 request to one server, ready to be sent.
 struct PoolRequest {
-  std::uint64_t id = 0;  // Names the request for Cancel(); must be unique.
-  std::string server;    // Connections are kept by server, not by address.
-  std::string address;   // "IP:PORT".
-  std::string bytes;     // Head and body.
-  std::string echo;      // What the server echoes to tell whose answer it is.
-  bool head_only = false;         // The answer has no body, as to HEAD.
+  std::uint64_t id = 0;    // Names the request for Cancel(); must be unique.
+  std::string server;      // Connections are kept by server, not by address.
+  std::string address;     // "IP:PORT".
+  std::string bytes;       // Head and body.
+  std::string echo;        // What the server echoes to tell whose answer it is.
+  bool head_only = false;  // The answer has no body, as to HEAD.
   bool fresh_connection = false;  // Or one that was used a moment ago.
 };
 
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -34,9 +34,9 @@
   std::string host;
   std::string prefix;  // Begins and ends with a slash.
   RequestKind kind = RequestKind::kIdempotent;
-  Duration timeout{0};         // The longest that a caller is kept waiting.
-  Duration latency_target{0};  // Within it an answer has its full worth.
-  std::uint32_t priority = 0;  // 0 is the most urgent.
+  Duration timeout{0};             // The longest that a caller is kept waiting.
+  Duration latency_target{0};      // Within it an answer has its full worth.
+  std::uint32_t priority = 0;      // 0 is the most urgent.
   std::uint32_t max_attempts = 1;  // Servers that may run it, for each shard.
   std::vector<WeightedService> backends;
   std::vector<std::string> shards;
