Register instances in the store; gather parts at a home where that is nearer

Cause: shares of connections and budgets need the number of instances; large fleets need large, near instances to gather 90 parts. Change: Registrar (lease, entry, renewals), HomeSet (choice by distance, processor and link; pings; giving up), forwarding over HTTP between instances.

--- a/src/app/discovery_duty.cc
+++ b/src/app/discovery_duty.cc
@@ -7,8 +7,12 @@
 
 namespace limpetrudder {
 
-DiscoveryDuty::DiscoveryDuty(StoreFollowerSettings settings, StorePort store)
-    : follower_(settings), store_(std::move(store)) {}
+DiscoveryDuty::DiscoveryDuty(StoreFollowerSettings settings,
+                             InstanceEntry own,
+                             StorePort store)
+    : follower_(settings),
+      registrar_(std::move(own), settings.seed),
+      store_(std::move(store)) {}
 
 void DiscoveryDuty::SetMailboxes(Mailbox* own,
                                  DispatchDuty::Mailbox* dispatch) {
@@ -17,13 +21,26 @@
 }
 
 void DiscoveryDuty::Handle(DiscoveryEvent event, Time now) {
-  auto& replied = std::get<StoreReplied>(event);
-  const auto batch = follower_.OnReply(std::move(replied.reply), now);
+  std::visit([&](auto&& e) { On(std::forward<decltype(e)>(e), now); },
+             std::move(event));
+}
+
+void DiscoveryDuty::On(StoreReplied event, Time now) {
+  const auto batch = follower_.OnReply(std::move(event.reply), now);
   NoteContact();
   if (batch)
     OnBatch(*batch, now);
 }
 
+void DiscoveryDuty::On(const LeaseReplied& event, Time now) {
+  registrar_.OnReply(event.reply, now);
+}
+
+void DiscoveryDuty::On(const LeaveStore&, Time) {
+  if (const auto call = registrar_.Leave())
+    store_.lease(*call, [](const LeaseReply&) {});
+}
+
 void DiscoveryDuty::NoteContact() {
   if (follower_.in_contact() == was_in_contact_)
     return;
@@ -37,6 +54,10 @@
     directory_.OnStoreBack(now);
   std::vector<ServerEntry> listed;
   std::shared_ptr<const RouteTable> routes;
+  if (batch.whole) {
+    instances_.clear();
+    instances_changed_ = true;
+  }
   for (const auto& item : batch.items) {
     if (const auto* table =
             std::get_if<std::shared_ptr<const RouteTable>>(&item)) {
@@ -49,6 +70,13 @@
         directory_.OnEntry(*server);
     } else if (const auto* gone = std::get_if<ServerGone>(&item)) {
       directory_.OnRemoved(gone->id, now);
+    } else if (const auto* instance = std::get_if<InstanceEntry>(&item)) {
+      InstanceEntry& known = instances_[instance->name];
+      instances_changed_ = instances_changed_ || !(known == *instance);
+      known = *instance;
+    } else if (const auto* left = std::get_if<InstanceGone>(&item)) {
+      instances_changed_ =
+          instances_.erase(left->name) > 0 || instances_changed_;
     }
   }
   if (batch.whole)
@@ -58,6 +86,14 @@
 }
 
 void DiscoveryDuty::TellDispatch() {
+  if (std::exchange(instances_changed_, false)) {
+    InstancesChanged event;
+    for (const auto& [name, instance] : instances_)
+      event.instances.push_back(instance);
+    Log(LogLevel::kInfo, "instances_changed",
+        {{"instances", event.instances.size()}});
+    dispatch_->PostResult(std::move(event));
+  }
   DirectoryChange change = directory_.TakeChange();
   if (change.empty())
     return;
@@ -79,11 +115,17 @@
   TellDispatch();
   Time next = kNever;
   if (const auto call = follower_.Turn(now, &next)) {
-    store_(*call, [mailbox = mailbox_](FeedReply reply) {
+    store_.read(*call, [mailbox = mailbox_](FeedReply reply) {
       mailbox->PostResult(StoreReplied{std::move(reply)});
     });
   }
-  return std::min(next, grace_ends);
+  Time next_lease = kNever;
+  if (const auto call = registrar_.Turn(now, &next_lease)) {
+    store_.lease(*call, [mailbox = mailbox_](const LeaseReply& reply) {
+      mailbox->PostResult(LeaseReplied{reply});
+    });
+  }
+  return std::min({next, next_lease, grace_ends});
 }
 
 }  // namespace limpetrudder
--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -8,6 +8,7 @@
 #include "app/settings.h"
 #include "framework/clock.h"
 #include "framework/logger.h"
+#include "net/forward_codec.h"
 #include "platform/caller_codec.h"
 #include "platform/target_codec.h"
 
@@ -16,6 +17,9 @@
 
 using Json = nlohmann::json;
 
+// Connections of other instances are counted apart from those of callers.
+constexpr std::uint64_t kPeerConnections = std::uint64_t{1} << 62;
+
 // Ids of probes lie above those of sends.
 constexpr std::uint64_t kProbeIds = std::uint64_t{1} << 62;
 
@@ -67,10 +71,25 @@
 }
 
 void DispatchDuty::OnRequest(ServerRequest request, Responder respond) {
-  const Time now = SteadyNow();
-  const CallId id = next_call_++;
   const std::uint64_t connection = request.connection;
-  auto call = DecodeCall(std::move(request), id);
+  Admit(DecodeCall(std::move(request), next_call_++), connection,
+        /*peer=*/false, std::move(respond));
+}
+
+void DispatchDuty::OnForwarded(ServerRequest request, Responder respond) {
+  const std::uint64_t connection = request.connection + kPeerConnections;
+  Admit(DecodeForward(std::move(request), next_call_++), connection,
+        /*peer=*/true, std::move(respond));
+}
+
+void DispatchDuty::OnPeerClosed(std::uint64_t connection) {
+  OnClosed(connection + kPeerConnections);
+}
+
+void DispatchDuty::Admit(Result<CallRequest> call,
+                         std::uint64_t connection,
+                         bool peer,
+                         Responder respond) {
   if (!call) {
     const Error& error = call.error();
     Log(LogLevel::kWarning, "request_malformed",
@@ -82,12 +101,14 @@
     response.body = RefusalBody(error.code, error.message);
     return respond(std::move(response));
   }
+  const Time now = SteadyNow();
+  CallRequest& request = call.assume_value();
   auto [calls, is_new] = by_connection_.try_emplace(connection);
-  calls->second.push_back(id);
-  call.assume_value().new_connection = is_new;
-  waiters_[id] = {connection, std::move(respond)};
+  calls->second.push_back(request.id);
+  request.new_connection = is_new;
+  waiters_[request.id] = {connection, peer, std::move(respond)};
   ++state_->active_calls;
-  engine_.OnCall(std::move(call.assume_value()), now);
+  engine_.OnCall(std::move(request), now);
   Pump(now);
 }
 
@@ -110,13 +131,19 @@
 void DispatchDuty::OnResponse(PoolResponse response) {
   const Time now = SteadyNow();
   if (response.id >= kProbeIds) {
-    const auto probe = probes_.find(response.id);
-    if (probe != probes_.end()) {
+    const auto found = probes_.find(response.id);
+    if (found != probes_.end()) {
+      const Probe probe = std::move(found->second);
+      probes_.erase(found);
       const bool healthy =
           response.outcome == SendOutcome::kAnswered && response.status == kOk;
-      engine_.OnProbe(probe->second, healthy, now);
-      probes_.erase(probe);
+      if (probe.instance)
+        engine_.OnPing(probe.name, healthy, now);
+      else
+        engine_.OnProbe(probe.name, healthy, now);
     }
+  } else if (forwards_.erase(response.id) > 0) {
+    engine_.OnReply(DecodeForwardReply(std::move(response)), now);
   } else {
     engine_.OnReply(DecodeReply(std::move(response)), now);
   }
@@ -152,8 +179,8 @@
   state_->SetServersKnown();
 }
 
-void DispatchDuty::On(const InstancesChanged& event, Time) {
-  engine_.OnInstances(event.instances);
+void DispatchDuty::On(InstancesChanged event, Time now) {
+  engine_.OnInstances(event.instances, now);
 }
 
 void DispatchDuty::On(const CloseCallerDoor&, Time) {
@@ -186,20 +213,41 @@
   pool_->Send(EncodeSend(action));
 }
 
+void DispatchDuty::Carry(const ForwardCall& action) {
+  forwards_.insert(action.send);
+  pool_->Send(EncodeForward(action));
+}
+
 void DispatchDuty::Carry(const CancelSend& action) {
+  forwards_.erase(action.send);
   pool_->Cancel(action.send);
 }
 
 void DispatchDuty::Carry(const ProbeHealth& action) {
-  const std::uint64_t id = next_probe_++;
-  probes_[id] = action.server;
-  pool_->Send(EncodeProbe(action, id));
   state_->metrics().Add("health_probes");
+  SendProbe(EncodeProbe(action, next_probe_), {action.server, false});
+}
+
+void DispatchDuty::Carry(const PingInstance& action) {
+  state_->metrics().Add("instance_pings");
+  SendProbe(EncodePing(action, next_probe_), {action.name, true});
+}
+
+void DispatchDuty::SendProbe(PoolRequest request, Probe probe) {
+  const std::uint64_t id = next_probe_++;
+  probes_[id] = std::move(probe);
+  pool_->Send(std::move(request));
   auto timer = std::make_shared<asio::steady_timer>(timer_->get_executor());
   timer->expires_after(kProbeTimeout);
   timer->async_wait([this, id, timer](const asio::error_code&) {
-    if (probes_.erase(id) > 0)
-      pool_->Cancel(id);
+    const auto found = probes_.find(id);
+    if (found == probes_.end())
+      return;
+    const Probe late = std::move(found->second);
+    probes_.erase(found);
+    pool_->Cancel(id);
+    if (late.instance)
+      engine_.OnPing(late.name, false, SteadyNow());
   });
 }
 
@@ -214,6 +262,10 @@
   const auto calls = by_connection_.find(waiter.connection);
   if (calls != by_connection_.end())
     std::erase(calls->second, action.call);
+  if (waiter.peer) {
+    return waiter.respond(
+        EncodeForwardReply(std::move(action.reply), action.record));
+  }
   waiter.respond(
       EncodeReply(std::move(action.reply), action.record, state_->stopping()));
 }
@@ -254,6 +306,8 @@
     line["budget_refusals"] = record.budget_refusals;
     line["failed"] = FailedLegs(record);
   }
+  if (!record.home.empty())
+    line["home"] = record.home;
   if (record.hedges > 0)
     line["hedges"] = record.hedges;
   Log(LogLevel::kInfo, "call_ended", line);
--- a/src/app/dispatch_duty.h
+++ b/src/app/dispatch_duty.h
@@ -28,7 +28,7 @@
   DirectoryChange change;
 };
 struct InstancesChanged {
-  std::uint32_t instances = 0;
+  std::vector<InstanceEntry> instances;
 };
 struct CloseCallerDoor {};
 
@@ -53,26 +53,45 @@
   void Handle(DispatchEvent event, Time now);
   Time Turn(Time now);
 
+  // A request of another instance, on the duty's thread; `connection` must not
+  // be one of a caller's.
+  void OnForwarded(ServerRequest request, Responder respond);
+  void OnPeerClosed(std::uint64_t connection);
+
  private:
   // Who waits for the answer to a call.
   struct Waiter {
     std::uint64_t connection = 0;
+    bool peer = false;  // Another instance waits.
     Responder respond;
   };
 
+  // What a probe that is out asks for.
+  struct Probe {
+    std::string name;
+    bool instance = false;  // Or a server.
+  };
+
   void OnRequest(ServerRequest request, Responder respond);
   void OnClosed(std::uint64_t connection);
+  void Admit(Result<CallRequest> call,
+             std::uint64_t connection,
+             bool peer,
+             Responder respond);
+  void SendProbe(PoolRequest request, Probe probe);
   void OnResponse(PoolResponse response);
 
   void On(RoutesChanged event, Time now);
   void On(const ServersChanged& event, Time now);
-  void On(const InstancesChanged& event, Time now);
+  void On(InstancesChanged event, Time now);
   void On(const CloseCallerDoor& event, Time now);
 
   // Lets the engine act and sets the timer for its next turn.
   void Pump(Time now);
   void CarryOut();
   void Carry(SendToServer action);
+  void Carry(const ForwardCall& action);
+  void Carry(const PingInstance& action);
   void Carry(const CancelSend& action);
   void Carry(const ProbeHealth& action);
   void Carry(CompleteCall action);
@@ -87,7 +106,8 @@
   Time timer_at_ = kNever;
   std::unordered_map<CallId, Waiter> waiters_;
   std::unordered_map<std::uint64_t, std::vector<CallId>> by_connection_;
-  std::unordered_map<std::uint64_t, std::string> probes_;  // Server by id.
+  std::unordered_map<std::uint64_t, Probe> probes_;
+  std::unordered_set<SendId> forwards_;
   CallId next_call_ = 1;
   std::uint64_t next_probe_;
 };
--- a/src/app/entry_app.cc
+++ b/src/app/entry_app.cc
@@ -7,7 +7,7 @@
 #include "framework/clock.h"
 #include "framework/hash.h"
 #include "framework/logger.h"
-#include "platform/wire_names.h"
+#include "net/forward_codec.h"
 
 namespace limpetrudder {
 namespace {
@@ -41,6 +41,11 @@
   return settings;
 }
 
+InstanceEntry OwnEntry(const EntrySettings& settings) {
+  return {settings.instance, settings.data_centre, settings.peer_address,
+          settings.cores, settings.link_mbps};
+}
+
 }  // namespace
 
 EntryApp::EntryApp(EntrySettings settings)
@@ -50,16 +55,22 @@
       dispatch_(kDispatchRing, &dispatch_duty_),
       discovery_(kDiscoveryRing, &discovery_duty_),
       dispatch_duty_(
-          {settings_.data_centre, settings_.regions, settings_.retry_budget,
+          {OwnEntry(settings_), settings_.regions, settings_.retry_budget,
            Hash64(settings_.instance,
                   static_cast<std::uint64_t>(UnixMillis()))},
           &state_),
       discovery_duty_(
           {Millis(1000), Hash64(settings_.instance)},
-          [this](const FeedCall& call, StoreClient::Handler handler) {
-            state_.metrics().Add("store_calls");
-            store_.Call(call, std::move(handler));
-          }),
+          OwnEntry(settings_),
+          StorePort{
+              [this](const FeedCall& call, StoreClient::Handler handler) {
+                state_.metrics().Add("store_reads");
+                store_.Call(call, std::move(handler));
+              },
+              [this](const LeaseCall& call, StoreClient::LeaseHandler handler) {
+                state_.metrics().Add("store_lease_calls");
+                store_.Call(call, std::move(handler));
+              }}),
       ready_server_(
           Listen(settings_.ready_address, dispatch_.context()),
           [this](const ServerRequest&, const Responder& respond) {
@@ -68,10 +79,16 @@
           nullptr),
       peer_server_(
           Listen(settings_.peer_address, dispatch_.context()),
-          [this](const ServerRequest& request, const Responder& respond) {
-            AnswerInternal(request, respond);
+          [this](ServerRequest request, Responder respond) {
+            if (IsForwarded(request))
+              dispatch_duty_.OnForwarded(std::move(request),
+                                         std::move(respond));
+            else
+              AnswerInternal(request, respond);
           },
-          nullptr) {
+          [this](std::uint64_t connection) {
+            dispatch_duty_.OnPeerClosed(connection);
+          }) {
   discovery_duty_.SetMailboxes(&discovery_, &dispatch_);
 }
 
@@ -108,7 +125,9 @@
 void EntryApp::AnswerInternal(const ServerRequest& request,
                               const Responder& respond) {
   ServerResponse response;
-  if (request.path == "/metrics") {
+  if (request.path == kPingPath) {
+    response.content_type.clear();
+  } else if (request.path == kMetricsPath) {
     response.body = state_.metrics().Snapshot().dump();
   } else {
     response.status = kNotFound;
@@ -121,6 +140,7 @@
   const Time began = SteadyNow();
   const Time cut_at = began + settings_.stop_bound - kExitMargin;
   state_.BeginStop();
+  discovery_.PostResult(LeaveStore{});
   Log(LogLevel::kInfo, "stopping", {{"in_flight", state_.active_calls.load()}});
   bool door_open = true;
   Time quiet_since = began;
--- a/src/discovery/discovery_types.h
+++ b/src/discovery/discovery_types.h
@@ -17,6 +17,9 @@
   std::string name;
   std::string data_centre;
   std::string peer_address;
+  double cores = 1;        // Its share of a processor.
+  double link_mbps = 100;  // Of its own link, in Mbit/s.
+  bool operator==(const InstanceEntry&) const = default;
 };
 
 struct ServerGone {
@@ -63,6 +66,35 @@
 
 using FeedCall = std::variant<ListPage, ReadChanges>;
 
+// Calls that keep an instance registered.
+
+struct GrantLease {
+  Duration lease{0};
+};
+struct WriteInstance {
+  InstanceEntry entry;
+  std::uint64_t lease = 0;
+};
+struct RenewLease {
+  std::uint64_t lease = 0;
+};
+struct EndLease {
+  std::uint64_t lease = 0;
+};
+
+using LeaseCall = std::variant<GrantLease, WriteInstance, RenewLease, EndLease>;
+
+enum class LeaseStatus {
+  kOk,
+  kNoLease,  // It has lapsed.
+  kFailed,   // Refused, or no reply: it may have been done.
+};
+
+struct LeaseReply {
+  LeaseStatus status = LeaseStatus::kFailed;
+  std::uint64_t lease = 0;  // Of GrantLease.
+};
+
 }  // namespace limpetrudder
 
 #endif  // DISCOVERY_DISCOVERY_TYPES_H_
--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -30,6 +30,9 @@
 // The final answer leaves this long before the caller stops waiting.
 constexpr Duration kDeadlineMargin = Millis(25);
 
+// What a hop to a home and back takes besides the way.
+constexpr Duration kHopMargin = Millis(3);
+
 // For a request that names no time and a route that names none.
 constexpr Duration kDefaultTimeout = Seconds(30);
 
@@ -47,6 +50,9 @@
 // leaves a server, since a server may take another connection by then.
 constexpr Duration kWaitPoll = Millis(10);
 
+// How long a larger number of instances counts.
+constexpr Duration kCountMemory = Seconds(20);
+
 // Servers have found the dead connections of a lost instance by then.
 constexpr Duration kStartTime = Seconds(10);
 
@@ -87,8 +93,9 @@
 DispatchEngine::DispatchEngine(DispatchSettings settings)
     : settings_(std::move(settings)),
       random_(settings_.seed),
-      topology_(settings_.data_centre, settings_.regions),
+      topology_(settings_.own.data_centre, settings_.regions),
       servers_(settings_.retry_budget),
+      homes_(settings_.own, &topology_, &random_),
       placer_(&topology_, &random_) {}
 
 void DispatchEngine::OnRoutes(std::shared_ptr<const RouteTable> routes,
@@ -99,6 +106,7 @@
     started_until_ = now + kStartTime;
   routes_ = std::move(routes);
   servers_.Apply(*routes_);
+  homes_.ForgetDistances();
   profiles_.Keep(*routes_);
   split_.Keep(*routes_);
   Turn(now);
@@ -106,12 +114,23 @@
 
 void DispatchEngine::OnServers(const DirectoryChange& change, Time now) {
   servers_.Apply(change);
+  homes_.ForgetDistances();
   for (const auto& entry : change.updated)
     ServeWaiting(servers_.Group(entry.service), now);
 }
 
-void DispatchEngine::OnInstances(std::uint32_t instances) {
-  servers_.SetInstances(instances);
+void DispatchEngine::OnInstances(const std::vector<InstanceEntry>& instances,
+                                 Time now) {
+  homes_.Update(instances);
+  // NOTE Shares of connections and budgets grow late: entries may be missing
+  // because the store was away.
+  const auto count =
+      std::max<std::uint32_t>(1, static_cast<std::uint32_t>(instances.size()));
+  if (count < counted_instances_ && now - counted_at_ < kCountMemory)
+    return;
+  counted_instances_ = count;
+  counted_at_ = now;
+  servers_.SetInstances(count);
 }
 
 void DispatchEngine::Refuse(const CallRequest& call,
@@ -145,22 +164,128 @@
       route->timeout > Duration::zero() ? route->timeout : kDefaultTimeout;
   if (active->call.caller_timeout > Duration::zero())
     timeout = std::min(timeout, active->call.caller_timeout);
-  active->deadline = now + std::max(timeout - kDeadlineMargin, timeout / 2);
+  if (!active->call.forwarded)
+    timeout = std::max(timeout - kDeadlineMargin, timeout / 2);
+  active->deadline = now + timeout;
   Duration way = kCallerRoundTrip;
   if (active->call.new_connection)
     way += kConnectAllowance;
+  const Duration target = active->call.forwarded ? active->call.target_left
+                                                 : route->latency_target - way;
   active->answer_by =
-      std::min(active->deadline,
-               now + std::max(route->latency_target - way, Duration(0)));
+      std::min(active->deadline, now + std::max(target, Duration(0)));
   active->record.request_id = active->call.message->request_id;
   active->record.route = route->name;
   active->record.routes_version = routes_->version();
   calls_[active->call.id] = std::move(owned);
-  BeginLegs(active, now);
-  Advance(active, now);
+  if (TryForward(active, now))
+    return Schedule(active, now);
+  GatherHere(active, /*repeated=*/false, now);
 }
 
-void DispatchEngine::BeginLegs(ActiveCall* call, Time now) {
+bool DispatchEngine::TryForward(ActiveCall* call, Time now) {
+  const Route& route = *call->route;
+  if (call->call.forwarded || !route.is_scatter())
+    return false;
+  const auto home =
+      homes_.Choose(route, profiles_.SizesOf(route), &servers_, now);
+  if (!home)
+    return false;
+  const SendId id = next_send_++;
+  call->home_send = id;
+  call->record.home = home->entry().id;
+  call->record.parts_wanted = static_cast<std::uint32_t>(route.shards.size());
+  home->OnSent(now);
+  sends_[id] = {call->call.id, 0, home, nullptr, call->table, &route, now};
+  const Duration way = topology_.RoundTrip(home->entry().data_centre) / 2;
+  actions_.emplace_back(ForwardCall{
+      id, home->entry().id, home->entry().address, call->call.message,
+      call->deadline - now - way - kHopMargin,
+      call->answer_by - now - way - kHopMargin, call->table->version()});
+  return true;
+}
+
+void DispatchEngine::GatherHere(ActiveCall* call, bool repeated, Time now) {
+  call->home_send = 0;
+  BeginLegs(call, repeated, now);
+  Advance(call, now);
+}
+
+void DispatchEngine::OnHomeReply(const OpenSend& send,
+                                 TargetReply* reply,
+                                 Time now) {
+  const bool answered = reply->outcome == SendOutcome::kAnswered;
+  if (answered)
+    send.server->OnHeard(now);
+  else if (reply->outcome == SendOutcome::kNotSent)
+    send.server->OnUnreachable(now);
+  else
+    send.server->OnFailed(now);
+  const auto found = calls_.find(send.call);
+  if (send.call == 0 || found == calls_.end())
+    return;
+  ActiveCall* call = found->second.get();
+  if (!answered || reply->not_executed) {
+    const bool may_have_run =
+        !reply->not_executed && reply->outcome != SendOutcome::kNotSent;
+    return GatherHere(call, may_have_run, now);
+  }
+  call->home_send = 0;
+  call->record.parts =
+      static_cast<std::uint32_t>(reply->part_signatures.size());
+  CallReply final_reply;
+  final_reply.status = reply->status;
+  final_reply.body = std::move(reply->body);
+  final_reply.part_signatures = std::move(reply->part_signatures);
+  final_reply.missing_parts = reply->missing_parts;
+  final_reply.retry_after = reply->retry_after;
+  if (!IsSuccess(reply->status))
+    call->record.code = ResultCode::kNoAnswer;
+  Finish(call, std::move(final_reply), now);
+}
+
+void DispatchEngine::GiveUpHome(const std::shared_ptr<ServerLoad>& home,
+                                Time now) {
+  std::vector<SendId> ids;
+  for (const auto& [id, send] : sends_) {
+    if (send.server == home)
+      ids.push_back(id);
+  }
+  if (home->OnUnreachable(now))
+    Believe(*home, ResultCode::kPeerUnreachable, now);
+  for (const SendId id : ids) {
+    const OpenSend send = std::move(sends_.at(id));
+    sends_.erase(id);
+    home->OnSettled();
+    actions_.emplace_back(CancelSend{id});
+    const auto call = calls_.find(send.call);
+    if (call != calls_.end())
+      GatherHere(call->second.get(), /*repeated=*/true, now);
+  }
+}
+
+void DispatchEngine::WatchHomes(Time now, Time* next) {
+  const auto due = homes_.Watch(now, next);
+  for (const auto& home : due.pings) {
+    actions_.emplace_back(
+        PingInstance{home->entry().id, home->entry().address});
+  }
+  for (const auto& home : due.silent)
+    GiveUpHome(home, now);
+}
+
+void DispatchEngine::OnPing(const std::string& name, bool answered, Time now) {
+  homes_.OnPing(name, answered, now);
+  const auto home = homes_.Find(name);
+  if (!home || !home->down())
+    return;
+  if (home->OnProbe(answered, now)) {
+    Believe(*home, ResultCode::kOk, now);
+    down_homes_.erase(name);
+  }
+}
+
+void DispatchEngine::BeginLegs(ActiveCall* call, bool repeated, Time now) {
   const Route& route = *call->route;
   if (route.is_scatter()) {
     call->legs.resize(route.shards.size());
@@ -173,7 +298,14 @@
   }
   call->record.parts_wanted = static_cast<std::uint32_t>(call->legs.size());
   for (std::size_t i = 0; i < call->legs.size(); ++i) {
-    call->legs[i].group->budget.OnRequest();
+    Leg& leg = call->legs[i];
+    if (!repeated) {
+      leg.group->budget.OnRequest();
+    } else if (!leg.group->budget.TrySpend()) {
+      ++call->record.budget_refusals;
+      FailLeg(call, i, ResultCode::kRetryBudgetSpent);
+      continue;
+    }
     TrySend(call, i, now);
   }
 }
@@ -343,7 +475,7 @@
                             topology_.RoundTrip(data_centre);
       const Duration median = profiles_.TimesOf(*send.route).median;
       server.OnAnswer(RatioOf(work, median), now);
-      profiles_.Record(*send.route, work);
+      profiles_.Record(*send.route, work, reply.body.size());
       return;
     }
     case Verdict::kRejected:
@@ -374,6 +506,8 @@
   const OpenSend send = std::move(found->second);
   sends_.erase(found);
   send.server->OnSettled();
+  if (send.group == nullptr)
+    return OnHomeReply(send, &reply, now);
   const Verdict verdict = Judge(send, reply);
   Learn(send, reply, verdict, now);
   const auto call = calls_.find(send.call);
@@ -557,6 +691,12 @@
 }
 
 void DispatchEngine::Forget(ActiveCall* call, Time now, bool cancel_now) {
+  if (call->home_send != 0) {
+    const auto send = sends_.find(call->home_send);
+    send->second.server->OnSettled();
+    sends_.erase(send);
+    actions_.emplace_back(CancelSend{call->home_send});
+  }
   const Time cancel_at = cancel_now ? now : now + kOrphanTime;
   for (std::size_t i = 0; i < call->legs.size(); ++i) {
     StopWaiting(*call, i);
@@ -621,6 +761,21 @@
   }
 }
 
+void DispatchEngine::PingDownHomes(Time now) {
+  for (auto name = down_homes_.begin(); name != down_homes_.end();) {
+    const auto home = homes_.Find(*name);
+    if (!home || !home->down()) {
+      name = down_homes_.erase(name);
+      continue;
+    }
+    if (home->IsProbeDue(now)) {
+      actions_.emplace_back(PingInstance{*name, home->entry().address});
+      home->OnProbeSent(now);
+    }
+    ++name;
+  }
+}
+
 void DispatchEngine::OnProbe(const std::string& id, bool healthy, Time now) {
   const auto server = servers_.Find(id);
   if (!server || !server->OnProbe(healthy, now))
@@ -633,8 +788,10 @@
 void DispatchEngine::Believe(const ServerLoad& server,
                              ResultCode reason,
                              Time now) {
-  if (server.down())
-    down_.insert(server.entry().id);
+  if (server.down()) {
+    auto& down = server.entry().service.empty() ? down_homes_ : down_;
+    down.insert(server.entry().id);
+  }
   actions_.emplace_back(ServerBelief{server.entry().id, server.entry().service,
                                      reason, now - server.last_heard(),
                                      server.in_flight()});
@@ -650,6 +807,9 @@
   }
   CancelOrphans(now);
   SendProbes(now);
+  PingDownHomes(now);
+  Time next = kNever;
+  WatchHomes(now, &next);
   if (now >= started_until_) {
     started_until_ = kNever;
     servers_.SetStarting(false);
@@ -660,11 +820,16 @@
     if (group->waiting.empty())
       waiting_groups_.erase(group);
   }
-  Time next = wakes_.empty() ? kNever : wakes_.begin()->first;
+  if (!wakes_.empty())
+    next = std::min(next, wakes_.begin()->first);
   if (!orphans_.empty())
     next = std::min(next, orphans_.front().first);
   if (!waiting_groups_.empty())
     next = std::min(next, now + kWaitPoll);
+  for (const auto& name : down_homes_) {
+    if (const auto home = homes_.Find(name))
+      next = std::min(next, home->next_probe());
+  }
   for (const auto& id : down_) {
     if (const auto server = servers_.Find(id))
       next = std::min(next, server->next_probe());
--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -13,6 +13,7 @@
 #include "discovery/server_directory.h"
 #include "dispatch/dispatch_types.h"
 #include "dispatch/internal/active_call.h"
+#include "dispatch/internal/home_set.h"
 #include "dispatch/internal/route_profiles.h"
 #include "dispatch/internal/server_placer.h"
 #include "dispatch/internal/server_table.h"
@@ -25,7 +26,7 @@
 namespace limpetrudder {
 
 struct DispatchSettings {
-  std::string data_centre;
+  InstanceEntry own;
   std::map<std::string, std::string> regions;  // By data centre.
   RetryBudgetTerms retry_budget;
   std::uint64_t seed = 0;
@@ -52,8 +53,8 @@
   // Servers came, changed or went.
   void OnServers(const DirectoryChange& change, Time now);
 
-  // The number of instances that are live, this one included.
-  void OnInstances(std::uint32_t instances);
+  // The instances that are live, this one among them or not.
+  void OnInstances(const std::vector<InstanceEntry>& instances, Time now);
 
   // A request of a caller; its id must be new.
   void OnCall(CallRequest call, Time now);
@@ -61,12 +62,15 @@
   // The caller is gone: its work is cancelled and no answer follows.
   void OnCallerLeft(CallId call, Time now);
 
-  // What became of a SendToServer.
+  // What became of a SendToServer or a ForwardCall.
   void OnReply(TargetReply reply, Time now);
 
   // What became of a ProbeHealth.
   void OnProbe(const std::string& server, bool healthy, Time now);
 
+  // What became of a PingInstance.
+  void OnPing(const std::string& name, bool answered, Time now);
+
   // Carries out what is due and returns when to be called next.
   Time Turn(Time now);
 
@@ -90,7 +94,7 @@
     CallId call = 0;  // 0: nobody waits for the answer.
     std::size_t leg = 0;
     std::shared_ptr<ServerLoad> server;
-    detail::ServerGroup* group = nullptr;
+    detail::ServerGroup* group = nullptr;  // Null: `server` is a home.
     std::shared_ptr<const RouteTable> table;
     const Route* route = nullptr;
     Time sent{};
@@ -103,7 +107,13 @@
               int status,
               ResultCode code,
               std::optional<Duration> retry_after);
-  void BeginLegs(ActiveCall* call, Time now);
+  // `repeated`: a home may have sent to the servers already.
+  void BeginLegs(ActiveCall* call, bool repeated, Time now);
+  bool TryForward(ActiveCall* call, Time now);
+  void OnHomeReply(const OpenSend& send, TargetReply* reply, Time now);
+  void GatherHere(ActiveCall* call, bool repeated, Time now);
+  void GiveUpHome(const std::shared_ptr<ServerLoad>& home, Time now);
+  void WatchHomes(Time now, Time* next);
   void TrySend(ActiveCall* call, std::size_t leg_index, Time now);
   void Send(ActiveCall* call,
             std::size_t leg_index,
@@ -138,12 +148,14 @@
   void Forget(ActiveCall* call, Time now, bool cancel_now);
   void CancelOrphans(Time now);
   void SendProbes(Time now);
+  void PingDownHomes(Time now);
   void Believe(const ServerLoad& server, ResultCode reason, Time now);
 
   const DispatchSettings settings_;
   Random random_;
   detail::Topology topology_;
   detail::ServerTable servers_;
+  detail::HomeSet homes_;
   detail::RouteProfiles profiles_;
   detail::WeightedSplit split_;
   detail::ServerPlacer placer_;
@@ -153,9 +165,12 @@
   std::set<std::pair<Time, CallId>> wakes_;
   std::deque<std::pair<Time, SendId>> orphans_;  // By when they are cancelled.
   std::set<detail::ServerGroup*> waiting_groups_;
-  std::set<std::string> down_;  // Servers to probe.
+  std::set<std::string> down_;        // Servers to probe.
+  std::set<std::string> down_homes_;  // Instances to ping.
   std::vector<DispatchAction> actions_;
   SendId next_send_ = 1;
+  std::uint32_t counted_instances_ = 0;
+  Time counted_at_{};
   Time started_until_ = kNever;  // When the start is over.
 };
 
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -38,6 +38,10 @@
   Duration caller_timeout{0};  // 0: the caller names none.
   bool new_connection = false;
   bool forwarded = false;  // By another instance; never forwarded again.
+  // Set if forwarded: the time in which an answer has its full worth, and the
+  // version of the routes at the other instance.
+  Duration target_left{0};
+  std::uint64_t routes_version = 0;
 };
 
 // What a server says of its load beside an answer.
@@ -65,6 +69,9 @@
   bool not_executed = false;  // The server says that it didn't run it.
   bool misdirected = false;   // Another server has the address now.
   std::string signature;      // Names the run; empty if the server gave none.
+  std::vector<std::string> part_signatures;  // From a home.
+  std::uint32_t missing_parts = 0;           // From a home.
+  std::optional<Duration> retry_after;       // From a home.
   std::optional<LoadReport> load;
   Duration connect_time{0};  // 0: the connection was open.
 };
@@ -98,6 +105,7 @@
   Duration took{0};
   std::uint32_t parts = 0;
   std::uint32_t parts_wanted = 0;
+  std::string home;  // That gathered the parts; empty: this instance.
   std::uint32_t sends = 0;
   std::uint32_t hedges = 0;
   std::uint32_t rejections = 0;
@@ -116,6 +124,17 @@
   bool fresh_connection = false;  // Or one that was used a moment ago.
 };
 
+// Has another instance gather the parts of a query.
+struct ForwardCall {
+  SendId send = 0;
+  std::string home;
+  std::string address;
+  std::shared_ptr<const RequestMessage> message;
+  Duration time_left{0};
+  Duration target_left{0};
+  std::uint64_t routes_version = 0;
+};
+
 struct CancelSend {
   SendId send = 0;
 };
@@ -126,6 +145,12 @@
   std::string path;
 };
 
+// Asks another instance whether it is alive.
+struct PingInstance {
+  std::string name;
+  std::string address;
+};
+
 struct CompleteCall {
   CallId call = 0;
   CallReply reply;
@@ -141,8 +166,13 @@
   std::uint32_t in_flight = 0;
 };
 
-using DispatchAction = std::
-    variant<SendToServer, CancelSend, ProbeHealth, CompleteCall, ServerBelief>;
+using DispatchAction = std::variant<SendToServer,
+                                    ForwardCall,
+                                    PingInstance,
+                                    CancelSend,
+                                    ProbeHealth,
+                                    CompleteCall,
+                                    ServerBelief>;
 
 }  // namespace limpetrudder
 
--- a/src/dispatch/internal/active_call.h
+++ b/src/dispatch/internal/active_call.h
@@ -41,6 +41,7 @@
   Time deadline{};   // The final answer leaves by then.
   Time answer_by{};  // An answer that leaves by then is within the target.
   Time wake = kNever;
+  SendId home_send = 0;  // Not 0: a home gathers the parts, and has no answer.
   std::vector<Leg> legs;
   std::uint32_t answered = 0;
   std::uint32_t failed = 0;
@@ -51,6 +52,8 @@
 
   // Whether any server ran it or may have.
   bool may_have_run() const {
+    if (home_send != 0)
+      return true;
     for (const Leg& leg : legs) {
       if (leg.runs > 0 || !leg.open_sends.empty())
         return true;
--- a/src/dispatch/internal/answer_policy.cc
+++ b/src/dispatch/internal/answer_policy.cc
@@ -19,6 +19,10 @@
 }
 
 AnswerDecision DecideAnswer(const ActiveCall& call, Time now) {
+  if (call.home_send != 0) {
+    return now >= call.deadline ? AnswerDecision::kGiveUp
+                                : AnswerDecision::kWait;
+  }
   const auto legs = static_cast<std::uint32_t>(call.legs.size());
   if (!call.route->is_scatter()) {
     if (call.answered > 0)
@@ -38,7 +42,8 @@
 }
 
 Time NextAnswerDecision(const ActiveCall& call, Time now) {
-  return now < call.answer_by ? call.answer_by : call.deadline;
+  return now < call.answer_by && call.home_send == 0 ? call.answer_by
+                                                     : call.deadline;
 }
 
 }  // namespace limpetrudder::detail
--- /dev/null
+++ b/src/dispatch/internal/home_set.cc
@@ -0,0 +1,184 @@
+#include "dispatch/internal/home_set.h"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+
+namespace limpetrudder::detail {
+namespace {
+
+// Processor time that one part takes, from the request to its server to the
+// merge, on a whole core.
+constexpr double kPartCoreMillis = 0.06;
+
+// Work of the hop itself at both ends, on a whole core.
+constexpr double kHopCoreMillis = 0.15;
+
+// What it costs in parts of the latency target if all parts come from another
+// region or data centre: bytes between regions cost up to a sixth of what a
+// query earns.
+constexpr double kAllOtherRegionCost = 0.3;
+constexpr double kAllSameRegionCost = 0.04;
+
+// A home must be better by this part of the latency target: a hop is one more
+// process that can fail.
+constexpr double kAdvantage = 0.05;
+
+// Homes that are about as good share the work.
+constexpr double kJitter = 0.15;
+
+// Requests that one instance has at one home.
+constexpr std::uint32_t kMostInFlight = 24;
+
+// A home with work that has been silent for kPingAfter is pinged; without an
+// answer after kPingWait and the round trip it is given up.
+constexpr Duration kPingAfter = Millis(50);
+constexpr Duration kPingWait = Millis(60);
+
+ServerEntry EntryOf(const InstanceEntry& instance) {
+  ServerEntry entry;
+  entry.id = instance.name;
+  entry.address = instance.peer_address;
+  entry.data_centre = instance.data_centre;
+  entry.slots = kMostInFlight;
+  return entry;
+}
+
+}  // namespace
+
+void HomeSet::Update(const std::vector<InstanceEntry>& instances) {
+  std::set<std::string> names;
+  for (const auto& instance : instances) {
+    if (instance.name == own_.name)
+      continue;
+    names.insert(instance.name);
+    Home& home = homes_[instance.name];
+    home.instance = instance;
+    if (home.load)
+      home.load->Update(EntryOf(instance));
+    else
+      home.load = std::make_shared<ServerLoad>(EntryOf(instance));
+  }
+  for (auto home = homes_.begin(); home != homes_.end();) {
+    if (names.count(home->first) > 0) {
+      ++home;
+      continue;
+    }
+    home->second.load->MarkGone();
+    home = homes_.erase(home);
+  }
+}
+
+std::shared_ptr<ServerLoad> HomeSet::Find(const std::string& name) const {
+  const auto found = homes_.find(name);
+  return found == homes_.end() ? nullptr : found->second.load;
+}
+
+const HomeSet::Distances& HomeSet::DistancesFrom(const std::string& data_centre,
+                                                 const Route& route,
+                                                 ServerTable* servers) {
+  const auto [row, is_new] =
+      far_ratio_.try_emplace({data_centre, route.name}, Distances{});
+  Distances& distances = row->second;
+  if (!is_new)
+    return distances;
+  for (const auto& shard : route.shards) {
+    Distance nearest = Distance::kOtherRegion;
+    for (const auto& server : servers->Group(shard)->servers) {
+      if (server->usable()) {
+        nearest = std::min(
+            nearest,
+            topology_->Between(data_centre, server->entry().data_centre));
+      }
+    }
+    distances.other_region += nearest == Distance::kOtherRegion ? 1 : 0;
+    distances.same_region += nearest == Distance::kSameRegion ? 1 : 0;
+  }
+  const auto shards = static_cast<double>(route.shards.size());
+  distances.other_region /= shards;
+  distances.same_region /= shards;
+  return distances;
+}
+
+double HomeSet::SiteMillis(const InstanceEntry& site,
+                           const Route& route,
+                           const PartSizes& sizes,
+                           ServerTable* servers) {
+  const auto parts = static_cast<double>(route.shards.size());
+  const Distances& far = DistancesFrom(site.data_centre, route, servers);
+  const double link_millis = parts * sizes.bytes * 8 / (site.link_mbps * 1000);
+  return parts * kPartCoreMillis / site.cores + link_millis +
+         ToMillis(route.latency_target) *
+             (far.other_region * kAllOtherRegionCost +
+              far.same_region * kAllSameRegionCost);
+}
+
+std::shared_ptr<ServerLoad> HomeSet::Choose(const Route& route,
+                                            const PartSizes& sizes,
+                                            ServerTable* servers,
+                                            Time now) {
+  double least = SiteMillis(own_, route, sizes, servers) -
+                 kAdvantage * ToMillis(route.latency_target);
+  std::shared_ptr<ServerLoad> best;
+  for (const auto& [name, home] : homes_) {
+    const ServerLoad& load = *home.load;
+    if (!load.usable() || load.in_flight() >= kMostInFlight ||
+        load.SilentFor(now) > kPingAfter + kPingWait) {
+      continue;
+    }
+    const double hop =
+        ToMillis(topology_->RoundTrip(home.instance.data_centre)) +
+        kHopCoreMillis / home.instance.cores + kHopCoreMillis / own_.cores;
+    // NOTE Each request of this instance that the home has already makes the
+    // next one wait for its processor.
+    const double site = SiteMillis(home.instance, route, sizes, servers);
+    const double queue = static_cast<double>(load.in_flight()) *
+                         static_cast<double>(route.shards.size()) *
+                         kPartCoreMillis / home.instance.cores;
+    const double cost = (hop + site + queue) * (1 + kJitter * random_->Unit()) +
+                        load.FailureRatio(now) * ToMillis(route.latency_target);
+    if (cost < least) {
+      least = cost;
+      best = home.load;
+    }
+  }
+  return best;
+}
+
+HomeSet::Due HomeSet::Watch(Time now, Time* next) {
+  Due due;
+  for (auto& [name, home] : homes_) {
+    if (home.load->in_flight() == 0 || home.load->down()) {
+      home.pinged = false;
+      continue;
+    }
+    const Duration silent = home.load->SilentFor(now);
+    if (silent < kPingAfter) {
+      home.pinged = false;
+      *next = std::min(*next, now + kPingAfter - silent);
+      continue;
+    }
+    if (!home.pinged) {
+      home.pinged = true;
+      home.ping_at = now;
+      due.pings.push_back(home.load);
+    }
+    const Time given_up_at = home.ping_at + kPingWait +
+                             topology_->RoundTrip(home.instance.data_centre);
+    if (now >= given_up_at)
+      due.silent.push_back(home.load);
+    else
+      *next = std::min(*next, given_up_at);
+  }
+  return due;
+}
+
+void HomeSet::OnPing(const std::string& name, bool answered, Time now) {
+  const auto found = homes_.find(name);
+  if (found == homes_.end() || !answered)
+    return;
+  found->second.pinged = false;
+  found->second.load->OnHeard(now);
+}
+
+}  // namespace limpetrudder::detail
--- a/src/dispatch/internal/route_profiles.cc
+++ b/src/dispatch/internal/route_profiles.cc
@@ -15,6 +15,10 @@
 // many medians.
 constexpr int kMostSpread = 3;
 
+// Head of an answer, and of its request, which shares the link.
+constexpr double kHeadBytes = 350;
+constexpr double kSizeWeight = 0.02;
+
 constexpr double kHighQuantile = 0.95;
 constexpr double kMedianQuantile = 0.5;
 
@@ -41,8 +45,12 @@
   return ProfileOf(route).times;
 }
 
-void RouteProfiles::Record(const Route& route, Duration work) {
+void RouteProfiles::Record(const Route& route,
+                           Duration work,
+                           std::size_t body_bytes) {
   Profile& profile = ProfileOf(route);
+  const double bytes = static_cast<double>(body_bytes) + kHeadBytes;
+  profile.sizes.bytes += kSizeWeight * (bytes - profile.sizes.bytes);
   profile.window.Record(std::max(work, Duration(0)));
   if (++profile.fresh >= kRefresh)
     Refresh(route, &profile);
--- a/src/dispatch/internal/route_profiles.h
+++ b/src/dispatch/internal/route_profiles.h
@@ -1,6 +1,7 @@
 #ifndef DISPATCH_INTERNAL_ROUTE_PROFILES_H_
 #define DISPATCH_INTERNAL_ROUTE_PROFILES_H_
 
+#include <cstddef>
 #include <map>
 #include <string>
 
@@ -17,14 +18,23 @@
   Duration high{0};  // The 95% quantile.
 };
 
-// Learns the work times of each route. Not thread safe.
+// How large the answers of servers are, heads included, as a running mean.
+struct PartSizes {
+  double bytes = 700;
+};
+
+// Learns the work times and sizes of each route. Not thread safe.
 class RouteProfiles {
  public:
   // Returns the work times of `route`; before enough answers a part of its
   // latency target.
   const WorkTimes& TimesOf(const Route& route);
 
-  void Record(const Route& route, Duration work);
+  const PartSizes& SizesOf(const Route& route) {
+    return ProfileOf(route).sizes;
+  }
+
+  void Record(const Route& route, Duration work, std::size_t body_bytes);
 
   // Forgets routes that are gone.
   void Keep(const RouteTable& table);
@@ -33,6 +43,7 @@
   struct Profile {
     LatencyWindow window{kWindow};
     WorkTimes times;
+    PartSizes sizes;
     std::uint32_t fresh = 0;  // Samples since `times` was computed.
   };
 
--- a/src/dispatch/internal/server_load.h
+++ b/src/dispatch/internal/server_load.h
@@ -45,6 +45,9 @@
   // `work` on an idle server of usual speed.
   Duration ExpectedLatency(Duration work, Duration round_trip, Time now) const;
 
+  // It showed that it is alive.
+  void OnHeard(Time now) { last_heard_ = waiting_since_ = now; }
+
   void OnSent(Time now);
   // The request left the server, however it ended; call before the others.
   void OnSettled() { in_flight_ -= in_flight_ > 0 ? 1 : 0; }
--- a/src/dispatch/internal/topology.cc
+++ b/src/dispatch/internal/topology.cc
@@ -24,11 +24,12 @@
                    std::map<std::string, std::string> regions)
     : data_centre_(std::move(data_centre)), regions_(std::move(regions)) {}
 
-Distance Topology::DistanceTo(const std::string& data_centre) const {
-  if (data_centre == data_centre_)
+Distance Topology::Between(const std::string& from,
+                           const std::string& to) const {
+  if (from == to)
     return Distance::kHere;
-  const auto here = regions_.find(data_centre_);
-  const auto there = regions_.find(data_centre);
+  const auto here = regions_.find(from);
+  const auto there = regions_.find(to);
   const bool same = here != regions_.end() && there != regions_.end() &&
                     here->second == there->second;
   return same ? Distance::kSameRegion : Distance::kOtherRegion;
--- a/src/dispatch/internal/topology.h
+++ b/src/dispatch/internal/topology.h
@@ -17,7 +17,10 @@
   // `regions` gives the region of each data centre.
   Topology(std::string data_centre, std::map<std::string, std::string> regions);
 
-  Distance DistanceTo(const std::string& data_centre) const;
+  Distance DistanceTo(const std::string& data_centre) const {
+    return Between(data_centre_, data_centre);
+  }
+  Distance Between(const std::string& from, const std::string& to) const;
 
   // The time to a server there and back; before the first measurement a guess
   // by distance.
--- /dev/null
+++ b/src/net/forward_codec.cc
@@ -0,0 +1,186 @@
+#include "net/forward_codec.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "net/http_text.h"
+
+namespace limpetrudder {
+namespace {
+
+constexpr char kTimeLeft[] = "Limpet-Time-Left-Ms";
+constexpr char kVersion[] = "Limpet-Routes-Version";
+constexpr char kRequestId[] = "Limpet-Request-Id";
+constexpr char kHost[] = "Limpet-Host";
+constexpr char kNotTaken[] = "Limpet-Not-Taken";
+constexpr char kSignatures[] = "Limpet-Part-Signatures";
+constexpr char kMissing[] = "Limpet-Missing-Parts";
+constexpr char kRetryAfterMs[] = "Limpet-Retry-After-Ms";
+
+void AppendHeader(std::string* bytes,
+                  std::string_view name,
+                  std::string_view value) {
+  bytes->append(name).append(": ").append(value).append("\r\n");
+}
+
+void AppendMillis(std::string* bytes, std::string_view name, Duration value) {
+  AppendHeader(bytes, name,
+               std::to_string(std::max<std::int64_t>(0, WholeMillis(value))));
+}
+
+bool ReadNumber(std::string_view text, std::uint64_t* number) {
+  const auto read =
+      std::from_chars(text.data(), text.data() + text.size(), *number);
+  return read.ec == std::errc() && read.ptr == text.data() + text.size();
+}
+
+std::vector<std::string> SplitList(std::string_view text) {
+  std::vector<std::string> items;
+  while (!text.empty()) {
+    const std::size_t comma = text.find(',');
+    items.emplace_back(text.substr(0, comma));
+    text = comma == std::string_view::npos ? std::string_view()
+                                           : text.substr(comma + 1);
+  }
+  return items;
+}
+
+}  // namespace
+
+PoolRequest EncodeForward(const ForwardCall& forward) {
+  const RequestMessage& message = *forward.message;
+  PoolRequest request;
+  request.id = forward.send;
+  request.server = forward.home;
+  request.address = forward.address;
+  std::string& bytes = request.bytes;
+  bytes.reserve(512 + message.body.size());
+  bytes.append(message.method).append(" ").append(message.target);
+  bytes.append(" HTTP/1.1\r\n");
+  AppendHeader(&bytes, "Host", forward.address);
+  AppendHeader(&bytes, kHost, message.host);
+  AppendHeader(&bytes, kRequestId, message.request_id);
+  AppendMillis(&bytes, kTimeLeft, forward.time_left);
+  AppendMillis(&bytes, kForwardedHeader, forward.target_left);
+  AppendHeader(&bytes, kVersion, std::to_string(forward.routes_version));
+  for (const auto& header : message.headers)
+    AppendHeader(&bytes, header.name, header.value);
+  if (!message.body.empty())
+    AppendHeader(&bytes, "Content-Length", std::to_string(message.body.size()));
+  bytes.append("\r\n").append(message.body);
+  return request;
+}
+
+PoolRequest EncodePing(const PingInstance& ping, std::uint64_t id) {
+  PoolRequest request;
+  request.id = id;
+  request.server = ping.name;
+  request.address = ping.address;
+  request.bytes = "GET " + std::string(kPingPath) + " HTTP/1.1\r\n";
+  AppendHeader(&request.bytes, "Host", ping.address);
+  request.bytes += "\r\n";
+  return request;
+}
+
+bool IsForwarded(const ServerRequest& request) {
+  return std::any_of(request.headers.begin(), request.headers.end(),
+                     [](const HeaderField& header) {
+                       return EqualsIgnoringCase(header.name, kForwardedHeader);
+                     });
+}
+
+Result<CallRequest> DecodeForward(ServerRequest request, CallId id) {
+  auto message = std::make_shared<RequestMessage>();
+  CallRequest call;
+  call.id = id;
+  call.forwarded = true;
+  std::uint64_t time_left = 0;
+  std::uint64_t target_left = 0;
+  bool readable = true;
+  for (auto& header : request.headers) {
+    if (header.name == kHost)
+      message->host = header.value;
+    else if (header.name == kRequestId)
+      message->request_id = header.value;
+    else if (header.name == kTimeLeft)
+      readable = ReadNumber(header.value, &time_left) && readable;
+    else if (header.name == kForwardedHeader)
+      readable = ReadNumber(header.value, &target_left) && readable;
+    else if (header.name == kVersion)
+      readable = ReadNumber(header.value, &call.routes_version) && readable;
+    else if (!IsHopByHop(header.name) &&
+             !EqualsIgnoringCase(header.name, "Host") &&
+             !EqualsIgnoringCase(header.name, "Content-Length"))
+      message->headers.push_back(header);
+  }
+  if (!readable || time_left == 0 || message->request_id.empty()) {
+    return Failure(ResultCode::kRequestMalformed,
+                   "a forwarded request lacks its id or the time left");
+  }
+  call.caller_timeout = Millis(static_cast<std::int64_t>(time_left));
+  call.target_left = Millis(static_cast<std::int64_t>(target_left));
+  message->method = std::move(request.method);
+  message->target = std::move(request.target);
+  message->body = std::move(request.body);
+  call.message = std::move(message);
+  return call;
+}
+
+ServerResponse EncodeForwardReply(CallReply reply, const CallRecord& record) {
+  ServerResponse response;
+  response.status = reply.status;
+  response.body = std::move(reply.body);
+  response.content_type = "application/octet-stream";
+  if (record.code == ResultCode::kRevisionTooLow ||
+      record.code == ResultCode::kNotReady) {
+    response.headers.push_back({kNotTaken, "1"});
+    return response;
+  }
+  if (reply.retry_after) {
+    response.headers.push_back(
+        {kRetryAfterMs, std::to_string(WholeMillis(*reply.retry_after))});
+  }
+  std::string signatures;
+  for (const auto& signature : reply.part_signatures) {
+    if (!signatures.empty())
+      signatures += ',';
+    signatures += signature;
+  }
+  response.headers.push_back({kSignatures, std::move(signatures)});
+  response.headers.push_back({kMissing, std::to_string(reply.missing_parts)});
+  return response;
+}
+
+TargetReply DecodeForwardReply(PoolResponse response) {
+  TargetReply reply;
+  reply.send = response.id;
+  reply.outcome = response.outcome;
+  reply.connect_time = response.connect_time;
+  reply.status = response.status;
+  bool whole = false;
+  for (const auto& header : response.headers) {
+    std::uint64_t number = 0;
+    if (header.name == kNotTaken) {
+      reply.not_executed = true;
+    } else if (header.name == kSignatures) {
+      whole = true;
+      reply.part_signatures = SplitList(header.value);
+    } else if (header.name == kMissing && ReadNumber(header.value, &number)) {
+      reply.missing_parts = static_cast<std::uint32_t>(number);
+    } else if (header.name == kRetryAfterMs &&
+               ReadNumber(header.value, &number)) {
+      reply.retry_after = Millis(static_cast<std::int64_t>(number));
+    }
+  }
+  if (response.outcome == SendOutcome::kAnswered && !whole &&
+      !reply.not_executed) {
+    reply.outcome = SendOutcome::kBroken;
+  }
+  reply.body = std::move(response.body);
+  return reply;
+}
+
+}  // namespace limpetrudder
