Few instances read the store; the others have changes passed on

Change: FeedSource computes readers (one for 20 instances, one region each first), FeedLog keeps what changed, questions wait at the reader; a source that is silent or stale is set aside and the store is read directly meanwhile. After a home that may have run, a leg is sent once.

--- a/src/app/discovery_duty.cc
+++ b/src/app/discovery_duty.cc
@@ -4,15 +4,24 @@
 #include <utility>
 
 #include "framework/logger.h"
+#include "net/feed_client.h"
 
 namespace limpetrudder {
+namespace {
+
+// Questions that wait; beyond them an instance is answered at once.
+constexpr std::size_t kMostWaiting = 512;
+
+}  // namespace
 
 DiscoveryDuty::DiscoveryDuty(StoreFollowerSettings settings,
                              InstanceEntry own,
-                             StorePort store)
+                             const std::map<std::string, std::string>& regions,
+                             DiscoveryPorts ports)
     : follower_(settings),
-      registrar_(std::move(own), settings.seed),
-      store_(std::move(store)) {}
+      registrar_(own, settings.seed),
+      source_(own, regions, settings.seed),
+      ports_(std::move(ports)) {}
 
 void DiscoveryDuty::SetMailboxes(Mailbox* own,
                                  DispatchDuty::Mailbox* dispatch) {
@@ -32,13 +41,29 @@
     OnBatch(*batch, now);
 }
 
+void DiscoveryDuty::On(PassedOn event, Time now) {
+  if (event.reply.status != FeedStatus::kOk) {
+    Log(LogLevel::kWarning, "feed_failed", {{"from", event.from}});
+    return source_.OnFailure(event.from, now);
+  }
+  source_.OnAnswer(event.from, event.reply.age, now);
+  if (const auto batch = follower_.OnPassedOn(std::move(event.reply), now))
+    OnBatch(*batch, now);
+}
+
+void DiscoveryDuty::On(FeedQuestion event, Time now) {
+  if (log_.HasNewsSince(event.after) || waiting_.size() >= kMostWaiting)
+    return event.respond(AnswerSince(event.after, now));
+  waiting_.push_back({std::move(event), now + kFeedWait});
+}
+
 void DiscoveryDuty::On(const LeaseReplied& event, Time now) {
   registrar_.OnReply(event.reply, now);
 }
 
 void DiscoveryDuty::On(const LeaveStore&, Time) {
   if (const auto call = registrar_.Leave())
-    store_.lease(*call, [](const LeaseReply&) {});
+    ports_.lease(*call, [](const LeaseReply&) {});
 }
 
 void DiscoveryDuty::NoteContact() {
@@ -46,43 +71,61 @@
     return;
   was_in_contact_ = follower_.in_contact();
   Log(was_in_contact_ ? LogLevel::kInfo : LogLevel::kWarning,
-      was_in_contact_ ? "store_regained" : "store_lost");
+      was_in_contact_ ? "store_regained" : "store_lost",
+      {{"revision", follower_.revision()}});
 }
 
 void DiscoveryDuty::OnBatch(const FeedBatch& batch, Time now) {
   if (batch.store_back)
     directory_.OnStoreBack(now);
-  std::vector<ServerEntry> listed;
-  std::shared_ptr<const RouteTable> routes;
   if (batch.whole) {
+    log_.Reset(batch.items, follower_.revision());
     instances_.clear();
     instances_changed_ = true;
   }
+  std::vector<ServerEntry> listed;
   for (const auto& item : batch.items) {
-    if (const auto* table =
-            std::get_if<std::shared_ptr<const RouteTable>>(&item)) {
-      if (!routes || (*table)->version() > routes->version())
-        routes = *table;
-    } else if (const auto* server = std::get_if<ServerEntry>(&item)) {
-      if (batch.whole)
-        listed.push_back(*server);
-      else
-        directory_.OnEntry(*server);
-    } else if (const auto* gone = std::get_if<ServerGone>(&item)) {
-      directory_.OnRemoved(gone->id, now);
-    } else if (const auto* instance = std::get_if<InstanceEntry>(&item)) {
-      InstanceEntry& known = instances_[instance->name];
-      instances_changed_ = instances_changed_ || !(known == *instance);
-      known = *instance;
-    } else if (const auto* left = std::get_if<InstanceGone>(&item)) {
-      instances_changed_ =
-          instances_.erase(left->name) > 0 || instances_changed_;
+    const std::string* before = batch.whole ? nullptr : log_.Find(item.key);
+    if (before != nullptr && item.value && *before == *item.value)
+      continue;
+    if (auto decoded = ports_.decode(item)) {
+      ApplyItem(item, std::move(*decoded), batch.whole ? &listed : nullptr,
+                now);
     }
   }
   if (batch.whole)
     directory_.OnListing(listed, now);
-  if (routes)
-    dispatch_->PostResult(RoutesChanged{std::move(routes)});
+  log_.Advance(follower_.revision());
+}
+
+// `listed` collects the servers of a whole listing; null: `item` is a change.
+void DiscoveryDuty::ApplyItem(const RawItem& item,
+                              FeedItem decoded,
+                              std::vector<ServerEntry>* listed,
+                              Time now) {
+  bool changed = true;
+  if (auto* table = std::get_if<std::shared_ptr<const RouteTable>>(&decoded)) {
+    if (!routes_ || (*table)->version() > routes_->version()) {
+      routes_ = std::move(*table);
+      dispatch_->PostResult(RoutesChanged{routes_});
+    }
+  } else if (const auto* server = std::get_if<ServerEntry>(&decoded)) {
+    if (listed != nullptr)
+      listed->push_back(*server);
+    else
+      changed = directory_.OnEntry(*server);
+  } else if (const auto* gone = std::get_if<ServerGone>(&decoded)) {
+    if (listed == nullptr)
+      directory_.OnRemoved(gone->id, now);
+  } else if (const auto* instance = std::get_if<InstanceEntry>(&decoded)) {
+    InstanceEntry& known = instances_[instance->name];
+    instances_changed_ = instances_changed_ || !(known == *instance);
+    known = *instance;
+  } else if (const auto* left = std::get_if<InstanceGone>(&decoded)) {
+    instances_changed_ = instances_.erase(left->name) > 0 || instances_changed_;
+  }
+  if (listed == nullptr)
+    log_.Add(item, changed);
 }
 
 void DiscoveryDuty::TellDispatch() {
@@ -90,42 +133,93 @@
     InstancesChanged event;
     for (const auto& [name, instance] : instances_)
       event.instances.push_back(instance);
+    source_.Update(event.instances);
     Log(LogLevel::kInfo, "instances_changed",
-        {{"instances", event.instances.size()}});
+        {{"instances", event.instances.size()},
+         {"reader", source_.is_reader()}});
     dispatch_->PostResult(std::move(event));
   }
   DirectoryChange change = directory_.TakeChange();
   if (change.empty())
     return;
   for (const auto& entry : change.updated) {
-    Log(LogLevel::kInfo, "server_entry",
+    Log(LogLevel::kDebug, "server_entry",
         {{"server", entry.id},
          {"service", entry.service},
          {"address", entry.address},
          {"draining", entry.draining},
          {"sequence", entry.sequence}});
   }
-  for (const auto& id : change.removed)
-    Log(LogLevel::kInfo, "server_gone", {{"server", id}});
+  Log(LogLevel::kInfo, "servers_changed",
+      {{"updated", change.updated.size()},
+       {"removed", change.removed},
+       {"draining",
+        std::count_if(change.updated.begin(), change.updated.end(),
+                      [](const ServerEntry& entry) { return entry.draining; })},
+       {"revision", follower_.revision()}});
   dispatch_->PostResult(ServersChanged{std::move(change)});
 }
 
-Time DiscoveryDuty::Turn(Time now) {
-  const Time grace_ends = directory_.Turn(now);
-  TellDispatch();
-  Time next = kNever;
-  if (const auto call = follower_.Turn(now, &next)) {
-    store_.read(*call, [mailbox = mailbox_](FeedReply reply) {
+FeedReply DiscoveryDuty::AnswerSince(std::uint64_t after, Time now) const {
+  FeedReply reply = log_.Since(after);
+  reply.age = follower_.heard() == Time::min() ? FeedSource::kFresh * 2
+                                               : now - follower_.heard();
+  return reply;
+}
+
+void DiscoveryDuty::AnswerQuestions(Time now, Time* next) {
+  std::erase_if(waiting_, [&](WaitingQuestion& waiting) {
+    const std::uint64_t after = waiting.question.after;
+    if (now < waiting.until && !log_.HasNewsSince(after)) {
+      *next = std::min(*next, waiting.until);
+      return false;
+    }
+    waiting.question.respond(AnswerSince(after, now));
+    return true;
+  });
+}
+
+void DiscoveryDuty::CallStore(Time now, Time* next) {
+  const Time heard = follower_.heard();
+  if (!source_.ShouldReadStore(heard, now)) {
+    *next = std::min(*next, heard + FeedSource::kFresh + Millis(1));
+    return;
+  }
+  Time due = kNever;
+  if (const auto call = follower_.Turn(now, &due)) {
+    ports_.read(*call, [mailbox = mailbox_](FeedReply reply) {
       mailbox->PostResult(StoreReplied{std::move(reply)});
     });
   }
+  *next = std::min(*next, due);
+}
+
+void DiscoveryDuty::AskInstance(Time now, Time* next) {
+  Time due = kNever;
+  const auto instance =
+      source_.Ask(follower_.heard(), follower_.in_contact(), now, &due);
+  *next = std::min(*next, due);
+  if (!instance)
+    return;
+  ports_.ask(*instance, follower_.revision(),
+             [mailbox = mailbox_, from = instance->name](FeedReply reply) {
+               mailbox->PostResult(PassedOn{from, std::move(reply)});
+             });
+}
+
+Time DiscoveryDuty::Turn(Time now) {
+  Time next = directory_.Turn(now);
+  TellDispatch();
+  CallStore(now, &next);
+  AskInstance(now, &next);
+  AnswerQuestions(now, &next);
   Time next_lease = kNever;
   if (const auto call = registrar_.Turn(now, &next_lease)) {
-    store_.lease(*call, [mailbox = mailbox_](const LeaseReply& reply) {
+    ports_.lease(*call, [mailbox = mailbox_](const LeaseReply& reply) {
       mailbox->PostResult(LeaseReplied{reply});
     });
   }
-  return std::min({next, next_lease, grace_ends});
+  return std::min(next, next_lease);
 }
 
 }  // namespace limpetrudder
--- a/src/app/entry_app.cc
+++ b/src/app/entry_app.cc
@@ -8,6 +8,7 @@
 #include "framework/hash.h"
 #include "framework/logger.h"
 #include "net/forward_codec.h"
+#include "platform/feed_codec.h"
 
 namespace limpetrudder {
 namespace {
@@ -16,6 +17,10 @@
 constexpr std::size_t kDiscoveryRing = 256;
 constexpr std::size_t kStoreRing = 64;
 
+// Between two reads of what changed in the store: with a time-out of a call and
+// a hop to another instance it stays under the shortest bound for drains, 3 s.
+constexpr Duration kReadInterval = Millis(1000);
+
 // The balancer asks once a second and takes an instance out after two misses.
 constexpr Duration kBalancerNotices = Millis(2700);
 
@@ -52,6 +57,7 @@
     : settings_(std::move(settings)),
       http_(kStoreRing),
       store_(settings_.store_address, &http_),
+      feed_(&http_),
       dispatch_(kDispatchRing, &dispatch_duty_),
       discovery_(kDiscoveryRing, &discovery_duty_),
       dispatch_duty_(
@@ -59,18 +65,10 @@
            Hash64(settings_.instance,
                   static_cast<std::uint64_t>(UnixMillis()))},
           &state_),
-      discovery_duty_(
-          {Millis(1000), Hash64(settings_.instance)},
-          OwnEntry(settings_),
-          StorePort{
-              [this](const FeedCall& call, StoreClient::Handler handler) {
-                state_.metrics().Add("store_reads");
-                store_.Call(call, std::move(handler));
-              },
-              [this](const LeaseCall& call, StoreClient::LeaseHandler handler) {
-                state_.metrics().Add("store_lease_calls");
-                store_.Call(call, std::move(handler));
-              }}),
+      discovery_duty_({kReadInterval, Hash64(settings_.instance)},
+                      OwnEntry(settings_),
+                      settings_.regions,
+                      MakePorts()),
       ready_server_(
           Listen(settings_.ready_address, dispatch_.context()),
           [this](const ServerRequest&, const Responder& respond) {
@@ -92,6 +90,50 @@
   discovery_duty_.SetMailboxes(&discovery_, &dispatch_);
 }
 
+DiscoveryPorts EntryApp::MakePorts() {
+  DiscoveryPorts ports;
+  ports.read = [this](const FeedCall& call, StoreClient::Handler handler) {
+    state_.metrics().Add("store_reads");
+    store_.Call(call, std::move(handler));
+  };
+  ports.lease = [this](const LeaseCall& call,
+                       StoreClient::LeaseHandler handler) {
+    state_.metrics().Add("store_lease_calls");
+    store_.Call(call, std::move(handler));
+  };
+  ports.ask = [this](const InstanceEntry& instance, std::uint64_t after,
+                     FeedClient::Handler handler) {
+    feed_.Ask(instance.peer_address, after, std::move(handler));
+  };
+  ports.decode = [](const RawItem& item) {
+    std::optional<Error> fault;
+    auto decoded = DecodeItem(item.key, item.value, &fault);
+    if (fault) {
+      Log(LogLevel::kWarning, "store_item_refused",
+          {{"key", item.key},
+           {"revision", item.revision},
+           {"code", NumberOf(fault->code)},
+           {"pointer", fault->pointer},
+           {"message", fault->message}});
+    }
+    return decoded;
+  };
+  return ports;
+}
+
+void EntryApp::AnswerFeed(const ServerRequest& request,
+                          const Responder& respond) {
+  const bool queued = discovery_.Post(FeedQuestion{
+      FeedRevision(request),
+      [respond](const FeedReply& reply) { respond(EncodeFeed(reply)); }});
+  if (queued)
+    return;
+  ServerResponse response;
+  response.status = kUnavailable;
+  response.body = RefusalBody(ResultCode::kRingFull, "too many questions");
+  respond(std::move(response));
+}
+
 EntryApp::~EntryApp() {
   StopThreads();
 }
@@ -125,6 +167,8 @@
 void EntryApp::AnswerInternal(const ServerRequest& request,
                               const Responder& respond) {
   ServerResponse response;
+  if (request.path == kFeedPath)
+    return AnswerFeed(request, respond);
   if (request.path == kPingPath) {
     response.content_type.clear();
   } else if (request.path == kMetricsPath) {
--- a/src/app/entry_app.h
+++ b/src/app/entry_app.h
@@ -7,6 +7,7 @@
 #include "app/dispatch_duty.h"
 #include "app/entry_settings.h"
 #include "app/entry_state.h"
+#include "net/feed_client.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "platform/store_client.h"
@@ -35,6 +36,8 @@
 
  private:
   void AnswerReady(const Responder& respond);
+  DiscoveryPorts MakePorts();
+  void AnswerFeed(const ServerRequest& request, const Responder& respond);
   void AnswerInternal(const ServerRequest& request, const Responder& respond);
   void StopThreads();
 
@@ -42,6 +45,7 @@
   EntryState state_;
   HttpClient http_;
   StoreClient store_;
+  FeedClient feed_;
   // NOTE The mailboxes outlive their duties, whose sockets and timers belong to
   // the mailboxes' loops.
   DispatchDuty::Mailbox dispatch_;
--- a/src/discovery/discovery_types.h
+++ b/src/discovery/discovery_types.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -30,7 +31,14 @@
   std::string name;
 };
 
-// One thing that the store says, in the product's terms.
+// One thing that the store says, as it is written there.
+struct RawItem {
+  std::string key;
+  std::optional<std::string> value;  // Nothing: it was deleted.
+  std::uint64_t revision = 0;
+};
+
+// The same in the product's terms.
 using FeedItem = std::variant<std::shared_ptr<const RouteTable>,
                               ServerEntry,
                               ServerGone,
@@ -46,10 +54,11 @@
 
 struct FeedReply {
   FeedStatus status = FeedStatus::kNoReply;
-  std::vector<FeedItem> items;
+  std::vector<RawItem> items;
   std::uint64_t revision = 0;  // Of the store, when it answered.
-  std::string last_key;        // Of a page of the listing.
+  bool whole = false;          // An instance sends all it knows.
   bool has_more = false;
+  Duration age{0};  // Since the store itself was heard, at an instance.
 };
 
 // Calls that follow the store.
@@ -57,6 +66,7 @@
 // One page of everything, after `after_key`; empty: from the beginning.
 struct ListPage {
   std::string after_key;
+  bool may_be_old = false;  // Some seconds, for a tenth of the price.
 };
 
 // Everything that changed since a revision.
--- /dev/null
+++ b/src/discovery/feed_source.cc
@@ -0,0 +1,146 @@
+#include "discovery/feed_source.h"
+
+#include <algorithm>
+#include <set>
+
+#include "framework/hash.h"
+
+namespace limpetrudder {
+namespace {
+
+// A source that failed isn't asked again for this long.
+constexpr Duration kSetAside = Seconds(3);
+
+// After a failure the next source is asked at once, but no more often than
+// this.
+constexpr Duration kRetry = Millis(50);
+
+// Larger instances are readers first: following the store takes some percent of
+// a small one's processor.
+double ReaderScore(const InstanceEntry& instance) {
+  const double unit =
+      static_cast<double>(Hash64(instance.name) >> 11) * 0x1.0p-53;
+  return instance.cores * 4 + unit;
+}
+
+}  // namespace
+
+const std::string& FeedSource::RegionOf(const InstanceEntry& instance) const {
+  const auto found = regions_.find(instance.data_centre);
+  return found == regions_.end() ? instance.data_centre : found->second;
+}
+
+std::vector<InstanceEntry> FeedSource::Readers(
+    const std::vector<InstanceEntry>& instances) const {
+  std::vector<InstanceEntry> sorted = instances;
+  std::sort(sorted.begin(), sorted.end(),
+            [](const InstanceEntry& a, const InstanceEntry& b) {
+              return ReaderScore(a) > ReaderScore(b);
+            });
+  const std::size_t wanted = std::max<std::size_t>(
+      kFewestReaders,
+      (instances.size() + kInstancesPerReader - 1) / kInstancesPerReader);
+  // One of each region first, so that a region that is cut off has its own.
+  std::vector<InstanceEntry> readers;
+  std::vector<InstanceEntry> rest;
+  std::set<std::string> regions;
+  for (auto& instance : sorted) {
+    if (regions.insert(RegionOf(instance)).second)
+      readers.push_back(instance);
+    else
+      rest.push_back(instance);
+  }
+  for (std::size_t i = 0; i < rest.size() && readers.size() < wanted; ++i)
+    readers.push_back(rest[i]);
+  if (readers.size() > wanted)
+    readers.resize(wanted);
+  return readers;
+}
+
+void FeedSource::Update(const std::vector<InstanceEntry>& instances) {
+  const auto readers = Readers(instances);
+  readers_.clear();
+  others_.clear();
+  is_reader_ = readers.empty();
+  std::set<std::string> names;
+  for (const auto& reader : readers) {
+    names.insert(reader.name);
+    if (reader.name == own_.name)
+      is_reader_ = true;
+    else
+      readers_.push_back(reader);
+  }
+  for (const auto& instance : instances) {
+    if (names.count(instance.name) == 0 && instance.name != own_.name)
+      others_.push_back(instance);
+  }
+  const std::string& region = RegionOf(own_);
+  std::stable_sort(readers_.begin(), readers_.end(),
+                   [&](const InstanceEntry& a, const InstanceEntry& b) {
+                     return (RegionOf(a) == region) > (RegionOf(b) == region);
+                   });
+}
+
+bool FeedSource::ShouldReadStore(Time heard, Time now) const {
+  if (is_reader_ || readers_.empty() || heard == Time::min())
+    return true;
+  return now - heard > kFresh;
+}
+
+bool FeedSource::IsSetAside(const std::string& name, Time now) const {
+  const auto found = set_aside_.find(name);
+  return found != set_aside_.end() && now < found->second;
+}
+
+std::optional<InstanceEntry> FeedSource::Ask(Time heard,
+                                             bool store_answers,
+                                             Time now,
+                                             Time* next) {
+  *next = kNever;
+  // NOTE A reader in touch with the store has no question.
+  if (asking_ || (is_reader_ && store_answers && heard != Time::min() &&
+                  now - heard <= kFresh)) {
+    return std::nullopt;
+  }
+  if (now < ask_at_) {
+    *next = ask_at_;
+    return std::nullopt;
+  }
+  std::optional<InstanceEntry> chosen;
+  for (const auto& reader : readers_) {
+    if (!IsSetAside(reader.name, now)) {
+      chosen = reader;
+      break;
+    }
+  }
+  if (!chosen && !others_.empty()) {
+    const auto& other = others_[random_.Below(others_.size())];
+    if (!IsSetAside(other.name, now))
+      chosen = other;
+  }
+  if (!chosen) {
+    *next = now + kSetAside / 4;
+    return std::nullopt;
+  }
+  asking_ = true;
+  return chosen;
+}
+
+void FeedSource::OnAnswer(const std::string& name, Duration age, Time now) {
+  asking_ = false;
+  ask_at_ = now;
+  if (age > kFresh) {
+    set_aside_[name] = now + kSetAside;
+    ask_at_ = now + kRetry;
+  } else {
+    set_aside_.erase(name);
+  }
+}
+
+void FeedSource::OnFailure(const std::string& name, Time now) {
+  asking_ = false;
+  set_aside_[name] = now + kSetAside;
+  ask_at_ = now + kRetry;
+}
+
+}  // namespace limpetrudder
--- /dev/null
+++ b/src/discovery/feed_source.h
@@ -0,0 +1,77 @@
+#ifndef DISCOVERY_FEED_SOURCE_H_
+#define DISCOVERY_FEED_SOURCE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "discovery/discovery_types.h"
+#include "framework/random.h"
+#include "framework/time.h"
+
+namespace limpetrudder {
+
+// Decides from whom an instance learns what the store says. A few instances,
+// the readers, follow the store; the others have changes passed on by a reader,
+// of their own region if there is one. Readers are computed from the list of
+// instances, so instances that see different lists only cost a few more calls.
+// An instance whose source is silent or itself out of touch tries the others,
+// and follows the store itself meanwhile; a reader that the store turns away
+// has changes passed on as well. Not thread safe.
+class FeedSource {
+ public:
+  // One reader for this many instances, and at least kFewestReaders.
+  static constexpr std::uint32_t kInstancesPerReader = 20;
+  static constexpr std::uint32_t kFewestReaders = 2;
+
+  // What was heard of the store longer ago than this is old: a source that
+  // knows nothing newer is as good as none.
+  static constexpr Duration kFresh = Millis(2300);
+
+  FeedSource(InstanceEntry own,
+             std::map<std::string, std::string> regions,
+             std::uint64_t seed)
+      : own_(std::move(own)), regions_(std::move(regions)), random_(seed) {}
+
+  void Update(const std::vector<InstanceEntry>& instances);
+
+  // Whether this instance has to follow the store now, where it heard of the
+  // store as of `heard`, and `store_answers` tells whether its last own call
+  // worked.
+  bool ShouldReadStore(Time heard, Time now) const;
+
+  // Returns the instance to ask next for what changed, if one is to be asked
+  // now; `next` is when to ask again. One question at a time.
+  std::optional<InstanceEntry> Ask(Time heard,
+                                   bool store_answers,
+                                   Time now,
+                                   Time* next);
+
+  // The question to `name` was answered with news as of `age` ago, or failed.
+  void OnAnswer(const std::string& name, Duration age, Time now);
+  void OnFailure(const std::string& name, Time now);
+
+  bool is_reader() const { return is_reader_; }
+
+ private:
+  std::vector<InstanceEntry> Readers(
+      const std::vector<InstanceEntry>& instances) const;
+  const std::string& RegionOf(const InstanceEntry& instance) const;
+  bool IsSetAside(const std::string& name, Time now) const;
+
+  const InstanceEntry own_;
+  const std::map<std::string, std::string> regions_;
+  Random random_;
+  std::vector<InstanceEntry> readers_;  // Others than this one, best first.
+  std::vector<InstanceEntry> others_;   // That aren't readers.
+  bool is_reader_ = true;
+  bool asking_ = false;
+  Time ask_at_ = Time::min();
+  std::map<std::string, Time> set_aside_;  // Until when.
+};
+
+}  // namespace limpetrudder
+
+#endif  // DISCOVERY_FEED_SOURCE_H_
--- a/src/discovery/server_directory.cc
+++ b/src/discovery/server_directory.cc
@@ -24,18 +24,20 @@
 
 }  // namespace
 
-void ServerDirectory::OnEntry(const ServerEntry& entry) {
+bool ServerDirectory::OnEntry(const ServerEntry& entry) {
   auto& row = rows_[entry.id];
   const bool is_new = row.entry.id.empty();
   if (!is_new && IsOlder(entry, row.entry))
-    return;
-  const bool same = !is_new && SaysTheSame(entry, row.entry);
+    return false;
+  const bool same =
+      !is_new && SaysTheSame(entry, row.entry) && row.missing_until == kNever;
   row.entry = entry;
   row.missing_until = kNever;
   if (same)
-    return;
+    return false;
   std::erase(change_.removed, entry.id);
   change_.updated.push_back(entry);
+  return true;
 }
 
 void ServerDirectory::OnRemoved(const std::string& id, Time now) {
--- a/src/discovery/server_directory.h
+++ b/src/discovery/server_directory.h
@@ -40,8 +40,9 @@
   // An entry is missing for good if it isn't back this long after the store is.
   static constexpr Duration kReturnGrace = Millis(2200);
 
-  // Takes an entry unless a later one of the server is known.
-  void OnEntry(const ServerEntry& entry);
+  // Takes an entry unless a later one of the server is known. Returns whether
+  // it says more than that the server is alive.
+  bool OnEntry(const ServerEntry& entry);
 
   // The store no longer has the entry, or has one that can't be read.
   void OnRemoved(const std::string& id, Time now);
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -23,37 +23,33 @@
     return std::nullopt;
   }
   calling_ = true;
+  // NOTE The first listing may be old, since what changed is read next.
   if (listing_)
-    return ListPage{after_key_};
+    return ListPage{after_key_, first_list_};
   return ReadChanges{revision_};
 }
 
 std::optional<FeedBatch> StoreFollower::OnReply(FeedReply reply, Time now) {
   calling_ = false;
   if (reply.status == FeedStatus::kHistoryLost) {
-    NoteContact(now);
-    listing_ = true;
-    after_key_.clear();
-    pages_.clear();
-    due_ = now;
+    failures_ = 0;
+    NoteHeard(now);
+    ListAnew(now);
     return std::nullopt;
   }
   if (reply.status != FeedStatus::kOk) {
     OnFailure(reply.status, now);
     return std::nullopt;
   }
-  NoteContact(now);
+  failures_ = 0;
+  NoteHeard(now);
   if (listing_)
     return OnPage(std::move(reply), now);
-  // NOTE A store that was restored from older data counts revisions anew.
-  if (reply.revision < revision_) {
-    listing_ = true;
-    after_key_.clear();
-    due_ = now;
+  due_ = now + Jittered(settings_.interval);
+  // NOTE Another instance may have passed on more in the meantime.
+  if (reply.revision < revision_)
     return std::nullopt;
-  }
   revision_ = reply.revision;
-  due_ = now + Jittered(settings_.interval);
   return FeedBatch{std::move(reply.items), false, std::exchange(away_, false)};
 }
 
@@ -61,25 +57,57 @@
   // NOTE Pages aren't a snapshot: changes since the first one are read again.
   if (after_key_.empty())
     list_revision_ = reply.revision;
+  const std::string last_key =
+      reply.items.empty() ? std::string() : reply.items.back().key;
   std::move(reply.items.begin(), reply.items.end(), std::back_inserter(pages_));
-  if (reply.has_more && !reply.last_key.empty()) {
-    after_key_ = reply.last_key;
-    due_ = now;
+  due_ = now;
+  if (reply.has_more && !last_key.empty()) {
+    after_key_ = last_key;
     return std::nullopt;
   }
   listing_ = false;
+  first_list_ = false;
   after_key_.clear();
+  FeedBatch batch{std::exchange(pages_, {}), true, std::exchange(away_, false)};
+  // NOTE An old listing doesn't undo what another instance passed on.
+  if (list_revision_ < revision_)
+    return std::nullopt;
   revision_ = list_revision_;
-  due_ = now + Jittered(settings_.interval);
-  return FeedBatch{std::exchange(pages_, {}), true,
+  return batch;
+}
+
+std::optional<FeedBatch> StoreFollower::OnPassedOn(FeedReply reply, Time now) {
+  if (reply.status != FeedStatus::kOk)
+    return std::nullopt;
+  NoteHeard(now - reply.age);
+  if (reply.revision < revision_)
+    return std::nullopt;
+  revision_ = reply.revision;
+  if (listing_ && reply.whole) {
+    listing_ = false;
+    first_list_ = false;
+    after_key_.clear();
+    pages_.clear();
+    due_ = now + Jittered(settings_.interval);
+  }
+  return FeedBatch{std::move(reply.items), reply.whole,
                    std::exchange(away_, false)};
 }
 
-void StoreFollower::NoteContact(Time now) {
-  if (last_ok_ != Time::min() && now - last_ok_ > kAwayTime)
+void StoreFollower::ListAnew(Time now) {
+  listing_ = true;
+  first_list_ = false;
+  after_key_.clear();
+  pages_.clear();
+  due_ = now;
+}
+
+void StoreFollower::NoteHeard(Time at) {
+  if (at <= heard_)
+    return;
+  if (heard_ != Time::min() && at - heard_ > kAwayTime)
     away_ = true;
-  last_ok_ = now;
-  failures_ = 0;
+  heard_ = at;
 }
 
 void StoreFollower::OnFailure(FeedStatus status, Time now) {
--- a/src/discovery/store_follower.h
+++ b/src/discovery/store_follower.h
@@ -21,7 +21,7 @@
 
 // What a reply brings.
 struct FeedBatch {
-  std::vector<FeedItem> items;
+  std::vector<RawItem> items;
   bool whole = false;       // All there is; what isn't in it is gone.
   bool store_back = false;  // The store was away and may have lost entries.
 };
@@ -29,8 +29,9 @@
 // Follows the store: lists everything once, then collects what changed at
 // intervals, one call at a time. A waiting watch would be answered by each
 // heartbeat of each server, so none waits. Lists anew when the store has
-// dropped its history, and backs off while it refuses or is away. Holds no
-// clock and does no I/O. Not thread safe.
+// dropped its history, and backs off while it refuses or is away. What other
+// instances pass on counts as well: revisions are the store's everywhere. Holds
+// no clock and does no I/O. Not thread safe.
 class StoreFollower {
  public:
   // Without an answer for this long, servers' entries may have lapsed.
@@ -39,33 +40,44 @@
   explicit StoreFollower(StoreFollowerSettings settings)
       : settings_(settings), random_(settings.seed) {}
 
-  // Returns the call that is due, if any; `next` is when to ask again.
+  // Returns the call on the store that is due, if any; `next` is when to ask
+  // again. Precondition: the store is to be followed by this instance.
   std::optional<FeedCall> Turn(Time now, Time* next);
 
   // The answer to the call; returns what it brings, once it is complete.
   std::optional<FeedBatch> OnReply(FeedReply reply, Time now);
 
+  // What another instance passed on, perhaps `reply.age` old; returns what is
+  // new in it.
+  std::optional<FeedBatch> OnPassedOn(FeedReply reply, Time now);
+
+  // Up to which revision everything is known; 0: nothing is.
+  std::uint64_t revision() const { return revision_; }
+
   // Whether the store answered the last call.
-  bool in_contact() const { return failures_ == 0 && last_ok_ != Time::min(); }
-  // When it answered last; Time::min() before the first answer.
-  Time last_contact() const { return last_ok_; }
+  bool in_contact() const { return failures_ == 0; }
+
+  // As of when the store was heard, by whichever way; Time::min(): never.
+  Time heard() const { return heard_; }
 
  private:
   void OnFailure(FeedStatus status, Time now);
   std::optional<FeedBatch> OnPage(FeedReply reply, Time now);
-  void NoteContact(Time now);
+  void ListAnew(Time now);
+  void NoteHeard(Time at);
   Duration Jittered(Duration duration);
 
   StoreFollowerSettings settings_;
   Random random_;
   bool calling_ = false;
   bool listing_ = true;
+  bool first_list_ = true;
   std::string after_key_;
   std::uint64_t list_revision_ = 0;  // Of the first page.
-  std::vector<FeedItem> pages_;
+  std::vector<RawItem> pages_;
   std::uint64_t revision_ = 0;
   Time due_ = Time::min();
-  Time last_ok_ = Time::min();
+  Time heard_ = Time::min();
   bool away_ = false;
   std::uint32_t failures_ = 0;
 };
--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -299,6 +299,8 @@
   call->record.parts_wanted = static_cast<std::uint32_t>(call->legs.size());
   for (std::size_t i = 0; i < call->legs.size(); ++i) {
     Leg& leg = call->legs[i];
+    // NOTE The home's sends count for what the route allows.
+    leg.runs = repeated ? 1 : 0;
     if (!repeated) {
       leg.group->budget.OnRequest();
     } else if (!leg.group->budget.TrySpend()) {
--- /dev/null
+++ b/src/net/feed_client.h
@@ -0,0 +1,44 @@
+#ifndef NET_FEED_CLIENT_H_
+#define NET_FEED_CLIENT_H_
+
+#include <atomic>
+#include <functional>
+#include <string>
+
+#include "discovery/discovery_types.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+namespace limpetrudder {
+
+// The protocol by which instances pass on what the store says: a question for
+// what changed since a revision waits at the other instance until something
+// has, or kFeedWait is over.
+inline constexpr char kFeedPath[] = "/feed";
+inline constexpr Duration kFeedWait = Millis(900);
+
+// Writes the answer. Thread safe.
+ServerResponse EncodeFeed(const FeedReply& reply);
+
+// Returns the revision that a question names, or 0. Thread safe.
+std::uint64_t FeedRevision(const ServerRequest& request);
+
+// Asks other instances. Handlers are called on the HTTP client's thread. All
+// methods are thread safe.
+class FeedClient {
+ public:
+  using Handler = std::function<void(FeedReply)>;
+
+  // `http` must outlive this object.
+  explicit FeedClient(HttpClient* http);
+
+  void Ask(const std::string& address, std::uint64_t after, Handler handler);
+
+ private:
+  HttpClient* const http_;
+  std::atomic<std::uint64_t> next_tag_;
+};
+
+}  // namespace limpetrudder
+
+#endif  // NET_FEED_CLIENT_H_
