Count what a lost home may have sent; give homes up later

Change: a lost home counts as two runs of each part, so that a route of two attempts is answered 502 at once and the caller retries under another id; homes are pinged after 60 ms, given up after 260 ms, and get nothing new after 110 ms.

--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -37,6 +37,10 @@
 // answers it and keeps its connection: pauses take a quarter of a second.
 constexpr Duration kOrphanTime = Millis(350);
 
+// Servers that another instance may have asked for one leg before it was lost:
+// the first one and a hedge.
+constexpr std::uint32_t kRunsOfLostHome = 2;
+
 // Sends for one leg, refusals included.
 constexpr std::uint32_t kMostSends = 4;
 
@@ -208,8 +212,10 @@
                               Time now) {
   Leg& leg = call->legs[leg_index];
   leg.delegated = false;
-  // NOTE What another instance sent counts for what the route allows.
-  leg.runs = repeated ? 1 : 0;
+  // NOTE What another instance may have sent counts for what the route allows.
+  leg.runs = repeated ? kRunsOfLostHome : 0;
+  if (leg.runs >= call->route->max_attempts)
+    return FailLeg(call, leg_index, ResultCode::kPeerUnreachable);
   if (!repeated) {
     leg.group->budget.OnRequest();
   } else if (!leg.group->budget.TrySpend()) {
--- a/src/dispatch/internal/home_set.cc
+++ b/src/dispatch/internal/home_set.cc
@@ -36,9 +36,13 @@
 constexpr std::uint32_t kMostInFlight = 24;
 
 // A home with work that has been silent for kPingAfter is pinged; without an
-// answer after kPingWait and the round trip it is given up.
-constexpr Duration kPingAfter = Millis(50);
-constexpr Duration kPingWait = Millis(60);
+// answer after kPingWait and the round trip it is given up. A small instance
+// that reads a large configuration is busy for about a tenth of a second.
+constexpr Duration kPingAfter = Millis(60);
+constexpr Duration kPingWait = Millis(200);
+
+// A home that has been silent for this long gets nothing more meanwhile.
+constexpr Duration kDoubtAfter = Millis(110);
 
 ServerEntry EntryOf(const InstanceEntry& instance) {
   ServerEntry entry;
@@ -151,7 +155,7 @@
 
 bool HomeSet::IsFit(const ServerLoad& load, Time now) {
   return load.usable() && load.in_flight() < kMostInFlight &&
-         load.SilentFor(now) <= kPingAfter + kPingWait;
+         load.SilentFor(now) <= kDoubtAfter;
 }
 
 std::shared_ptr<ServerLoad> HomeSet::ChooseIn(const std::string& data_centre,
