--- a/src/discovery/tests/feed_test.cc
+++ b/src/discovery/tests/feed_test.cc
@@ -60,8 +60,10 @@
   return fleet;
 }
 
-const std::map<std::string, std::string> kRegions = {
-    {"kgn-a", "kgn"}, {"kgn-b", "kgn"}, {"mbj-a", "mbj"}, {"mbj-b", "mbj"}};
+const std::map<std::string, std::string> kRegions = {{"kgn-a", "kgn"},
+                                                     {"kgn-b", "kgn"},
+                                                     {"mbj-a", "mbj"},
+                                                     {"mbj-b", "mbj"}};
 
 TEST_CASE("Where an instance learns what the store says") {
   const auto fleet = Fleet(20);
--- /dev/null
+++ b/src/dispatch/tests/fleet_session.cc
@@ -0,0 +1,397 @@
+#include "dispatch/tests/fleet_session.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace limpetrudder {
+namespace {
+
+constexpr Duration kNear = Millis(1) / 4;
+constexpr Duration kFar = Millis(8);
+
+std::string RegionOf(const std::string& data_centre) {
+  return data_centre.substr(0, data_centre.find('-'));
+}
+
+std::string ShardName(std::size_t shard) {
+  return "shard-" + std::to_string(shard);
+}
+
+std::string ServerName(std::size_t shard, std::size_t replica) {
+  return "s" + std::to_string(shard) + "-" + std::to_string(replica);
+}
+
+std::string SingleName(std::size_t index) {
+  return "one-" + std::to_string(index);
+}
+
+}  // namespace
+
+FleetSession::FleetSession(Options options) : options_(std::move(options)) {
+  if (options_.shards.empty())
+    options_.shards.assign(4, {"kgn-a", "mbj-a"});
+  std::map<std::string, std::string> regions;
+  DirectoryChange change;
+  const auto add = [&](const std::string& id, const std::string& service,
+                       const std::string& data_centre) {
+    SessionServer& server = servers_[id];
+    server.entry.id = id;
+    server.entry.service = service;
+    server.entry.address = id + ":80";
+    server.entry.data_centre = data_centre;
+    server.entry.slots = 2;
+    server.entry.started_ms = 1;
+    change.updated.push_back(server.entry);
+    regions[data_centre] = RegionOf(data_centre);
+  };
+  for (std::size_t shard = 0; shard < options_.shards.size(); ++shard) {
+    for (std::size_t i = 0; i < options_.shards[shard].size(); ++i)
+      add(ServerName(shard, i), ShardName(shard), options_.shards[shard][i]);
+  }
+  for (int i = 0; i < options_.single_servers; ++i)
+    add(SingleName(static_cast<std::size_t>(i)), "one", "kgn-a");
+  for (std::size_t i = 0; i < options_.instances.size(); ++i) {
+    const std::string name = "instance-" + std::to_string(i);
+    instances_.push_back(
+        {name, options_.instances[i], name + ":70", options_.cores, 1000});
+    regions[options_.instances[i]] = RegionOf(options_.instances[i]);
+  }
+  for (std::size_t i = 0; i < instances_.size(); ++i) {
+    engines_.push_back(std::make_unique<DispatchEngine>(
+        DispatchSettings{instances_[i], regions, options_.budget, 17 + i}));
+    turns_.push_back(kNever);
+    engines_[i]->OnInstances(instances_, now_);
+    engines_[i]->OnServers(change, now_);
+  }
+  Announce(MakeRoutes(1));
+  // NOTE Past the start, in which engines open few connections.
+  Run(Seconds(11));
+}
+
+std::shared_ptr<RouteTable> FleetSession::MakeRoutes(
+    std::uint64_t version) const {
+  Route all;
+  all.name = "all";
+  all.host = "shop.example";
+  all.prefix = "/all/";
+  all.timeout = options_.timeout;
+  all.latency_target = options_.latency_target;
+  all.max_attempts = options_.max_attempts;
+  all.top_records = 5;
+  all.coverage_floor = options_.coverage_floor;
+  std::vector<TargetService> services = {
+      {"one", "/health", options_.max_connections}};
+  for (std::size_t shard = 0; shard < options_.shards.size(); ++shard) {
+    all.shards.push_back(ShardName(shard));
+    services.push_back({ShardName(shard), "/health", options_.max_connections});
+  }
+  Route one = all;
+  one.name = "one";
+  one.prefix = "/one/";
+  one.kind = options_.single_kind;
+  one.shards.clear();
+  one.backends = {{"one", 1}};
+  return std::make_shared<RouteTable>(version, std::vector<Route>{all, one},
+                                      std::move(services), RequestLimits{});
+}
+
+SessionServer& FleetSession::server(std::size_t shard, std::size_t replica) {
+  return servers_.at(ServerName(shard, replica));
+}
+
+SessionServer& FleetSession::single(std::size_t index) {
+  return servers_.at(SingleName(index));
+}
+
+std::vector<SessionServer*> FleetSession::shard_servers() {
+  std::vector<SessionServer*> all;
+  for (auto& [name, server] : servers_) {
+    if (server.entry.service != "one")
+      all.push_back(&server);
+  }
+  return all;
+}
+
+void FleetSession::Announce(const ServerEntry& entry) {
+  servers_.at(entry.id).entry = entry;
+  for (std::size_t i = 0; i < engines_.size(); ++i) {
+    engines_[i]->OnServers({{entry}, {}}, now_);
+    Pump(i);
+  }
+}
+
+void FleetSession::Announce(const std::shared_ptr<const RouteTable>& routes) {
+  for (std::size_t i = 0; i < engines_.size(); ++i) {
+    engines_[i]->OnRoutes(routes, now_);
+    Pump(i);
+  }
+}
+
+CallId FleetSession::Ask(const std::string& target, std::size_t instance) {
+  auto message = std::make_shared<RequestMessage>();
+  const CallId id = next_call_++;
+  message->request_id = "request-" + std::to_string(id);
+  message->method = "GET";
+  message->host = "shop.example";
+  message->target = target;
+  calls_[id] = {instance, 0, 0, false};
+  CallRequest call;
+  call.id = id;
+  call.message = std::move(message);
+  engines_[instance]->OnCall(std::move(call), now_);
+  Pump(instance);
+  return id;
+}
+
+const SessionAnswer& FleetSession::SearchNow(std::size_t instance) {
+  const CallId call = Search(instance);
+  while (!answered(call))
+    Run(Millis(1));
+  return answer(call);
+}
+
+const SessionAnswer& FleetSession::SingleNow(std::size_t instance) {
+  const CallId call = Single(instance);
+  while (!answered(call))
+    Run(Millis(1));
+  return answer(call);
+}
+
+void FleetSession::LeaveCaller(CallId call) {
+  const std::size_t instance = calls_.at(call).instance;
+  engines_[instance]->OnCallerLeft(call, now_);
+  Pump(instance);
+}
+
+void FleetSession::Load(double per_second, Duration duration) {
+  const Time end = now_ + duration;
+  const auto gap = static_cast<std::int64_t>(1e6 / per_second);
+  std::size_t next = 0;
+  while (now_ < end) {
+    Search(next++ % engines_.size());
+    Run(Duration(gap / 2 + static_cast<std::int64_t>(random_.Below(
+                               static_cast<std::uint64_t>(gap)))));
+  }
+}
+
+void FleetSession::At(Time time, std::function<void()> event) {
+  events_.emplace(time, std::move(event));
+}
+
+void FleetSession::Run(Duration duration) {
+  const Time end = now_ + duration;
+  while (true) {
+    Time next = events_.empty() ? kNever : events_.begin()->first;
+    const auto turn = std::min_element(turns_.begin(), turns_.end());
+    if (std::min(next, *turn) > end)
+      break;
+    now_ = std::max(now_, std::min(next, *turn));
+    if (next <= *turn) {
+      const auto event = std::move(events_.begin()->second);
+      events_.erase(events_.begin());
+      event();
+    } else {
+      Pump(static_cast<std::size_t>(turn - turns_.begin()));
+    }
+  }
+  now_ = end;
+}
+
+void FleetSession::Pump(std::size_t instance) {
+  if (frozen_.count(instance) > 0) {
+    turns_[instance] = kNever;
+    return;
+  }
+  turns_[instance] = engines_[instance]->Turn(now_);
+  for (auto& action : engines_[instance]->TakeActions())
+    Carry(instance, std::move(action));
+}
+
+void FleetSession::Carry(std::size_t instance, DispatchAction action) {
+  if (const auto* send = std::get_if<SendToServer>(&action)) {
+    Deliver(instance, *send);
+  } else if (const auto* forward = std::get_if<ForwardCall>(&action)) {
+    Forward(instance, *forward);
+  } else if (const auto* cancel = std::get_if<CancelSend>(&action)) {
+    CancelAt(instance, cancel->send);
+  } else if (auto* done = std::get_if<CompleteCall>(&action)) {
+    Complete(instance, std::move(*done));
+  } else if (const auto* ping = std::get_if<PingInstance>(&action)) {
+    const std::size_t other = IndexOf(ping->name);
+    const bool alive = frozen_.count(other) == 0;
+    const Duration way =
+        Way(options_.instances[instance], options_.instances[other]);
+    At(now_ + (alive ? 2 * way : Millis(400)),
+       [this, instance, alive, name = ping->name] {
+         engines_[instance]->OnPing(name, alive, now_);
+         Pump(instance);
+       });
+  } else if (const auto* probe = std::get_if<ProbeHealth>(&action)) {
+    const bool alive = !servers_.at(probe->server).silent;
+    At(now_ + 2 * kFar, [this, instance, alive, id = probe->server] {
+      engines_[instance]->OnProbe(id, alive, now_);
+      Pump(instance);
+    });
+  }
+}
+
+Duration FleetSession::Way(const std::string& from,
+                           const std::string& to) const {
+  return from == to ? kNear
+                    : (RegionOf(from) == RegionOf(to) ? Millis(1) : kFar);
+}
+
+std::size_t FleetSession::IndexOf(const std::string& name) const {
+  for (std::size_t i = 0; i < instances_.size(); ++i) {
+    if (instances_[i].name == name)
+      return i;
+  }
+  return 0;
+}
+
+void FleetSession::Deliver(std::size_t instance, const SendToServer& send) {
+  const SessionServer& server = servers_.at(send.server);
+  At(now_ + Way(options_.instances[instance], server.entry.data_centre),
+     [this, instance, send] { Arrive(instance, send); });
+}
+
+void FleetSession::Arrive(std::size_t instance, const SendToServer& send) {
+  SessionServer& server = servers_.at(send.server);
+  const Duration way =
+      Way(options_.instances[instance], server.entry.data_centre);
+  ++server.arrivals;
+  const auto held =
+      static_cast<int>(server.running.size() + server.queue.size());
+  if (held >= server.most_connections) {
+    TargetReply away;
+    away.send = send.send;
+    away.outcome = SendOutcome::kTurnedAway;
+    return Reply(instance, std::move(away), way);
+  }
+  if (random_.Unit() < server.reject_ratio) {
+    ++server.rejections;
+    TargetReply rejected;
+    rejected.send = send.send;
+    rejected.outcome = SendOutcome::kAnswered;
+    rejected.status = 503;
+    rejected.not_executed = true;
+    return Reply(instance, std::move(rejected), way);
+  }
+  SessionServer::Job job{instance, send.send, send.message->request_id};
+  if (server.running.size() < server.entry.slots)
+    Start(&server, std::move(job));
+  else
+    server.queue.push_back(std::move(job));
+}
+
+void FleetSession::Start(SessionServer* server, SessionServer::Job job) {
+  server->running.emplace(job.instance, job.send);
+  server->most_running =
+      std::max(server->most_running, static_cast<int>(server->running.size()));
+  ++server->runs;
+  ++server->runs_by_request[job.request_id];
+  if (server->silent)
+    return;
+  const double spread = 0.7 + 0.6 * random_.Unit();
+  const Duration work(static_cast<std::int64_t>(
+      static_cast<double>(server->work.count()) * spread));
+  At(std::max(now_, server->paused_until) + work,
+     [this, server, job] { Finish(server, job); });
+}
+
+void FleetSession::Finish(SessionServer* server,
+                          const SessionServer::Job& job) {
+  if (server->running.erase({job.instance, job.send}) == 0)
+    return;
+  TargetReply reply;
+  reply.send = job.send;
+  reply.outcome =
+      server->resetting ? SendOutcome::kBroken : SendOutcome::kAnswered;
+  reply.status = server->failing ? 500 : 200;
+  if (!server->unsigned_)
+    reply.signature = server->entry.id + "/" + job.request_id;
+  reply.body = std::string(15, 'x') + server->entry.id.back();
+  Reply(job.instance, std::move(reply),
+        Way(options_.instances[job.instance], server->entry.data_centre));
+  if (!server->queue.empty()) {
+    SessionServer::Job next = std::move(server->queue.front());
+    server->queue.pop_front();
+    Start(server, std::move(next));
+  }
+}
+
+void FleetSession::Reply(std::size_t instance,
+                         TargetReply reply,
+                         Duration way) {
+  At(now_ + way, [this, instance, reply = std::move(reply)]() mutable {
+    if (frozen_.count(instance) > 0)
+      return;
+    engines_[instance]->OnReply(std::move(reply), now_);
+    Pump(instance);
+  });
+}
+
+void FleetSession::Forward(std::size_t instance, const ForwardCall& forward) {
+  ++forwards_;
+  const std::size_t other = IndexOf(forward.home);
+  const Duration way =
+      Way(options_.instances[instance], options_.instances[other]);
+  At(now_ + way, [this, instance, other, forward] {
+    if (frozen_.count(other) > 0)
+      return;
+    const CallId id = next_call_++;
+    calls_[id] = {other, instance, forward.send, true};
+    forwarded_[{instance, forward.send}] = id;
+    CallRequest call;
+    call.id = id;
+    call.message = forward.message;
+    call.forwarded = true;
+    call.caller_timeout = forward.time_left;
+    call.target_left = forward.target_left;
+    call.routes_version = forward.routes_version;
+    call.only_shards = forward.shards;
+    engines_[other]->OnCall(std::move(call), now_);
+    Pump(other);
+  });
+}
+
+void FleetSession::Complete(std::size_t instance, CompleteCall done) {
+  const CallState& call = calls_.at(done.call);
+  if (!call.peer) {
+    answers_[done.call] = {std::move(done.reply), std::move(done.record), now_};
+    return;
+  }
+  TargetReply reply;
+  reply.send = call.from_send;
+  reply.outcome = SendOutcome::kAnswered;
+  reply.status = done.reply.status;
+  reply.body = std::move(done.reply.body);
+  reply.part_signatures = std::move(done.reply.part_signatures);
+  reply.missing_parts = done.reply.missing_parts;
+  reply.not_executed = done.record.code == ResultCode::kRevisionTooLow;
+  Reply(call.from, std::move(reply),
+        Way(options_.instances[instance], options_.instances[call.from]));
+}
+
+void FleetSession::CancelAt(std::size_t instance, SendId send) {
+  const auto forward = forwarded_.find({instance, send});
+  if (forward != forwarded_.end()) {
+    const CallId call = forward->second;
+    const std::size_t other = calls_.at(call).instance;
+    At(now_ + kNear, [this, call, other] {
+      engines_[other]->OnCallerLeft(call, now_);
+      Pump(other);
+    });
+    return;
+  }
+  for (auto& [name, server] : servers_) {
+    const std::size_t queued =
+        std::erase_if(server.queue, [&](const SessionServer::Job& job) {
+          return job.instance == instance && job.send == send;
+        });
+    if (queued + server.running.erase({instance, send}) > 0)
+      ++server.cancelled;
+  }
+}
+
+}  // namespace limpetrudder
--- /dev/null
+++ b/src/dispatch/tests/fleet_session.h
@@ -0,0 +1,146 @@
+#ifndef DISPATCH_TESTS_FLEET_SESSION_H_
+#define DISPATCH_TESTS_FLEET_SESSION_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "dispatch/dispatch_engine.h"
+#include "framework/random.h"
+
+namespace limpetrudder {
+
+// One server of a session, in virtual time.
+struct SessionServer {
+  ServerEntry entry;
+  Duration work = Millis(20);
+  int most_connections = 1000;
+  double reject_ratio = 0;  // Refuses so many of its requests.
+  bool silent = false;      // Takes requests and answers nothing.
+  bool failing = false;     // Runs requests and answers 500.
+  bool resetting = false;   // Runs requests and resets the connection.
+  bool unsigned_ = false;   // Answers 200 without a signature.
+  Time paused_until{};
+
+  int arrivals = 0;
+  int runs = 0;
+  int rejections = 0;
+  int cancelled = 0;
+  int most_running = 0;
+  std::map<std::string, int> runs_by_request;
+
+  struct Job {
+    std::size_t instance = 0;
+    SendId send = 0;
+    std::string request_id;
+  };
+  std::deque<Job> queue;
+  std::set<std::pair<std::size_t, SendId>> running;
+};
+
+struct SessionAnswer {
+  CallReply reply;
+  CallRecord record;
+  Time at{};
+};
+
+// Instances with their engines, and servers of shards, in virtual time: the
+// same options give the same session.
+class FleetSession {
+ public:
+  struct Options {
+    std::vector<std::string> instances = {"kgn-a"};  // Data centre of each.
+    std::vector<std::vector<std::string>> shards;    // Data centres of servers.
+    std::uint32_t max_attempts = 2;
+    double coverage_floor = 0.89;
+    Duration latency_target = Millis(200);
+    Duration timeout = Millis(2000);
+    std::uint32_t max_connections = 100;
+    RequestKind single_kind = RequestKind::kIdempotent;
+    int single_servers = 3;
+    RetryBudgetTerms budget{0.2, 1000};
+    double cores = 0.25;
+  };
+
+  explicit FleetSession(Options options);
+
+  // Asks all shards, or one server ("/one/"), at an instance. Returns the call.
+  CallId Search(std::size_t instance = 0) { return Ask("/all/x", instance); }
+  CallId Single(std::size_t instance = 0) { return Ask("/one/x", instance); }
+  CallId Ask(const std::string& target, std::size_t instance);
+
+  // Searches and runs until the answer is there.
+  const SessionAnswer& SearchNow(std::size_t instance = 0);
+  const SessionAnswer& SingleNow(std::size_t instance = 0);
+
+  void LeaveCaller(CallId call);
+  void Run(Duration duration);
+
+  // Has the session's random callers ask `per_second` searches for `duration`.
+  void Load(double per_second, Duration duration);
+
+  bool answered(CallId call) const { return answers_.count(call) > 0; }
+  const SessionAnswer& answer(CallId call) const { return answers_.at(call); }
+  const std::map<CallId, SessionAnswer>& answers() const { return answers_; }
+
+  SessionServer& server(std::size_t shard, std::size_t replica);
+  SessionServer& single(std::size_t index);
+  std::vector<SessionServer*> shard_servers();
+  DispatchEngine& engine(std::size_t instance) { return *engines_[instance]; }
+
+  // The servers' entries change for all instances.
+  void Announce(const ServerEntry& entry);
+  void Announce(const std::shared_ptr<const RouteTable>& routes);
+  // An instance answers nothing any more, also to pings.
+  void Freeze(std::size_t instance) { frozen_.insert(instance); }
+
+  std::shared_ptr<RouteTable> MakeRoutes(std::uint64_t version) const;
+  Time now() const { return now_; }
+  int forwards() const { return forwards_; }
+
+ private:
+  struct CallState {
+    std::size_t instance = 0;
+    // Set if another instance asked.
+    std::size_t from = 0;
+    SendId from_send = 0;
+    bool peer = false;
+  };
+
+  void At(Time time, std::function<void()> event);
+  void Pump(std::size_t instance);
+  void Carry(std::size_t instance, DispatchAction action);
+  void Deliver(std::size_t instance, const SendToServer& send);
+  void Arrive(std::size_t instance, const SendToServer& send);
+  void Start(SessionServer* server, SessionServer::Job job);
+  void Finish(SessionServer* server, const SessionServer::Job& job);
+  void Reply(std::size_t instance, TargetReply reply, Duration way);
+  void Forward(std::size_t instance, const ForwardCall& forward);
+  void Complete(std::size_t instance, CompleteCall done);
+  void CancelAt(std::size_t instance, SendId send);
+  Duration Way(const std::string& from, const std::string& to) const;
+  std::size_t IndexOf(const std::string& instance_name) const;
+
+  Options options_;
+  Random random_{11};
+  Time now_ = Time(Seconds(1000));
+  std::multimap<Time, std::function<void()>> events_;
+  std::vector<InstanceEntry> instances_;
+  std::vector<std::unique_ptr<DispatchEngine>> engines_;
+  std::vector<Time> turns_;
+  std::map<std::string, SessionServer> servers_;
+  std::map<CallId, CallState> calls_;
+  std::map<CallId, SessionAnswer> answers_;
+  std::set<std::size_t> frozen_;
+  std::map<std::pair<std::size_t, SendId>, CallId> forwarded_;
+  CallId next_call_ = 1;
+  int forwards_ = 0;
+};
+
+}  // namespace limpetrudder
+
+#endif  // DISPATCH_TESTS_FLEET_SESSION_H_
--- /dev/null
+++ b/src/dispatch/tests/homes_test.cc
@@ -0,0 +1,94 @@
+#include <doctest/doctest.h>
+
+#include "dispatch/tests/fleet_session.h"
+
+namespace limpetrudder {
+namespace {
+
+// Half of the shards have their server in one data centre, half in the other.
+FleetSession::Options TwoDataCentres() {
+  FleetSession::Options options;
+  options.instances = {"kgn-a", "mbj-a", "mbj-a"};
+  for (int i = 0; i < 10; ++i) {
+    options.shards.push_back({"kgn-a"});
+    options.shards.push_back({"mbj-a"});
+  }
+  return options;
+}
+
+TEST_CASE("Shards whose servers are far") {
+  FleetSession session(TwoDataCentres());
+
+  SUBCASE("are gathered by one instance beside them") {
+    const SessionAnswer& answer = session.SearchNow(0);
+    CHECK(answer.reply.status == 200);
+    CHECK(answer.reply.part_signatures.size() == 20);
+    CHECK(answer.reply.missing_parts == 0);
+    CHECK(answer.record.delegated == 10);
+    CHECK(answer.record.sends == 10);
+    CHECK(session.forwards() == 1);
+    CHECK(answer.reply.body.size() == 5 * 16);
+  }
+  SUBCASE("are missing one by one if that instance lacks some") {
+    session.server(1, 0).silent = true;
+    session.server(3, 0).silent = true;
+    const SessionAnswer& answer = session.SearchNow(0);
+    CHECK(answer.reply.status == 200);
+    CHECK(answer.reply.missing_parts == 2);
+    CHECK(answer.reply.part_signatures.size() == 18);
+    CHECK(answer.record.took < Millis(195));
+  }
+  SUBCASE("are asked from here after the instances beside them froze") {
+    session.Freeze(1);
+    session.Freeze(2);
+    // Each of them costs one query, which is given up within the time that
+    // leaves its caller a second try.
+    for (int i = 0; i < 2; ++i) {
+      const SessionAnswer& lost = session.SearchNow(0);
+      CHECK(lost.reply.status == 502);
+      CHECK(lost.record.took < Millis(300));
+    }
+    // Nobody is left beside them, so they are asked from here.
+    const SessionAnswer& answer = session.SearchNow(0);
+    CHECK(answer.reply.missing_parts == 0);
+    CHECK(answer.record.delegated == 0);
+  }
+  SUBCASE("never run on more servers than allowed because of a frozen one") {
+    session.Freeze(1);
+    session.Freeze(2);
+    session.Search(0);
+    session.Run(Seconds(3));
+    for (std::size_t shard = 0; shard < 20; ++shard)
+      CHECK(session.server(shard, 0).runs <= 1);
+  }
+  SUBCASE("aren't left at work there once the caller has left") {
+    const CallId call = session.Search(0);
+    session.Run(Millis(12));
+    session.LeaveCaller(call);
+    session.Run(Millis(100));
+    for (auto* server : session.shard_servers())
+      CHECK(server->running.empty());
+  }
+}
+
+TEST_CASE("An instance far from all servers") {
+  FleetSession::Options options;
+  options.instances = {"mdv-a", "kgn-a"};
+  options.shards.assign(20, {"kgn-a", "mbj-a"});
+  options.latency_target = Millis(400);
+  FleetSession session(options);
+  const SessionAnswer& answer = session.SearchNow(0);
+  CHECK(answer.reply.part_signatures.size() == 20);
+  CHECK(session.forwards() == 1);
+
+  SUBCASE("gathers by itself when its home refuses newer routes") {
+    session.engine(0).OnRoutes(session.MakeRoutes(2), session.now());
+    const SessionAnswer& next = session.SearchNow(0);
+    CHECK(next.reply.status == 200);
+    CHECK(next.reply.part_signatures.size() == 20);
+    CHECK(next.record.routes_version == 2);
+  }
+}
+
+}  // namespace
+}  // namespace limpetrudder
--- /dev/null
+++ b/src/dispatch/tests/load_test.cc
@@ -0,0 +1,107 @@
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+#include "dispatch/tests/fleet_session.h"
+
+namespace limpetrudder {
+namespace {
+
+struct Tally {
+  int asked = 0;
+  int whole = 0;
+  int in_part = 0;
+  int in_target = 0;
+  int refused = 0;
+  int failed = 0;
+  std::uint32_t sends = 0;
+  std::uint32_t hedges = 0;
+};
+
+Tally Count(const FleetSession& session, CallId from, Duration target) {
+  Tally tally;
+  for (const auto& [call, answer] : session.answers()) {
+    if (call < from)
+      continue;
+    ++tally.asked;
+    tally.sends += answer.record.sends;
+    tally.hedges += answer.record.hedges;
+    if (answer.reply.status == 200) {
+      ++(answer.reply.missing_parts == 0 ? tally.whole : tally.in_part);
+      tally.in_target += answer.record.took <= target ? 1 : 0;
+    } else {
+      ++(answer.reply.status == 503 ? tally.refused : tally.failed);
+    }
+  }
+  return tally;
+}
+
+FleetSession::Options SmallSite() {
+  FleetSession::Options options;
+  options.instances.assign(4, "kgn-a");
+  options.shards.assign(20, {"kgn-a", "mbj-a"});
+  options.max_connections = 26;
+  options.budget = {0.2, 56};
+  return options;
+}
+
+TEST_CASE("A heavy day: one in seven servers is eight times slower") {
+  FleetSession session(SmallSite());
+  session.Load(60, Seconds(3));
+  for (std::size_t shard = 0; shard < 20; shard += 7)
+    session.server(shard, 0).work = Millis(160);
+  const CallId from = session.Search();
+  session.Load(60, Seconds(8));
+  session.Run(Seconds(3));
+  const Tally tally = Count(session, from, Millis(200));
+  CHECK(tally.in_target >= tally.asked * 98 / 100);
+  CHECK(tally.whole >= tally.asked * 90 / 100);
+  CHECK(tally.failed == 0);
+  // The budget of all instances: a fifth, and the slack in each window.
+  CHECK(tally.sends <= static_cast<std::uint32_t>(tally.asked * 20 * 1.26));
+}
+
+TEST_CASE("A heavy day: servers refuse a part of their requests") {
+  FleetSession session(SmallSite());
+  session.Load(60, Seconds(3));
+  for (std::size_t shard = 0; shard < 20; shard += 3)
+    session.server(shard, 0).reject_ratio = 0.6;
+  const CallId from = session.Search();
+  session.Load(60, Seconds(8));
+  session.Run(Seconds(3));
+  const Tally tally = Count(session, from, Millis(200));
+  CHECK(tally.in_target >= tally.asked * 97 / 100);
+  CHECK(tally.failed + tally.refused <= tally.asked / 100);
+}
+
+TEST_CASE("After a loss of power servers take few connections") {
+  FleetSession session(SmallSite());
+  for (auto* server : session.shard_servers())
+    server->most_connections = 3;
+  const CallId from = session.Search();
+  session.Load(60, Seconds(8));
+  session.Run(Seconds(3));
+  const Tally tally = Count(session, from, Millis(200));
+  CHECK(tally.in_target >= tally.asked * 90 / 100);
+  CHECK(tally.failed <= tally.asked / 50);
+}
+
+TEST_CASE("Requests beyond an instance's connections wait, and urgent first") {
+  FleetSession::Options options;
+  options.shards.assign(1, {"kgn-a"});
+  options.max_connections = 8;
+  options.single_servers = 1;
+  FleetSession session(options);
+  session.server(0, 0).work = Millis(30);
+  for (int i = 0; i < 12; ++i)
+    session.Search();
+  session.Run(Millis(1));
+  // An eighth of a server's connections, since the fleet isn't known.
+  CHECK(session.server(0, 0).most_running <= 7);
+  session.Run(Seconds(2));
+  const Tally tally = Count(session, 1, Millis(2000));
+  CHECK(tally.whole == 12);
+}
+
+}  // namespace
+}  // namespace limpetrudder
--- /dev/null
+++ b/src/dispatch/tests/server_load_test.cc
@@ -0,0 +1,136 @@
+#include <doctest/doctest.h>
+
+#include "dispatch/internal/server_load.h"
+
+namespace limpetrudder::detail {
+namespace {
+
+ServerEntry Entry() {
+  ServerEntry entry;
+  entry.id = "a";
+  entry.service = "shop";
+  entry.slots = 2;
+  entry.started_ms = 1;
+  return entry;
+}
+
+Time At(std::int64_t millis) {
+  return Time(Seconds(100)) + Millis(millis);
+}
+
+TEST_CASE("What an instance knows of a server") {
+  ServerLoad server(Entry());
+  REQUIRE(server.usable());
+
+  SUBCASE("a single pause isn't slowness") {
+    for (int i = 0; i < 5; ++i) {
+      server.OnSent(At(i * 100));
+      server.OnSettled();
+      server.OnAnswer(1, At(i * 100 + 20));
+    }
+    // Three requests wait through one pause and end together.
+    for (int i = 0; i < 3; ++i)
+      server.OnAnswer(12, At(700 + i));
+    CHECK(server.Slowness(At(701)) < 1.5);
+  }
+  SUBCASE("a slow server") {
+    for (int i = 0; i < 3; ++i)
+      server.OnAnswer(6, At(i * 100));
+    CHECK(server.Slowness(At(200)) > 5);
+
+    SUBCASE("is tried again after some seconds") {
+      CHECK(server.Slowness(At(8000)) < 1.3);
+    }
+    SUBCASE("is known to have recovered by its next answers") {
+      server.OnAnswer(1, At(300));
+      server.OnAnswer(1, At(400));
+      CHECK(server.Slowness(At(400)) < 1.5);
+    }
+  }
+  SUBCASE("silence is counted from the last answer while requests wait") {
+    CHECK(server.SilentFor(At(0)) == Duration(0));
+    server.OnSent(At(0));
+    server.OnSent(At(50));
+    CHECK(server.SilentFor(At(80)) == Millis(80));
+    server.OnSettled();
+    server.OnAnswer(1, At(90));
+    CHECK(server.SilentFor(At(100)) == Millis(10));
+  }
+  SUBCASE("a server that answers nothing is taken as down") {
+    server.OnSent(At(0));
+    CHECK_FALSE(server.OnUnanswered(20, Millis(400), At(400)));
+    CHECK(server.OnUnanswered(20, Millis(400), At(800)));
+    CHECK_FALSE(server.usable());
+
+    SUBCASE("and probed, less and less often") {
+      CHECK_FALSE(server.IsProbeDue(At(900)));
+      CHECK(server.IsProbeDue(At(1300)));
+      server.OnProbeSent(At(1300));
+      CHECK_FALSE(server.IsProbeDue(At(2200)));
+    }
+    SUBCASE("and used again once a probe is answered") {
+      CHECK(server.OnProbe(true, At(1400)));
+      CHECK(server.usable());
+
+      SUBCASE("but doubted at the first request without an answer") {
+        CHECK(server.OnUnanswered(20, Millis(400), At(2500)));
+      }
+    }
+  }
+  SUBCASE("one that answers others meanwhile isn't down, but fails") {
+    server.OnAnswer(1, At(380));
+    CHECK_FALSE(server.OnUnanswered(20, Millis(400), At(400)));
+    CHECK(server.FailureRatio(At(400)) > 0.2);
+  }
+  SUBCASE("refusals count, and fade") {
+    for (int i = 0; i < 10; ++i)
+      server.OnRejected(At(i * 10));
+    CHECK(server.RejectRatio(At(100)) > 0.9);
+    CHECK(server.RejectRatio(At(10000)) < 0.1);
+  }
+  SUBCASE("a reported queue counts for a moment") {
+    server.OnLoad({2, 6, 2, 1}, At(0));
+    CHECK(server.ExpectedLatency(Millis(20), Millis(1), At(1)) > Millis(60));
+    CHECK(server.ExpectedLatency(Millis(20), Millis(1), At(2000)) < Millis(25));
+  }
+  SUBCASE("a connection that is turned away") {
+    server.OnSent(At(0));
+    server.OnSettled();
+    server.OnTurnedAway(At(0));
+
+    SUBCASE("stops new ones for a moment") {
+      CHECK(server.ConnectionLimit(4, At(1)) == 0);
+      CHECK(server.ConnectionLimit(4, At(60)) == 1);
+    }
+    SUBCASE("doesn't stop those that are open") {
+      server.OnAnswer(1, At(2));
+      CHECK(server.ConnectionLimit(4, At(3)) == 1);
+    }
+    SUBCASE("is tried again with more connections, one each second") {
+      CHECK(server.ConnectionLimit(4, At(2500)) == 3);
+      CHECK(server.ConnectionLimit(4, At(60000)) == 4);
+    }
+    SUBCASE("makes longer pauses the more often it happens") {
+      for (int i = 0; i < 5; ++i)
+        server.OnTurnedAway(At(100));
+      CHECK(server.ConnectionLimit(4, At(800)) == 0);
+    }
+  }
+  SUBCASE("another process under the same id starts without a past") {
+    for (int i = 0; i < 3; ++i)
+      server.OnAnswer(6, At(i * 100));
+    ServerEntry reborn = Entry();
+    reborn.started_ms = 2;
+    server.Update(reborn);
+    CHECK(server.Slowness(At(300)) == doctest::Approx(1));
+  }
+  SUBCASE("a leaving server gets nothing") {
+    ServerEntry draining = Entry();
+    draining.draining = true;
+    server.Update(draining);
+    CHECK_FALSE(server.usable());
+  }
+}
+
+}  // namespace
+}  // namespace limpetrudder::detail
--- /dev/null
+++ b/src/dispatch/tests/single_test.cc
@@ -0,0 +1,113 @@
+#include <doctest/doctest.h>
+
+#include "dispatch/tests/fleet_session.h"
+
+namespace limpetrudder {
+namespace {
+
+int RunsOf(FleetSession* session, CallId call) {
+  int runs = 0;
+  for (std::size_t i = 0; i < 3; ++i) {
+    const auto& by_request = session->single(i).runs_by_request;
+    const auto found = by_request.find("request-" + std::to_string(call));
+    runs += found == by_request.end() ? 0 : found->second;
+  }
+  return runs;
+}
+
+TEST_CASE("A request to one server") {
+  FleetSession::Options options;
+
+  SUBCASE("that may run again") {
+    FleetSession session(options);
+
+    SUBCASE("gets the server's own answer") {
+      const SessionAnswer& answer = session.SingleNow();
+      CHECK(answer.reply.from_server);
+      CHECK(answer.reply.status == 200);
+    }
+    SUBCASE("is sent to another one after a reset") {
+      for (std::size_t i = 0; i < 2; ++i)
+        session.single(i).resetting = true;
+      int answered = 0;
+      for (int i = 0; i < 20; ++i)
+        answered += session.SingleNow().reply.status == 200 ? 1 : 0;
+      CHECK(answered >= 15);
+    }
+    SUBCASE("runs on no more servers than its route allows") {
+      for (std::size_t i = 0; i < 3; ++i)
+        session.single(i).resetting = true;
+      const CallId call = session.Single();
+      session.Run(Seconds(3));
+      CHECK(RunsOf(&session, call) == 2);
+      CHECK(session.answer(call).reply.status == 502);
+    }
+    SUBCASE("gets a server's failure as it is once attempts are used up") {
+      for (std::size_t i = 0; i < 3; ++i)
+        session.single(i).failing = true;
+      const SessionAnswer& answer = session.SingleNow();
+      CHECK(answer.reply.from_server);
+      CHECK(answer.reply.status == 500);
+    }
+    SUBCASE("has its final answer at the deadline") {
+      for (std::size_t i = 0; i < 3; ++i)
+        session.single(i).silent = true;
+      const SessionAnswer& answer = session.SingleNow();
+      CHECK(answer.reply.status == 504);
+      CHECK(answer.record.took <= Millis(2000));
+    }
+  }
+  SUBCASE("that runs at most once") {
+    options.single_kind = RequestKind::kNonIdempotent;
+    FleetSession session(options);
+
+    SUBCASE("isn't sent again after a reset, and isn't said not to have run") {
+      for (std::size_t i = 0; i < 3; ++i)
+        session.single(i).resetting = true;
+      const CallId call = session.Single();
+      session.Run(Seconds(3));
+      CHECK(RunsOf(&session, call) == 1);
+      CHECK(session.answer(call).reply.status == 502);
+    }
+    SUBCASE("isn't hedged") {
+      for (std::size_t i = 0; i < 3; ++i)
+        session.single(i).work = Millis(1500);
+      const CallId call = session.Single();
+      session.Run(Seconds(3));
+      CHECK(RunsOf(&session, call) == 1);
+    }
+    SUBCASE("is sent to another one that didn't refuse it") {
+      // Refused requests are paid from the budget that others earn.
+      for (int i = 0; i < 100; ++i)
+        session.SingleNow();
+      for (std::size_t i = 0; i < 2; ++i)
+        session.single(i).reject_ratio = 1;
+      for (int i = 0; i < 10; ++i) {
+        const CallId call = session.Single();
+        session.Run(Millis(200));
+        CHECK(session.answer(call).reply.status == 200);
+        CHECK(RunsOf(&session, call) == 1);
+      }
+    }
+    SUBCASE("is refused, not run, if all refuse it") {
+      for (std::size_t i = 0; i < 3; ++i)
+        session.single(i).reject_ratio = 1;
+      const CallId call = session.Single();
+      session.Run(Seconds(3));
+      CHECK(session.answer(call).reply.status == 503);
+      CHECK(session.answer(call).reply.retry_after);
+      CHECK(session.answer(call).record.took < Millis(50));
+      CHECK(RunsOf(&session, call) == 0);
+    }
+    SUBCASE("is never said not to have run while a server has it") {
+      for (std::size_t i = 0; i < 3; ++i)
+        session.single(i).silent = true;
+      const CallId call = session.Single();
+      session.Run(Seconds(3));
+      CHECK(session.answer(call).reply.status == 504);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace limpetrudder
--- a/src/routing/tests/route_table_test.cc
+++ b/src/routing/tests/route_table_test.cc
@@ -17,12 +17,11 @@
 }
 
 TEST_CASE("A table of routes") {
-  const RouteTable table(
-      7,
-      {MakeRoute("short", "shop.example", "/a/"),
-       MakeRoute("long", "shop.example", "/a/b/"),
-       MakeRoute("other", "loft.example", "/a/")},
-      {{"track", "/health", 26}}, RequestLimits{});
+  const RouteTable table(7,
+                         {MakeRoute("short", "shop.example", "/a/"),
+                          MakeRoute("long", "shop.example", "/a/b/"),
+                          MakeRoute("other", "loft.example", "/a/")},
+                         {{"track", "/health", 26}}, RequestLimits{});
   const auto name_of = [&table](const char* host, const char* path) {
     const Route* route = table.Find(host, path);
     return route == nullptr ? std::string("none") : route->name;
