--- a/src/net/tests/raw_server.h
+++ b/src/net/tests/raw_server.h
@@ -11,6 +11,13 @@
 
 namespace limpetrudder {
 
+// Returned by a behaviour: reset the connection.
+inline constexpr char kResetConnection[] = "\x01reset";
+
+// The first byte of an answer behind which the connection is closed or reset.
+inline constexpr char kThenClose = '\x02';
+inline constexpr char kThenReset = '\x03';
+
 // A TCP server that misbehaves as told. `on_request` gets the number of the
 // request on its connection, from 1, and returns the bytes to send; an empty
 // string closes the connection without an answer.
@@ -65,8 +72,14 @@
             return;
           connection->buffer.consume(bytes);
           ++requests_;
-          const std::string answer = on_request_(++connection->requests);
-          if (answer.empty()) {
+          std::string answer = on_request_(++connection->requests);
+          const char first = answer.empty() ? '\0' : answer.front();
+          const bool reset = answer == kResetConnection || first == kThenReset;
+          if (first == kThenClose || first == kThenReset)
+            asio::write(connection->socket, asio::buffer(answer.substr(1)));
+          if (reset)
+            connection->socket.set_option(asio::socket_base::linger(true, 0));
+          if (answer.empty() || reset || first == kThenClose) {
             connection->socket.close();
             return;
           }
--- /dev/null
+++ b/testing/soak/entry_process.cc
@@ -0,0 +1,93 @@
+#include "testing/soak/entry_process.h"
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <fstream>
+#include <stdexcept>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "framework/clock.h"
+
+namespace limpetrudder::testbed {
+namespace {
+
+std::string Local(std::uint16_t port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+}  // namespace
+
+EntryProcess::EntryProcess(std::string binary,
+                           std::string folder,
+                           EntryPlace place)
+    : binary_(std::move(binary)),
+      folder_(std::move(folder)),
+      place_(std::move(place)) {
+  const nlohmann::json settings = {
+      {"instance", place_.name},
+      {"data_centre", "here"},
+      {"regions", {{"here", "here"}}},
+      {"caller_address", Local(place_.caller_port)},
+      {"ready_address", Local(place_.ready_port)},
+      {"peer_address", Local(place_.peer_port)},
+      {"store_address", Local(place_.store_port)},
+      {"retry_budget", {{"ratio", 0.2}, {"slack", 50}}},
+      {"stop_bound_ms", 6000}};
+  std::ofstream(folder_ + "/" + place_.name + ".json") << settings.dump();
+}
+
+EntryProcess::~EntryProcess() {
+  if (pid_ <= 0)
+    return;
+  kill(pid_, SIGKILL);
+  waitpid(pid_, nullptr, 0);
+}
+
+void EntryProcess::Start() {
+  const std::string settings = folder_ + "/" + place_.name + ".json";
+  const std::string log = folder_ + "/" + place_.name + ".log";
+  posix_spawn_file_actions_t files;
+  posix_spawn_file_actions_init(&files);
+  posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+  const char* arguments[] = {binary_.c_str(), "entry", "--settings",
+                             settings.c_str(), nullptr};
+  const int failed = posix_spawn(&pid_, binary_.c_str(), &files, nullptr,
+                                 const_cast<char* const*>(arguments), environ);
+  posix_spawn_file_actions_destroy(&files);
+  if (failed != 0)
+    throw std::runtime_error("can't start " + binary_);
+  paused_ = false;
+  stopping_ = false;
+}
+
+void EntryProcess::Signal(int signal) {
+  if (pid_ <= 0)
+    return;
+  kill(pid_, signal);
+  signalled_ = SteadyNow();
+  if (signal == SIGSTOP)
+    paused_ = true;
+  if (signal == SIGCONT)
+    paused_ = false;
+  if (signal == SIGTERM)
+    stopping_ = true;
+}
+
+bool EntryProcess::Ended() {
+  if (pid_ <= 0)
+    return true;
+  if (waitpid(pid_, &exit_status_, WNOHANG) != pid_)
+    return false;
+  pid_ = 0;
+  return true;
+}
+
+}  // namespace limpetrudder::testbed
