--- a/scripts/check_layers.sh
+++ b/scripts/check_layers.sh
@@ -2,7 +2,8 @@
 # Decision libraries may not reach for I/O, threads, clocks or global randomness.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-decisions='src/config src/routing src/limits src/query src/once src/membership'
+decisions='src/config src/routing src/limits src/query src/once src/membership
+  src/discovery src/dispatch'
 forbidden='#include <(asio|restinio|curl|grpc|thread|mutex|condition_variable|future|random|fstream|iostream|sys/|unistd)'
 clocks='(steady_clock|system_clock|high_resolution_clock)::now'
 found=$(grep -rnE "$forbidden|$clocks|std::rand\b|random_device" $decisions \
@@ -12,7 +13,12 @@
   echo "$found" >&2
   exit 1
 fi
-up=$(grep -rnE '#include "(net|app)/' $decisions src/framework || true)
+up=$(grep -rnE '#include "(net|app|platform)/' $decisions src/framework || true)
+up+=$(grep -rnE '#include "(app|platform)/' src/net || true)
+up+=$(grep -rnE '#include "app/' platform || true)
+# Nothing outside platform/ knows the platform's names.
+up+=$(grep -rnE 'kv-(range|watch|txn|keep|lease)|Server-Stamp|Part-Stamps|Gather"' \
+  src --include='*.h' --include='*.cc' || true)
 up+=$(grep -rnE '#include "(query|once|membership|config|routing|limits)/' \
   src/framework || true)
 if [ -n "$up" ]; then
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -2,7 +2,8 @@
 # Checks formatting, lint and layers. Needs a configured build/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-files=$(git ls-files 'src/*.cc' 'src/*.h' 'testing/*.cc' 'testing/*.h' |
+files=$(git ls-files 'src/*.cc' 'src/*.h' 'testing/*.cc' 'testing/*.h' \
+  'platform/*.cc' 'platform/*.h' |
   grep -v '/generated/')
 clang-format --dry-run -Werror $files
 echo "format: clean"
--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -206,7 +206,8 @@
 
 void DispatchDuty::CarryOut() {
   for (auto& action : engine_.TakeActions())
-    std::visit([this](auto&& a) { Carry(std::move(a)); }, std::move(action));
+    std::visit([this](auto&& a) { Carry(std::forward<decltype(a)>(a)); },
+               std::move(action));
 }
 
 void DispatchDuty::Carry(SendToServer action) {
--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -255,7 +255,6 @@
   leg.asked.push_back(choice.server.get());
   leg.last_server = entry.id;
   leg.waiting = false;
-  leg.retry_at = kNever;
   ++leg.sends;
   ++leg.runs;
   ++leg.arrivals;
@@ -495,7 +494,6 @@
   leg.state = detail::LegState::kFailed;
   leg.code = code;
   leg.hedge_at = kNever;
-  leg.retry_at = kNever;
   ++call->failed;
 }
 
@@ -517,7 +515,7 @@
   Time next = detail::NextAnswerDecision(*call, now);
   for (const Leg& leg : call->legs) {
     if (leg.state == detail::LegState::kOpen)
-      next = std::min({next, leg.hedge_at, leg.retry_at});
+      next = std::min(next, leg.hedge_at);
   }
   if (next == call->wake)
     return;
--- a/src/dispatch/internal/active_call.h
+++ b/src/dispatch/internal/active_call.h
@@ -27,7 +27,6 @@
   bool waiting = false;        // In its group's queue.
   bool delegated = false;      // Another instance asks the servers.
   Time hedge_at = kNever;
-  Time retry_at = kNever;
   std::string signature;
   std::string body;
   ResultCode code = ResultCode::kOk;  // Why the last send gave no answer.
--- a/src/dispatch/tests/server_load_test.cc
+++ b/src/dispatch/tests/server_load_test.cc
@@ -23,18 +23,18 @@
   REQUIRE(server.usable());
 
   SUBCASE("a single pause isn't slowness") {
-    for (int i = 0; i < 5; ++i) {
+    for (std::int64_t i = 0; i < 5; ++i) {
       server.OnSent(At(i * 100));
       server.OnSettled();
       server.OnAnswer(1, At(i * 100 + 20));
     }
     // Three requests wait through one pause and end together.
-    for (int i = 0; i < 3; ++i)
+    for (std::int64_t i = 0; i < 3; ++i)
       server.OnAnswer(12, At(700 + i));
     CHECK(server.Slowness(At(701)) < 1.5);
   }
   SUBCASE("a slow server") {
-    for (int i = 0; i < 3; ++i)
+    for (std::int64_t i = 0; i < 3; ++i)
       server.OnAnswer(6, At(i * 100));
     CHECK(server.Slowness(At(200)) > 5);
 
@@ -83,7 +83,7 @@
     CHECK(server.FailureRatio(At(400)) > 0.2);
   }
   SUBCASE("refusals count, and fade") {
-    for (int i = 0; i < 10; ++i)
+    for (std::int64_t i = 0; i < 10; ++i)
       server.OnRejected(At(i * 10));
     CHECK(server.RejectRatio(At(100)) > 0.9);
     CHECK(server.RejectRatio(At(10000)) < 0.1);
@@ -111,13 +111,13 @@
       CHECK(server.ConnectionLimit(4, At(60000)) == 4);
     }
     SUBCASE("makes longer pauses the more often it happens") {
-      for (int i = 0; i < 5; ++i)
+      for (std::int64_t i = 0; i < 5; ++i)
         server.OnTurnedAway(At(100));
       CHECK(server.ConnectionLimit(4, At(800)) == 0);
     }
   }
   SUBCASE("another process under the same id starts without a past") {
-    for (int i = 0; i < 3; ++i)
+    for (std::int64_t i = 0; i < 3; ++i)
       server.OnAnswer(6, At(i * 100));
     ServerEntry reborn = Entry();
     reborn.started_ms = 2;
--- a/testing/soak/soak.h
+++ b/testing/soak/soak.h
@@ -96,7 +96,7 @@
   std::vector<std::unique_ptr<TcpProxy>> server_proxies_;
   std::vector<std::unique_ptr<EntryProcess>> entries_;
   std::map<std::uint64_t, Asked> asked_;
-  std::set<std::string> writes_;  // Request ids of what may run once.
+  std::set<std::string> writes_;        // Request ids of what may run once.
   std::map<std::string, int> not_run_;  // Said not to have run, by request id.
   std::vector<Ending> endings_;
   std::vector<std::string> broken_;
