A delegated batch waits if its query would fail without it

Change: a batch is told how many parts may be missing; with more it goes on until enough are in or can't be. Kept, since a late answer serves its caller better than none.

--- a/src/dispatch/dispatch_engine_homes.cc
+++ b/src/dispatch/dispatch_engine_homes.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "dispatch/dispatch_engine.h"
+#include "dispatch/internal/answer_policy.h"
 
 namespace limpetrudder {
 namespace {
@@ -59,7 +60,10 @@
   actions_.emplace_back(ForwardCall{
       id, home->entry().id, home->entry().address, call->call.message,
       call->deadline - now - way, call->answer_by - now - way,
-      call->table->version(), std::move(shards)});
+      call->table->version(), std::move(shards),
+      static_cast<std::uint32_t>(call->legs.size()) -
+          std::min(static_cast<std::uint32_t>(call->legs.size()),
+                   detail::FewestParts(*call->route))});
 }
 
 void DispatchEngine::GatherHere(ActiveCall* call, bool repeated, Time now) {
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -45,6 +45,9 @@
   // Of a delegated call: the shards that are wanted, whatever the route names.
   // Its answer has a signature, perhaps empty, for each of them.
   std::vector<std::string> only_shards;
+  // How many of them may be missing when the time for the target is up; with
+  // more the answer waits, since the whole query would fail without them.
+  std::uint32_t most_missing = 0;
 };
 
 // What a server says of its load beside an answer.
@@ -138,6 +141,7 @@
   Duration target_left{0};
   std::uint64_t routes_version = 0;
   std::vector<std::string> shards;
+  std::uint32_t most_missing = 0;
 };
 
 struct CancelSend {
--- a/src/dispatch/internal/answer_policy.cc
+++ b/src/dispatch/internal/answer_policy.cc
@@ -9,6 +9,14 @@
 // Keeps the least count on the right side of rounding.
 constexpr double kRounding = 1e-9;
 
+// The fewest legs that make an answer.
+std::uint32_t FewestLegs(const ActiveCall& call) {
+  if (!call.is_partial())
+    return FewestParts(*call.route);
+  const auto legs = static_cast<std::uint32_t>(call.legs.size());
+  return legs - std::min(legs, call.call.most_missing);
+}
+
 }  // namespace
 
 std::uint32_t FewestParts(const Route& route) {
@@ -30,15 +38,16 @@
     return call.failed > 0 || now >= call.deadline ? AnswerDecision::kGiveUp
                                                    : AnswerDecision::kWait;
   }
-  const std::uint32_t fewest = call.is_partial() ? 0 : FewestParts(*call.route);
+  const std::uint32_t fewest = FewestLegs(call);
   if (call.answered >= fewest) {
     const bool all_known = call.answered + call.failed == legs;
     return all_known || now >= call.answer_by ? AnswerDecision::kAnswer
                                               : AnswerDecision::kWait;
   }
   const bool out_of_reach = legs - call.failed < fewest;
-  return out_of_reach || now >= call.deadline ? AnswerDecision::kGiveUp
-                                              : AnswerDecision::kWait;
+  if (!out_of_reach && now < call.deadline)
+    return AnswerDecision::kWait;
+  return call.is_partial() ? AnswerDecision::kAnswer : AnswerDecision::kGiveUp;
 }
 
 Time NextAnswerDecision(const ActiveCall& call, Time now) {
--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -350,6 +350,7 @@
     call.target_left = forward.target_left;
     call.routes_version = forward.routes_version;
     call.only_shards = forward.shards;
+    call.most_missing = forward.most_missing;
     engines_[other]->OnCall(std::move(call), now_);
     Pump(other);
   });
--- a/src/dispatch/tests/homes_test.cc
+++ b/src/dispatch/tests/homes_test.cc
@@ -38,6 +38,14 @@
     CHECK(answer.reply.part_signatures.size() == 18);
     CHECK(answer.record.took < Millis(195));
   }
+  SUBCASE("are late rather than missing when too many of them are slow") {
+    for (std::size_t shard = 1; shard < 10; shard += 2)
+      session.server(shard, 0).work = Millis(400);
+    const SessionAnswer& answer = session.SearchNow(0);
+    CHECK(answer.reply.status == 200);
+    CHECK(answer.reply.missing_parts <= 2);
+    CHECK(answer.record.took > Millis(200));
+  }
   SUBCASE("are asked from here after the instances beside them froze") {
     session.Freeze(1);
     session.Freeze(2);
--- a/src/dispatch/tests/parts_test.cc
+++ b/src/dispatch/tests/parts_test.cc
@@ -162,11 +162,18 @@
     deciding.route.coverage_floor = 0.85;
     CHECK(FewestParts(deciding.route) == 17);
   }
-  SUBCASE("for another instance: with whatever is in when time is up") {
+  SUBCASE("for another instance: when its query can do without the rest") {
     deciding.call.call.only_shards = {"s0"};
-    CHECK(deciding.At(189, 3, 0) == AnswerDecision::kWait);
-    CHECK(deciding.At(190, 3, 0) == AnswerDecision::kAnswer);
-    CHECK(deciding.At(190, 0, 20) == AnswerDecision::kAnswer);
+    deciding.call.call.most_missing = 2;
+    CHECK(deciding.At(189, 18, 0) == AnswerDecision::kWait);
+    CHECK(deciding.At(190, 18, 0) == AnswerDecision::kAnswer);
+    CHECK(deciding.At(190, 17, 0) == AnswerDecision::kWait);
+    CHECK(deciding.At(500, 18, 0) == AnswerDecision::kAnswer);
+
+    SUBCASE("or can't be answered any more, so that it learns that at once") {
+      CHECK(deciding.At(50, 3, 3) == AnswerDecision::kAnswer);
+      CHECK(deciding.At(1900, 17, 0) == AnswerDecision::kAnswer);
+    }
   }
 }
 
--- a/src/net/forward_codec.cc
+++ b/src/net/forward_codec.cc
@@ -16,6 +16,7 @@
 constexpr char kRequestId[] = "Limpet-Request-Id";
 constexpr char kHost[] = "Limpet-Host";
 constexpr char kShards[] = "Limpet-Shards";
+constexpr char kMostMissing[] = "Limpet-Most-Missing";
 constexpr char kNotTaken[] = "Limpet-Not-Taken";
 constexpr char kSignatures[] = "Limpet-Part-Signatures";
 constexpr char kMissing[] = "Limpet-Missing-Parts";
@@ -76,8 +77,10 @@
   AppendMillis(&bytes, kTimeLeft, forward.time_left);
   AppendMillis(&bytes, kForwardedHeader, forward.target_left);
   AppendHeader(&bytes, kVersion, std::to_string(forward.routes_version));
-  if (!forward.shards.empty())
+  if (!forward.shards.empty()) {
     AppendHeader(&bytes, kShards, JoinList(forward.shards));
+    AppendHeader(&bytes, kMostMissing, std::to_string(forward.most_missing));
+  }
   for (const auto& header : message.headers)
     AppendHeader(&bytes, header.name, header.value);
   if (!message.body.empty())
@@ -111,6 +114,7 @@
   call.forwarded = true;
   std::uint64_t time_left = 0;
   std::uint64_t target_left = 0;
+  std::uint64_t most_missing = 0;
   bool readable = true;
   for (auto& header : request.headers) {
     if (header.name == kHost)
@@ -121,6 +125,8 @@
       readable = ReadNumber(header.value, &time_left) && readable;
     else if (header.name == kForwardedHeader)
       readable = ReadNumber(header.value, &target_left) && readable;
+    else if (header.name == kMostMissing)
+      readable = ReadNumber(header.value, &most_missing) && readable;
     else if (header.name == kShards)
       call.only_shards = SplitList(header.value);
     else if (header.name == kVersion)
@@ -136,6 +142,7 @@
   }
   call.caller_timeout = Millis(static_cast<std::int64_t>(time_left));
   call.target_left = Millis(static_cast<std::int64_t>(target_left));
+  call.most_missing = static_cast<std::uint32_t>(most_missing);
   message->method = std::move(request.method);
   message->target = std::move(request.target);
   message->body = std::move(request.body);
--- a/src/net/tests/peer_feed_test.cc
+++ b/src/net/tests/peer_feed_test.cc
@@ -74,8 +74,12 @@
   }
   SUBCASE("names the shards that are wanted") {
     forward.shards = {"s1", "s2"};
-    CHECK(DecodeForward(sent(), 9).assume_value().only_shards ==
+    forward.most_missing = 1;
+    const auto call = DecodeForward(sent(), 9);
+    REQUIRE(call);
+    CHECK(call.assume_value().only_shards ==
           std::vector<std::string>{"s1", "s2"});
+    CHECK(call.assume_value().most_missing == 1);
   }
   SUBCASE("without its times is refused") {
     ServerRequest request = sent();
