Large instances divide connections and slack among themselves

Change: FleetShare: the large ones count themselves only, small ones keep to an equal share and to one token of slack.

--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -125,13 +125,19 @@
   homes_.Update(instances);
   // NOTE Shares of connections and budgets grow late: entries may be missing
   // because the store was away.
-  const auto count =
-      std::max<std::uint32_t>(1, static_cast<std::uint32_t>(instances.size()));
-  if (count < counted_instances_ && now - counted_at_ < kCountMemory)
+  FleetShare fleet{0, 0, 0};
+  for (const auto& instance : instances) {
+    ++fleet.instances;
+    fleet.as_large += instance.cores == settings_.own.cores ? 1 : 0;
+    fleet.larger += instance.cores > settings_.own.cores ? 1 : 0;
+  }
+  if (fleet.as_large == 0 || (fleet.instances < counted_instances_ &&
+                              now - counted_at_ < kCountMemory)) {
     return;
-  counted_instances_ = count;
+  }
+  counted_instances_ = fleet.instances;
   counted_at_ = now;
-  servers_.SetInstances(count);
+  servers_.SetFleet(fleet);
 }
 
 void DispatchEngine::Refuse(const CallRequest& call,
--- a/src/dispatch/internal/server_table.cc
+++ b/src/dispatch/internal/server_table.cc
@@ -26,7 +26,7 @@
                     "/",
                     ConnectionShare(kUnknownConnections),
                     {},
-                    RetryBudget(terms_, instances_),
+                    RetryBudget(terms_, fleet_),
                     {}});
   }
   return group.get();
@@ -77,12 +77,12 @@
   DivideConnections();
 }
 
-void ServerTable::SetInstances(std::uint32_t instances) {
-  if (instances == instances_ || instances == 0)
+void ServerTable::SetFleet(const FleetShare& fleet) {
+  if (fleet == fleet_)
     return;
-  instances_ = instances;
+  fleet_ = fleet;
   for (auto& [name, group] : groups_)
-    group->budget.SetInstances(terms_, instances);
+    group->budget.SetFleet(terms_, fleet);
   DivideConnections();
 }
 
@@ -106,8 +106,12 @@
 
 std::uint32_t ServerTable::ConnectionShare(
     std::uint32_t max_connections) const {
-  const auto share = static_cast<std::uint32_t>(max_connections *
-                                                kConnectionShare / instances_);
+  // NOTE Small instances forward what they could gather, so the large ones
+  // count themselves only; a small one keeps to an equal share.
+  const std::uint32_t sharing =
+      fleet_.larger > 0 ? fleet_.instances : fleet_.as_large;
+  const auto share =
+      static_cast<std::uint32_t>(max_connections * kConnectionShare / sharing);
   // NOTE One more for each instance must fit beside the shares, for those that
   // start anew after a loss of power.
   const std::uint32_t kept = share > 2 ? share - 1 : share;
--- a/src/dispatch/internal/server_table.h
+++ b/src/dispatch/internal/server_table.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "dispatch/internal/server_load.h"
+#include "limits/fleet_share.h"
 #include "limits/retry_budget.h"
 #include "routing/route_table.h"
 
@@ -55,8 +56,8 @@
   void Apply(const DirectoryChange& change);
   void Apply(const RouteTable& routes);
 
-  // The number of instances that share connections and budgets.
-  void SetInstances(std::uint32_t instances);
+  // The instances that share connections and budgets.
+  void SetFleet(const FleetShare& fleet);
 
   // An instance that has just started opens one connection to each server:
   // those of the process before it may still be counted there, if it lost
@@ -79,7 +80,7 @@
   static constexpr std::uint32_t kLikelyInstances = 8;
 
   const RetryBudgetTerms terms_;
-  std::uint32_t instances_ = kLikelyInstances;
+  FleetShare fleet_{kLikelyInstances, kLikelyInstances, 0};
   bool starting_ = true;
   std::unordered_map<std::string, std::unique_ptr<ServerGroup>> groups_;
   std::unordered_map<std::string, std::shared_ptr<ServerLoad>> servers_;
--- a/src/limits/retry_budget.h
+++ b/src/limits/retry_budget.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 
 #include "framework/time.h"
+#include "limits/fleet_share.h"
 #include "limits/token_budget.h"
 
 namespace limpetrudder {
@@ -17,21 +18,21 @@
 };
 
 // One instance's share of the bound for one service. The slack is divided by
-// the number of instances; a new instance starts with one token, since the
-// one that it replaces may have spent its share in the same window. Not thread
-// safe.
+// the instances of the largest size, less one token for each smaller one, which
+// gathers seldom. A new instance starts with one token, since the one that it
+// replaces may have spent its share in the same window. Not thread safe.
 class RetryBudget {
  public:
   // Part of the bound that is used; the rest covers requests that are counted
   // for another window than their sends.
   static constexpr double kUsedShare = 0.85;
 
-  RetryBudget(const RetryBudgetTerms& terms, std::uint32_t instances)
-      : budget_(terms.ratio * kUsedShare, Burst(terms, instances)) {}
+  RetryBudget(const RetryBudgetTerms& terms, const FleetShare& fleet)
+      : budget_(terms.ratio * kUsedShare, Burst(terms, fleet)) {}
 
   // Divides the slack anew; tokens beyond the new share are lost.
-  void SetInstances(const RetryBudgetTerms& terms, std::uint32_t instances) {
-    budget_.set_burst(Burst(terms, instances));
+  void SetFleet(const RetryBudgetTerms& terms, const FleetShare& fleet) {
+    budget_.set_burst(Burst(terms, fleet));
   }
 
   void OnRequest() { budget_.OnOrdinaryRequest(); }
@@ -39,9 +40,11 @@
   double tokens() const { return budget_.tokens(); }
 
  private:
-  static double Burst(const RetryBudgetTerms& terms, std::uint32_t instances) {
-    const double share = terms.slack * kUsedShare / std::max(1U, instances);
-    return std::max(1.0, share);
+  static double Burst(const RetryBudgetTerms& terms, const FleetShare& fleet) {
+    if (fleet.larger > 0)
+      return 1.0;
+    const double left = terms.slack * kUsedShare - fleet.smaller();
+    return std::max(1.0, left / std::max(1U, fleet.as_large));
   }
 
   TokenBudget budget_;
