Refuse a forwarded call under newer routes than one's own

Cause: found on reading the change again. The check was lost in an edit and never landed, though PROTOCOLS.md names it: a home with older routes gathered by them, and answered 404 for a route that it didn't know yet. The test that should have shown it only looked at the entry's own version, and passed. Change: OnCall refuses such a call as not taken; the test checks that the parts come from the entry. It failed before (0 sends where 20 are due) and passes now.

--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -158,6 +158,10 @@
 void DispatchEngine::OnCall(CallRequest call, Time now) {
   if (!routes_)
     return Refuse(call, kUnavailable, ResultCode::kNotReady, kRetryAfterStart);
+  // NOTE The other instance gathers by itself rather than under older routes.
+  if (call.forwarded && call.routes_version > routes_->version())
+    return Refuse(call, kUnavailable, ResultCode::kRevisionTooLow,
+                  std::nullopt);
   const Route* route = routes_->Find(call.message->host, call.message->target);
   if (route == nullptr)
     return Refuse(call, kNotFound, ResultCode::kNoSuchPath, std::nullopt);
--- a/src/dispatch/tests/homes_test.cc
+++ b/src/dispatch/tests/homes_test.cc
@@ -95,6 +95,8 @@
     CHECK(next.reply.status == 200);
     CHECK(next.reply.part_signatures.size() == 20);
     CHECK(next.record.routes_version == 2);
+    // The parts come from here, not from the home and its older routes.
+    CHECK(next.record.sends >= 20);
   }
 }
 
