Pace servers that are late for long; choose a query's parts before sending

Change: ServerPace finds lateness that lasts longer than a pause explains and bounds the requests to that server: by a rate while some answers are in time, else one after the other. SelectLegs decides before anything is sent which late parts a query needs, asks those with room and leaves out the rest; a query that can't be served is refused with nothing run. Queries that wait already give up parts that they can do without. Parts that another instance couldn't get are asked for directly for a while, so that lateness is known where the query is decided; a batch is told how many parts may still be missing after those left out.

--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -6,6 +6,7 @@
 
 #include "dispatch/internal/answer_policy.h"
 #include "dispatch/internal/hedge_policy.h"
+#include "dispatch/internal/leg_selection.h"
 #include "dispatch/internal/record_merge.h"
 
 namespace limpetrudder {
@@ -208,14 +209,61 @@
     call->legs[0].group = servers_.Group(route.backends[backend].service);
   }
   call->record.parts_wanted = static_cast<std::uint32_t>(call->legs.size());
+  if (!repeated && route.is_scatter())
+    LeaveOutLegs(call, now);
+  if (detail::IsOutOfReach(*call))
+    return;
   if (!repeated && route.is_scatter() && !call->is_partial())
     DelegateFarLegs(call, now);
   for (std::size_t i = 0; i < call->legs.size(); ++i) {
-    if (!call->legs[i].delegated)
+    const Leg& leg = call->legs[i];
+    if (leg.state == detail::LegState::kOpen && !leg.delegated)
       BeginLeg(call, i, repeated, now);
   }
 }
 
+void DispatchEngine::LeaveOutLegs(ActiveCall* call, Time now) {
+  std::vector<detail::ServerGroup*> groups;
+  for (const Leg& leg : call->legs)
+    groups.push_back(leg.group);
+  const Duration target = call->answer_by - now;
+  for (const auto& [leg, reason] :
+       detail::SelectLegs(groups, detail::FewestLegs(*call), target, now)) {
+    FailLeg(call, leg, reason);
+  }
+}
+
+void DispatchEngine::DropSpareLegs(Time now) {
+  std::vector<CallId> ids;
+  for (const auto& [id, call] : calls_)
+    ids.push_back(id);
+  std::sort(ids.begin(), ids.end());
+  for (const CallId id : ids) {
+    ActiveCall* call = calls_.at(id).get();
+    if (!call->route->is_scatter())
+      continue;
+    const auto spare = detail::SpareLegs(*call, now);
+    for (const std::size_t leg : spare)
+      DropLeg(call, leg, now);
+    if (!spare.empty() && !Settle(call, now))
+      Schedule(call, now);
+  }
+}
+
+void DispatchEngine::DropLeg(ActiveCall* call,
+                             std::size_t leg_index,
+                             Time now) {
+  Leg& leg = call->legs[leg_index];
+  StopWaiting(*call, leg_index);
+  leg.waiting = false;
+  for (const SendId send : leg.open_sends) {
+    sends_[send].call = 0;
+    orphans_.emplace_front(now, send);
+  }
+  leg.open_sends.clear();
+  FailLeg(call, leg_index, ResultCode::kOverloaded);
+}
+
 void DispatchEngine::BeginLeg(ActiveCall* call,
                               std::size_t leg_index,
                               bool repeated,
@@ -270,8 +318,8 @@
   ++leg.arrivals;
   ++call->record.sends;
   choice.server->OnSent(now);
-  sends_[id] = {call->call.id, leg_index, choice.server, leg.group, call->table,
-                call->route,   now};
+  sends_[id] = {call->call.id, leg_index,   choice.server, leg.group,
+                call->table,   call->route, now,           false};
   actions_.emplace_back(SendToServer{id, entry.id, entry.address,
                                      call->call.message, call->deadline - now,
                                      !call->may_repeat()});
@@ -383,6 +431,30 @@
   return Verdict::kGood;
 }
 
+void DispatchEngine::LearnPace(const OpenSend& send, Time now) {
+  if (!send.route->is_scatter())
+    return;
+  const Duration target = send.route->latency_target - kCallerRoundTrip;
+  detail::ServerPace& pace = send.server->pace();
+  if (send.known_late)
+    pace.OnLateAnswer();
+  else
+    pace_started_ |= pace.OnAnswer(target, send.sent, now);
+}
+
+void DispatchEngine::NoteLateSends(ActiveCall* call, Time now) {
+  if (!call->route->is_scatter())
+    return;
+  for (const Leg& leg : call->legs) {
+    // NOTE Second sends had less time; they say nothing yet.
+    if (leg.open_sends.empty() || leg.sends != leg.open_sends.size())
+      continue;
+    OpenSend& first = sends_.at(leg.open_sends.front());
+    first.known_late = true;
+    pace_started_ |= first.server->pace().OnLate(first.sent, now);
+  }
+}
+
 void DispatchEngine::Learn(const OpenSend& send,
                            const TargetReply& reply,
                            Verdict verdict,
@@ -395,6 +467,7 @@
     server.OnLoad(*reply.load, now);
   switch (verdict) {
     case Verdict::kGood: {
+      LearnPace(send, now);
       const Duration work = now - send.sent - reply.connect_time -
                             topology_.RoundTrip(data_centre);
       const Duration median = profiles_.TimesOf(*send.route).median;
@@ -542,6 +615,8 @@
     if (leg.hedge_at <= now)
       TryHedge(call, i, now);
   }
+  if (now >= call->answer_by && !std::exchange(call->target_passed, true))
+    NoteLateSends(call, now);
   if (!Settle(call, now))
     Schedule(call, now);
 }
@@ -603,7 +678,7 @@
   record.took = now - call->received;
   record.parts = call->answered;
   for (const Leg& leg : call->legs) {
-    if (leg.state == detail::LegState::kAnswered)
+    if (leg.state == detail::LegState::kAnswered || leg.is_untouched())
       continue;
     const ResultCode code =
         leg.code == ResultCode::kOk ? ResultCode::kNoAnswer : leg.code;
@@ -718,6 +793,8 @@
     call->wake = kNever;
     Advance(call, now);
   }
+  if (std::exchange(pace_started_, false))
+    DropSpareLegs(now);
   CancelOrphans(now);
   SendProbes(now);
   PingDownHomes(now);
--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -98,6 +98,7 @@
     std::shared_ptr<const RouteTable> table;
     const Route* route = nullptr;
     Time sent{};
+    bool known_late = false;  // Its server's pace knows.
   };
 
   // Whether a server gave what its leg needs.
@@ -109,6 +110,11 @@
               std::optional<Duration> retry_after);
   // `repeated`: a home may have sent to the servers already.
   void BeginLegs(ActiveCall* call, bool repeated, Time now);
+  // Fails the legs that the call does without.
+  void LeaveOutLegs(ActiveCall* call, Time now);
+  // Takes back what calls can do without at servers that are late since now.
+  void DropSpareLegs(Time now);
+  void DropLeg(ActiveCall* call, std::size_t leg_index, Time now);
   bool TryForward(ActiveCall* call, Time now);
   void OnHomeReply(const OpenSend& send, TargetReply* reply, Time now);
   void GatherHere(ActiveCall* call, bool repeated, Time now);
@@ -126,6 +132,8 @@
                     std::size_t batch_index,
                     TargetReply* reply,
                     Time now);
+  // Another instance gave no part of the group's shard.
+  void OnPartMissed(detail::ServerGroup* group, Time now);
   void ForwardTo(const std::shared_ptr<ServerLoad>& home,
                  ActiveCall* call,
                  std::optional<std::size_t> batch,
@@ -146,6 +154,9 @@
   void ServeWaiting(detail::ServerGroup* group, Time now);
 
   Verdict Judge(const OpenSend& send, const TargetReply& reply) const;
+  void LearnPace(const OpenSend& send, Time now);
+  // Tells the servers' paces what hasn't come in time, answered later or not.
+  void NoteLateSends(ActiveCall* call, Time now);
   void Learn(const OpenSend& send,
              const TargetReply& reply,
              Verdict verdict,
@@ -191,6 +202,7 @@
   SendId next_send_ = 1;
   std::uint32_t counted_instances_ = 0;
   Time counted_at_{};
+  bool pace_started_ = false;    // A server's, since the last turn.
   Time started_until_ = kNever;  // When the start is over.
 };
 
--- a/src/dispatch/dispatch_engine_homes.cc
+++ b/src/dispatch/dispatch_engine_homes.cc
@@ -7,6 +7,7 @@
 
 #include "dispatch/dispatch_engine.h"
 #include "dispatch/internal/answer_policy.h"
+#include "dispatch/internal/leg_selection.h"
 
 namespace limpetrudder {
 namespace {
@@ -15,6 +16,10 @@
 // the delay of a busy processor.
 constexpr Duration kHopMargin = Millis(12);
 
+// After another instance gave too few parts of a shard, the shard's
+// servers are asked directly for about as long as they stay slow or crowded.
+constexpr Duration kDirectTime = Millis(2500);
+
 // Fewer far parts than this are asked for directly.
 constexpr std::size_t kFewestDelegated = 4;
 
@@ -54,16 +59,13 @@
                                Time now) {
   home->OnSent(now);
   sends_[id] = {call->call.id, batch.value_or(0), home, nullptr,
-                call->table,   call->route,       now};
+                call->table,   call->route,       now,  false};
   const Duration way =
       topology_.RoundTrip(home->entry().data_centre) / 2 + kHopMargin;
   actions_.emplace_back(ForwardCall{
       id, home->entry().id, home->entry().address, call->call.message,
       call->deadline - now - way, call->answer_by - now - way,
-      call->table->version(), std::move(shards),
-      static_cast<std::uint32_t>(call->legs.size()) -
-          std::min(static_cast<std::uint32_t>(call->legs.size()),
-                   detail::FewestParts(*call->route))});
+      call->table->version(), std::move(shards), detail::SpareParts(*call)});
 }
 
 void DispatchEngine::GatherHere(ActiveCall* call, bool repeated, Time now) {
@@ -75,7 +77,12 @@
 void DispatchEngine::DelegateFarLegs(ActiveCall* call, Time now) {
   std::map<std::string, std::vector<std::size_t>> far;  // By data centre.
   for (std::size_t i = 0; i < call->legs.size(); ++i) {
-    std::string data_centre = homes_.NearestElsewhere(*call->legs[i].group);
+    const Leg& leg = call->legs[i];
+    if (leg.state != detail::LegState::kOpen || now < leg.group->direct_until ||
+        detail::IsLate(*leg.group, now)) {
+      continue;
+    }
+    std::string data_centre = homes_.NearestElsewhere(*leg.group);
     if (!data_centre.empty())
       far[std::move(data_centre)].push_back(i);
   }
@@ -167,9 +174,11 @@
     Leg& leg = call->legs[index];
     if (reply->status != kOk || i >= signatures.size() ||
         signatures[i].empty()) {
+      OnPartMissed(leg.group, now);
       FailLeg(call, index, ResultCode::kNoAnswer);
       continue;
     }
+    leg.group->missed.Add(false, now);
     leg.state = detail::LegState::kAnswered;
     leg.signature = signatures[i];
     ++call->answered;
@@ -181,6 +190,18 @@
     Schedule(call, now);
 }
 
+void DispatchEngine::OnPartMissed(detail::ServerGroup* group, Time now) {
+  group->missed.Add(true, now);
+  if (!group->missed.IsHigh())
+    return;
+  if (group->direct_until <= now) {
+    for (const auto& server : group->servers)
+      server->pace().Begin(now);
+    pace_started_ = true;
+  }
+  group->direct_until = now + kDirectTime;
+}
+
 void DispatchEngine::GiveUpHome(const std::shared_ptr<ServerLoad>& home,
                                 Time now) {
   std::vector<SendId> ids;
--- a/src/dispatch/internal/active_call.h
+++ b/src/dispatch/internal/active_call.h
@@ -30,6 +30,11 @@
   std::string signature;
   std::string body;
   ResultCode code = ResultCode::kOk;  // Why the last send gave no answer.
+
+  // Whether nothing was decided about it, as when its call was refused.
+  bool is_untouched() const {
+    return state == LegState::kOpen && sends == 0 && !waiting && !delegated;
+  }
 };
 
 // Legs of a call that another instance, nearer to their servers, gathers.
@@ -50,6 +55,7 @@
   SendId home_send = 0;  // Not 0: a home gathers the parts, and has no answer.
   std::vector<Leg> legs;
   std::vector<Batch> batches;
+  bool target_passed = false;  // And its open sends are known to be late.
   std::uint32_t answered = 0;
   std::uint32_t failed = 0;
   std::optional<TargetReply> final_reply;  // Of the one server asked.
--- a/src/dispatch/internal/answer_policy.cc
+++ b/src/dispatch/internal/answer_policy.cc
@@ -9,21 +9,31 @@
 // Keeps the least count on the right side of rounding.
 constexpr double kRounding = 1e-9;
 
-// The fewest legs that make an answer.
+}  // namespace
+
+std::uint32_t FewestParts(const Route& route) {
+  const double wanted =
+      route.coverage_floor * static_cast<double>(route.shards.size());
+  return std::max(1U,
+                  static_cast<std::uint32_t>(std::ceil(wanted - kRounding)));
+}
+
 std::uint32_t FewestLegs(const ActiveCall& call) {
+  if (!call.route->is_scatter())
+    return 1;
   if (!call.is_partial())
     return FewestParts(*call.route);
   const auto legs = static_cast<std::uint32_t>(call.legs.size());
   return legs - std::min(legs, call.call.most_missing);
 }
 
-}  // namespace
+std::uint32_t SpareParts(const ActiveCall& call) {
+  const auto legs = static_cast<std::uint32_t>(call.legs.size());
+  return legs - std::min(legs, FewestLegs(call) + call.failed);
+}
 
-std::uint32_t FewestParts(const Route& route) {
-  const double wanted =
-      route.coverage_floor * static_cast<double>(route.shards.size());
-  return std::max(1U,
-                  static_cast<std::uint32_t>(std::ceil(wanted - kRounding)));
+bool IsOutOfReach(const ActiveCall& call) {
+  return call.legs.size() - call.failed < FewestLegs(call);
 }
 
 AnswerDecision DecideAnswer(const ActiveCall& call, Time now) {
@@ -44,8 +54,7 @@
     return all_known || now >= call.answer_by ? AnswerDecision::kAnswer
                                               : AnswerDecision::kWait;
   }
-  const bool out_of_reach = legs - call.failed < fewest;
-  if (!out_of_reach && now < call.deadline)
+  if (!IsOutOfReach(call) && now < call.deadline)
     return AnswerDecision::kWait;
   return call.is_partial() ? AnswerDecision::kAnswer : AnswerDecision::kGiveUp;
 }
--- a/src/dispatch/internal/answer_policy.h
+++ b/src/dispatch/internal/answer_policy.h
@@ -23,6 +23,15 @@
 // The fewest shards that an answer must hold: its share is not below the floor.
 std::uint32_t FewestParts(const Route& route);
 
+// The fewest legs that make an answer of `call`.
+std::uint32_t FewestLegs(const ActiveCall& call);
+
+// How many of the legs that are still open the answer can do without.
+std::uint32_t SpareParts(const ActiveCall& call);
+
+// Whether so many legs have failed that the others don't make an answer.
+bool IsOutOfReach(const ActiveCall& call);
+
 // Returns when DecideAnswer() may decide otherwise without further news.
 Time NextAnswerDecision(const ActiveCall& call, Time now);
 
--- /dev/null
+++ b/src/dispatch/internal/late_streak.h
@@ -0,0 +1,38 @@
+#ifndef DISPATCH_INTERNAL_LATE_STREAK_H_
+#define DISPATCH_INTERNAL_LATE_STREAK_H_
+
+#include <cstdint>
+
+#include "framework/time.h"
+
+namespace limpetrudder::detail {
+
+// Answers that come late one after the other, with no timely one in between.
+// Tells lasting lateness from what a pause leaves behind. Not thread safe.
+class LateStreak {
+ public:
+  void Add(Time now) {
+    if (count_++ == 0)
+      since_ = now;
+  }
+  void Reset() { count_ = 0; }
+
+  // Whether it goes on for longer than a pause explains.
+  bool IsLasting(Time now) const {
+    return count_ >= kFewest && Length(now) >= kLasting;
+  }
+  Duration Length(Time now) const { return now - since_; }
+
+ private:
+  // A pause of a quarter of a second and the queue that it leaves behind make
+  // answers late for less than this.
+  static constexpr Duration kLasting = Millis(500);
+  static constexpr std::uint32_t kFewest = 3;
+
+  std::uint32_t count_ = 0;
+  Time since_{};
+};
+
+}  // namespace limpetrudder::detail
+
+#endif  // DISPATCH_INTERNAL_LATE_STREAK_H_
--- a/src/dispatch/internal/server_load.h
+++ b/src/dispatch/internal/server_load.h
@@ -8,6 +8,7 @@
 
 #include "discovery/server_directory.h"
 #include "dispatch/dispatch_types.h"
+#include "dispatch/internal/server_pace.h"
 #include "framework/time.h"
 
 namespace limpetrudder::detail {
@@ -79,6 +80,7 @@
   Time next_probe() const { return down_ ? next_probe_ : kNever; }
 
   const ServerEntry& entry() const { return entry_; }
+  ServerPace& pace() { return pace_; }
   std::uint32_t in_flight() const { return in_flight_; }
   Time last_heard() const { return last_heard_; }
 
@@ -126,6 +128,7 @@
   RecentRatios slowness_;
   FadingRatio rejects_;
   FadingRatio failures_;
+  ServerPace pace_;
   LoadReport load_;
   Time load_at_{};
 };
--- a/src/dispatch/internal/server_table.cc
+++ b/src/dispatch/internal/server_table.cc
@@ -27,6 +27,8 @@
                     ConnectionShare(kUnknownConnections),
                     {},
                     RetryBudget(terms_, fleet_),
+                    {},
+                    {},
                     {}});
   }
   return group.get();
--- a/src/dispatch/internal/server_table.h
+++ b/src/dispatch/internal/server_table.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "dispatch/internal/miss_share.h"
 #include "dispatch/internal/server_load.h"
 #include "limits/fleet_share.h"
 #include "limits/retry_budget.h"
@@ -34,6 +35,10 @@
   std::vector<std::shared_ptr<ServerLoad>> servers;
   RetryBudget budget;
   std::set<WaitingLeg> waiting;
+  // Parts that another instance was asked for and couldn't get. If they are many
+  // the servers are asked directly for a while, to learn how they do.
+  MissShare missed;
+  Time direct_until{};
 };
 
 // Orders groups by name, so that sessions repeat.
--- a/src/dispatch/tests/homes_test.cc
+++ b/src/dispatch/tests/homes_test.cc
@@ -37,6 +37,16 @@
     CHECK(answer.reply.missing_parts == 2);
     CHECK(answer.reply.part_signatures.size() == 18);
     CHECK(answer.record.took < Millis(195));
+
+    SUBCASE("and after a while are asked from here, to learn how they do") {
+      for (int i = 0; i < 3; ++i)
+        session.SearchNow(0);
+      CHECK(session.SearchNow(0).record.delegated == 8);
+      session.server(1, 0).silent = false;
+      session.server(3, 0).silent = false;
+      session.Run(Seconds(6));
+      CHECK(session.SearchNow(0).record.delegated == 10);
+    }
   }
   SUBCASE("are late rather than missing when too many of them are slow") {
     for (std::size_t shard = 1; shard < 10; shard += 2)
--- a/src/dispatch/tests/load_test.cc
+++ b/src/dispatch/tests/load_test.cc
@@ -114,6 +114,57 @@
 
 TEST_SUITE_END();
 
+// The last server of a shard pauses; what waits there comes late, but nothing
+// is refused because of it.
+TEST_CASE("A usual day: the last server of each of three shards pauses") {
+  FleetSession session(SmallSite());
+  for (std::size_t shard = 0; shard < 3; ++shard) {
+    ServerEntry gone = session.server(shard, 1).entry;
+    gone.draining = true;
+    session.Announce(gone);
+  }
+  const CallId from = session.Search();
+  for (int pause = 0; pause < 5; ++pause) {
+    for (std::size_t shard = 0; shard < 3; ++shard)
+      session.server(shard, 0).paused_until = session.now() + Millis(250);
+    session.Load(60, Seconds(2));
+  }
+  session.Run(Seconds(3));
+  const Tally tally = Count(session, from, Millis(200));
+  CHECK(tally.refused + tally.failed == 0);
+  CHECK(tally.in_target >= tally.asked * 75 / 100);
+}
+
+// A query may miss one shard of sixteen; two far ones have a slow server each.
+// Another instance gathers the far parts and doesn't know what the query needs.
+TEST_CASE("A heavy day: two far shards have one slow server each") {
+  FleetSession::Options options = SmallSite();
+  options.instances = {"kgn-a", "mbj-a"};
+  options.shards.assign(10, {"kgn-a"});
+  options.shards.resize(16, {"mbj-a"});
+  FleetSession session(options);
+  session.Load(60, Seconds(2));
+  session.server(14, 0).work = Millis(160);
+  session.server(15, 0).work = Millis(160);
+  session.Load(60, Seconds(2));
+  const CallId from = session.Search();
+  session.Load(60, Seconds(8));
+  session.Run(Seconds(3));
+  const Tally tally = Count(session, from, Millis(200));
+
+  SUBCASE("what isn't served is refused before anything runs") {
+    CHECK(tally.failed <= tally.asked / 50);
+    for (const auto& [call, answer] : session.answers()) {
+      if (call >= from && answer.reply.status == 503)
+        CHECK(answer.record.sends == 0);
+    }
+  }
+  // Each of the two can answer 12 of 60 in a second.
+  SUBCASE("and the slow servers do over half of what they can") {
+    CHECK(tally.whole + tally.in_part >= tally.asked / 5);
+  }
+}
+
 // Half of the servers refuse most of what they get; the budget of second sends
 // covers a quarter of the requests.
 TEST_CASE("A heavy day: each shard has one server that refuses most requests") {
--- /dev/null
+++ b/src/dispatch/tests/pace_test.cc
@@ -0,0 +1,243 @@
+#include <algorithm>
+#include <memory>
+
+#include <doctest/doctest.h>
+
+#include "dispatch/internal/leg_selection.h"
+#include "dispatch/internal/server_pace.h"
+#include "dispatch/tests/fleet_session.h"
+
+namespace limpetrudder {
+namespace {
+
+Time At(std::int64_t millis) {
+  return Time(Seconds(100)) + Millis(millis);
+}
+
+// Late answers each 100 ms, for half a second.
+void MakeLate(detail::ServerPace* pace) {
+  for (std::int64_t i = 0; i <= 5; ++i)
+    pace->OnAnswer(Millis(180), At(i * 100 - 300), At(i * 100));
+}
+
+TEST_CASE("The pace of requests to one server") {
+  detail::ServerPace pace;
+  REQUIRE_FALSE(pace.active(At(0)));
+
+  SUBCASE("isn't bounded by the late answers that a pause leaves") {
+    for (std::int64_t i = 0; i < 8; ++i)
+      pace.OnAnswer(Millis(180), At(i * 20), At(300 + i * 20));
+    CHECK_FALSE(pace.active(At(450)));
+    pace.OnAnswer(Millis(180), At(400), At(500));
+
+    SUBCASE("nor by another one later") {
+      pace.OnAnswer(Millis(180), At(6000), At(6300));
+      pace.OnAnswer(Millis(180), At(6000), At(6310));
+      pace.OnAnswer(Millis(180), At(6000), At(6320));
+      CHECK_FALSE(pace.active(At(6320)));
+    }
+  }
+  SUBCASE("starts from the answers of a server that is late for long") {
+    MakeLate(&pace);
+    REQUIRE(pace.active(At(500)));
+    CHECK(pace.rate() > 9);
+    CHECK(pace.rate() < 13);
+
+    SUBCASE("with one request after the other while none is timely") {
+      CHECK(pace.Allows(0, Millis(180), true, At(510)));
+      CHECK_FALSE(pace.Allows(1, Millis(180), true, At(510)));
+      CHECK_FALSE(pace.Allows(0, Millis(180), false, At(510)));
+      CHECK(pace.Allows(0, Millis(180), false, At(2600)));
+      const double before = pace.rate();
+      pace.OnAnswer(Millis(180), At(510), At(800));
+      CHECK(pace.rate() == before);
+      CHECK(pace.Allows(0, Millis(180), true, At(801)));
+    }
+    SUBCASE("and spaces requests out once one was timely") {
+      pace.OnAnswer(Millis(180), At(410), At(510));
+      CHECK_FALSE(pace.Allows(0, Millis(180), true, At(510)));
+      REQUIRE(pace.Allows(0, Millis(180), true, At(600)));
+      pace.OnTaken(At(600));
+      CHECK_FALSE(pace.Allows(1, Millis(180), true, At(610)));
+
+      SUBCASE("and lets none wait behind more than it answers in time") {
+        CHECK(pace.Allows(0, Millis(180), true, At(1000)));
+        CHECK_FALSE(pace.Allows(4, Millis(180), true, At(1000)));
+      }
+      SUBCASE("and lowers the rate once for all that were on their way") {
+        const double before = pace.rate();
+        pace.OnAnswer(Millis(180), At(400), At(620));
+        CHECK(pace.rate() == before);
+        pace.OnAnswer(Millis(180), At(650), At(850));
+        pace.OnAnswer(Millis(180), At(650), At(860));
+        CHECK(pace.rate() < before);
+        CHECK(pace.rate() > before * 0.75);
+      }
+      SUBCASE("and raises it with timely answers") {
+        const double before = pace.rate();
+        pace.OnAnswer(Millis(180), At(600), At(720));
+        CHECK(pace.rate() > before);
+        CHECK(pace.rate() < before * 1.2);
+      }
+      SUBCASE("until it isn't timely any more") {
+        for (std::int64_t i = 0; i < 4; ++i)
+          pace.OnAnswer(Millis(180), At(600), At(800));
+        CHECK(pace.Allows(0, Millis(180), true, At(801)));
+      }
+    }
+    SUBCASE("and ends with two quick answers in a row") {
+      pace.OnAnswer(Millis(180), At(510), At(530));
+      REQUIRE(pace.active(At(530)));
+      CHECK(pace.Allows(0, Millis(180), true, At(530)));
+      pace.OnAnswer(Millis(180), At(530), At(550));
+      CHECK_FALSE(pace.active(At(550)));
+    }
+    SUBCASE("ends when nothing was held back for some seconds") {
+      pace.OnHeldBack(At(1000));
+      CHECK(pace.active(At(3000)));
+      CHECK_FALSE(pace.active(At(4000)));
+    }
+  }
+  SUBCASE("of a server that answers nothing in time still asks now and then") {
+    for (std::int64_t i = 0; i <= 5; ++i)
+      pace.OnLate(At(i * 100 - 300), At(i * 100));
+    REQUIRE(pace.active(At(500)));
+    pace.OnHeldBack(At(2500));
+    CHECK(pace.Allows(0, Millis(180), true, At(3000)));
+  }
+}
+
+// Groups of one server each.
+class Shards {
+ public:
+  explicit Shards(std::size_t count) {
+    for (std::size_t i = 0; i < count; ++i) {
+      groups_.push_back(
+          std::make_unique<detail::ServerGroup>(detail::ServerGroup{
+              "shard", "/", 4, {}, RetryBudget({}, {}), {}, {}, {}}));
+      groups_[i]->servers.push_back(
+          std::make_shared<detail::ServerLoad>(ServerEntry{}));
+      all.push_back(groups_[i].get());
+    }
+  }
+
+  detail::ServerLoad& server(std::size_t shard) {
+    return *groups_[shard]->servers[0];
+  }
+
+  std::size_t LeftOut(std::uint32_t fewest, Time now) {
+    return detail::SelectLegs(all, fewest, Millis(180), now).size();
+  }
+
+  std::vector<detail::ServerGroup*> all;
+
+ private:
+  std::vector<std::unique_ptr<detail::ServerGroup>> groups_;
+};
+
+TEST_CASE("Which parts a query asks for") {
+  Shards shards(20);
+  REQUIRE(shards.LeftOut(18, At(0)) == 0);
+
+  SUBCASE("a late shard without room is left out") {
+    MakeLate(&shards.server(3).pace());
+    const auto left_out =
+        detail::SelectLegs(shards.all, 18, Millis(180), At(501));
+    REQUIRE(left_out.size() == 1);
+    CHECK(left_out[0].leg == 3);
+    CHECK(left_out[0].reason == ResultCode::kOverloaded);
+
+    SUBCASE("and is asked again as its pace allows") {
+      shards.server(3).pace().OnAnswer(Millis(180), At(450), At(550));
+      CHECK(shards.LeftOut(18, At(600)) == 0);
+      CHECK(shards.LeftOut(18, At(601)) == 1);
+    }
+    SUBCASE("unless another of its servers isn't late") {
+      shards.all[3]->servers.push_back(
+          std::make_shared<detail::ServerLoad>(ServerEntry{}));
+      CHECK(shards.LeftOut(18, At(501)) == 0);
+    }
+  }
+  SUBCASE("of three late shards one is asked if the answer needs one") {
+    for (std::size_t i = 0; i < 3; ++i)
+      MakeLate(&shards.server(i).pace());
+    for (std::size_t i = 0; i < 3; ++i) {
+      CHECK(shards.LeftOut(18, At(600)) == 2);
+      shards.server(i).OnSent(At(600));
+    }
+
+    SUBCASE("and none once each works on one: the query is refused") {
+      CHECK(shards.LeftOut(18, At(601)) == 3);
+    }
+  }
+  SUBCASE("shards without a server can't be asked") {
+    for (std::size_t i = 0; i < 3; ++i)
+      shards.server(i).MarkGone();
+    const auto left_out =
+        detail::SelectLegs(shards.all, 18, Millis(180), At(0));
+    REQUIRE(left_out.size() == 3);
+    CHECK(left_out[0].reason == ResultCode::kNoServer);
+  }
+  SUBCASE("if most shards seem late the cause isn't theirs") {
+    for (std::size_t i = 0; i < 12; ++i)
+      MakeLate(&shards.server(i).pace());
+    CHECK(shards.LeftOut(18, At(501)) == 0);
+  }
+}
+
+TEST_CASE("Which parts a waiting query can do without") {
+  Shards shards(20);
+  Route route;
+  route.shards.resize(20);
+  route.coverage_floor = 0.89;
+  detail::ActiveCall call;
+  call.route = &route;
+  call.call.id = 7;
+  for (auto* group : shards.all)
+    call.legs.emplace_back().group = group;
+  CHECK(detail::SpareLegs(call, At(0)).empty());
+  for (std::size_t i = 0; i < 3; ++i)
+    MakeLate(&shards.server(i).pace());
+
+  SUBCASE("are two of three late ones, others for other queries") {
+    const auto spare = detail::SpareLegs(call, At(501));
+    REQUIRE(spare.size() == 2);
+    ++call.call.id;
+    CHECK(detail::SpareLegs(call, At(501)) != spare);
+  }
+  SUBCASE("are none once two parts have failed elsewhere") {
+    call.legs[10].state = detail::LegState::kFailed;
+    call.legs[11].state = detail::LegState::kFailed;
+    call.failed = 2;
+    CHECK(detail::SpareLegs(call, At(501)).empty());
+  }
+  SUBCASE("are no parts that are in") {
+    call.legs[0].state = detail::LegState::kAnswered;
+    call.answered = 1;
+    const auto spare = detail::SpareLegs(call, At(501));
+    REQUIRE(spare.size() == 2);
+    CHECK(std::count(spare.begin(), spare.end(), 0) == 0);
+  }
+}
+
+TEST_CASE("A query that lacks too many shards is refused before any send") {
+  FleetSession::Options options;
+  options.shards.assign(10, {"kgn-a"});
+  FleetSession session(options);
+  for (std::size_t shard = 8; shard < 10; ++shard) {
+    ServerEntry gone = session.server(shard, 0).entry;
+    gone.draining = true;
+    session.Announce(gone);
+  }
+  const SessionAnswer& answer = session.SearchNow();
+  CHECK(answer.reply.status == 503);
+  CHECK(answer.reply.retry_after);
+  CHECK(answer.record.sends == 0);
+  CHECK(answer.record.code == ResultCode::kNoServer);
+  CHECK(answer.record.failed_legs.size() == 2);
+  for (auto* server : session.shard_servers())
+    CHECK(server->arrivals == 0);
+}
+
+}  // namespace
+}  // namespace limpetrudder
