One list of HTTP status codes and header look-ups; settings file is watched

Cause: status codes stood in nine files, header look-ups in four; members and settings without a user (seeds, counters of the pool, expected latency of a placement). A settings file that is replaced without SIGHUP went unnoticed.

Change: framework/http_status.h, FindHeader and AppendHeader in net/http_text; dead members are gone; an entry instance compares its settings file every 5 s and reloads it when its bytes differ.

--- a/src/app/caller_api.cc
+++ b/src/app/caller_api.cc
@@ -8,6 +8,7 @@
 #include "config/document.h"
 #include "framework/clock.h"
 #include "framework/hash.h"
+#include "framework/http_status.h"
 #include "framework/json_schema.h"
 
 namespace limpetrudder {
@@ -94,7 +95,7 @@
   const auto config = front_->config();
   if (request.path == "/v1/ready") {
     if (front_->ready())
-      return respond({kHttpOk, R"({"ready":true})"});
+      return respond({http_status::kOk, R"({"ready":true})"});
     if (front_->stopping())
       return respond(Refusal(ResultCode::kStopping, "shutting down"));
     return respond(Refusal(ResultCode::kNotReady,
--- a/src/app/control_duty.cc
+++ b/src/app/control_duty.cc
@@ -5,6 +5,7 @@
 
 #include "app/internal/json_api.h"
 #include "framework/hash.h"
+#include "framework/http_status.h"
 #include "framework/logger.h"
 #include "query/answer_json.h"
 
@@ -440,7 +441,7 @@
 
 void ControlDuty::On(const HistoryRead& event, Time) {
   if (event.reply.status == KvStatus::kNotFound)
-    return event.respond({kHttpOk, R"({"history":[]})"});
+    return event.respond({http_status::kOk, R"({"history":[]})"});
   const auto root = limpetrudder::ReadRoot(event.reply.value);
   if (event.reply.status != KvStatus::kOk || !root) {
     return event.respond(Refusal(ResultCode::kPlatformUnavailable,
@@ -451,7 +452,7 @@
   for (const auto& record : root.assume_value().history)
     body["history"].push_back(
         nlohmann::ordered_json(WriteChangeRecord(record)));
-  event.respond({kHttpOk, body.dump()});
+  event.respond({http_status::kOk, body.dump()});
 }
 
 void ControlDuty::On(const DocumentQuestion& event, Time) {
@@ -467,7 +468,7 @@
   nlohmann::ordered_json body;
   body["revision"] = distributor_.revision();
   body["document"] = document.assume_value();
-  event.respond({kHttpOk, body.dump()});
+  event.respond({http_status::kOk, body.dump()});
 }
 
 void ControlDuty::AskRevisions(
@@ -516,7 +517,7 @@
   AskRevisions(
       [this, respond = std::move(event.respond)](const RevisionPoll& poll,
                                                  Time) {
-        respond({kHttpOk, WriteStatus(poll)});
+        respond({http_status::kOk, WriteStatus(poll)});
       },
       now);
 }
--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -7,6 +7,7 @@
 
 #include "app/settings.h"
 #include "framework/clock.h"
+#include "framework/http_status.h"
 #include "framework/logger.h"
 #include "net/forward_codec.h"
 #include "platform/caller_codec.h"
@@ -30,10 +31,6 @@
 constexpr std::size_t kMostHeaderBytes = 64 << 10;
 constexpr auto kReadTimeout = std::chrono::seconds(120);
 
-constexpr int kOk = 200;
-constexpr int kMultipleChoices = 300;
-constexpr int kBadRequest = 400;
-
 Json FailedLegs(const CallRecord& record) {
   Json legs = Json::array();
   for (const auto& leg : record.failed_legs) {
@@ -97,7 +94,7 @@
          {"code", NumberOf(error.code)},
          {"message", error.message}});
     ServerResponse response;
-    response.status = kBadRequest;
+    response.status = http_status::kBadRequest;
     response.body = RefusalBody(error.code, error.message);
     return respond(std::move(response));
   }
@@ -135,8 +132,8 @@
     if (found != probes_.end()) {
       const Probe probe = std::move(found->second);
       probes_.erase(found);
-      const bool healthy =
-          response.outcome == SendOutcome::kAnswered && response.status == kOk;
+      const bool healthy = response.outcome == SendOutcome::kAnswered &&
+                           response.status == http_status::kOk;
       if (probe.instance)
         engine_.OnPing(probe.name, healthy, now);
       else
@@ -291,11 +288,13 @@
   metrics.Add("rejections", record.rejections);
   metrics.Add("budget_refusals", record.budget_refusals);
   metrics.Record("call", record.took);
-  const bool whole = record.status >= kOk && record.status < kMultipleChoices &&
+  const bool whole = record.status >= http_status::kOk &&
+                     record.status < http_status::kMultipleChoices &&
                      record.parts == record.parts_wanted;
   metrics.Add(whole ? "answered_whole"
-                    : (record.status < kMultipleChoices ? "answered_in_part"
-                                                        : "not_answered"));
+                    : (record.status < http_status::kMultipleChoices
+                           ? "answered_in_part"
+                           : "not_answered"));
   Json line = {{"request_id", record.request_id},  {"route", record.route},
                {"version", record.routes_version}, {"status", record.status},
                {"ms", ToMillis(record.took)},      {"sends", record.sends}};
--- a/src/app/entry_app.cc
+++ b/src/app/entry_app.cc
@@ -6,6 +6,7 @@
 #include "app/settings.h"
 #include "framework/clock.h"
 #include "framework/hash.h"
+#include "framework/http_status.h"
 #include "framework/logger.h"
 #include "net/forward_codec.h"
 #include "platform/feed_codec.h"
@@ -32,10 +33,6 @@
 constexpr Duration kExitMargin = Millis(600);
 constexpr Duration kIdlePoll = Millis(20);
 
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
-
 HttpServerSettings Listen(const std::string& address,
                           asio::io_context* context) {
   const Endpoint endpoint = SplitAddress(address);
@@ -129,7 +126,7 @@
   if (queued)
     return;
   ServerResponse response;
-  response.status = kUnavailable;
+  response.status = http_status::kUnavailable;
   response.body = RefusalBody(ResultCode::kRingFull, "too many questions");
   respond(std::move(response));
 }
@@ -158,7 +155,8 @@
 
 void EntryApp::AnswerReady(const Responder& respond) {
   ServerResponse response;
-  response.status = state_.ready() ? kOk : kUnavailable;
+  response.status =
+      state_.ready() ? http_status::kOk : http_status::kUnavailable;
   response.content_type = "text/plain";
   response.body = state_.ready() ? "ready" : "not ready";
   respond(std::move(response));
@@ -174,7 +172,7 @@
   } else if (request.path == kMetricsPath) {
     response.body = state_.metrics().Snapshot().dump();
   } else {
-    response.status = kNotFound;
+    response.status = http_status::kNotFound;
     response.body = RefusalBody(ResultCode::kNoSuchPath, "no such path");
   }
   respond(std::move(response));
--- a/src/app/entry_settings.cc
+++ b/src/app/entry_settings.cc
@@ -26,9 +26,6 @@
       "pattern": "^[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}$"},
     "cores": {"type": "number", "exclusiveMinimum": 0},
     "link_mbps": {"type": "number", "exclusiveMinimum": 0},
-    "seeds": {"type": "array", "maxItems": 100,
-      "items": {"type": "string",
-        "pattern": "^[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}$"}},
     "retry_budget": {
       "type": "object", "additionalProperties": false,
       "required": ["ratio", "slack"],
@@ -53,7 +50,6 @@
   settings.store_address = json.at("store_address");
   settings.cores = json.value("cores", settings.cores);
   settings.link_mbps = json.value("link_mbps", settings.link_mbps);
-  settings.seeds = json.value("seeds", std::vector<std::string>());
   const auto& budget = json.at("retry_budget");
   settings.retry_budget = {budget.at("ratio"), budget.at("slack")};
   settings.stop_bound = Millis(json.at("stop_bound_ms").get<std::int64_t>());
--- a/src/app/entry_settings.h
+++ b/src/app/entry_settings.h
@@ -3,7 +3,6 @@
 
 #include <map>
 #include <string>
-#include <vector>
 
 #include <nlohmann/json.hpp>
 
@@ -26,7 +25,6 @@
   std::string store_address;
   double cores = 1;                // This instance's share of a processor.
   double link_mbps = 100;          // Of its link, in Mbit/s.
-  std::vector<std::string> seeds;  // Peers to ask before the store answers.
   RetryBudgetTerms retry_budget;
   Duration stop_bound{0};  // From the stop signal to the exit.
   LogLevel log_level = LogLevel::kInfo;
--- a/src/app/internal/commands.cc
+++ b/src/app/internal/commands.cc
@@ -1,5 +1,6 @@
 #include "app/internal/commands.h"
 
+#include <cerrno>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
@@ -11,18 +12,18 @@
 #include "app/entry_app.h"
 #include "app/entry_settings.h"
 #include "app/internal/http_call.h"
+#include "app/internal/watched_file.h"
 #include "app/operator_api.h"
 #include "app/server_app.h"
 #include "app/settings.h"
 #include "config/document.h"
+#include "framework/http_status.h"
 #include "framework/json_schema.h"
 #include "framework/logger.h"
 
 namespace limpetrudder {
 namespace {
 
-constexpr int kHttpOkStatus = 200;
-
 // The address of a command is an instance's caller or operator address; a token
 // on the command line is seen by others on the machine, so a file is better.
 std::string TokenOf(const CommandOptions& options) {
@@ -68,8 +69,8 @@
     return ExitCode::kFailed;
   }
   std::cout << response.body << std::endl;
-  return response.http_status == kHttpOkStatus ? ExitCode::kDone
-                                               : ExitCode::kFailed;
+  return response.http_status == http_status::kOk ? ExitCode::kDone
+                                                  : ExitCode::kFailed;
 }
 
 std::string RandomChangeId() {
@@ -132,9 +133,28 @@
   }
 }
 
-// Runs an instance until SIGTERM or SIGINT; SIGHUP calls `reload`.
-template <typename App, typename S, typename Reload>
-ExitCode RunUntilStopped(const S& settings, Reload reload) {
+// The settings file may be replaced without a signal. Nothing that is read
+// again is urgent, and the file is small.
+constexpr timespec kSettingsPoll{5, 0};
+
+// Waits for a signal to stop; calls `reload` at SIGHUP, and `poll` now and
+// then.
+template <typename Reload, typename Poll>
+void WaitForStop(const sigset_t& signals, Reload reload, Poll poll) {
+  while (true) {
+    const int received = sigtimedwait(&signals, nullptr, &kSettingsPoll);
+    if (received == SIGHUP)
+      reload();
+    else if (received > 0)
+      return;
+    else if (errno == EAGAIN)
+      poll();
+  }
+}
+
+// Runs an instance until SIGTERM or SIGINT.
+template <typename App, typename S, typename Reload, typename Poll>
+ExitCode RunUntilStopped(const S& settings, Reload reload, Poll poll) {
   // NOTE Signals are taken by this thread alone; the others inherit the mask.
   sigset_t signals;
   sigemptyset(&signals);
@@ -153,9 +173,7 @@
       StopLogging();
       return ExitCode::kFailed;
     }
-    int received = 0;
-    while (sigwait(&signals, &received) == 0 && received == SIGHUP)
-      reload();
+    WaitForStop(signals, reload, poll);
     sigdelset(&signals, SIGHUP);
     const bool clean = app.Stop([&signals] {
       const timespec no_wait{};
@@ -176,7 +194,8 @@
     PrintFaults(settings.error());
     return ExitCode::kSettingsFaulty;
   }
-  return RunUntilStopped<ServerApp>(settings.assume_value(), [] {});
+  return RunUntilStopped<ServerApp>(
+      settings.assume_value(), [] {}, [] {});
 }
 
 ExitCode Entry(const CommandOptions& options) {
@@ -186,9 +205,16 @@
     PrintFaults(settings.error());
     return ExitCode::kSettingsFaulty;
   }
-  return RunUntilStopped<EntryApp>(settings.assume_value(), [&options] {
+  WatchedFile file(options.settings);
+  const auto reload = [&options, &file] {
+    file.HasChanged();
     ReloadEntrySettings(options.settings);
-  });
+  };
+  const auto poll = [&reload, &file] {
+    if (file.HasChanged())
+      reload();
+  };
+  return RunUntilStopped<EntryApp>(settings.assume_value(), reload, poll);
 }
 
 ExitCode Query(const CommandOptions& options) {
@@ -256,7 +282,7 @@
 ExitCode Status(const CommandOptions& options) {
   const HttpResponse response = Call(options, "GET", "/v1/status");
   if (options.json || response.status != TransferStatus::kAnswered ||
-      response.http_status != kHttpOkStatus) {
+      response.http_status != http_status::kOk) {
     return PrintAnswer(response);
   }
   const auto json = ParseJson(response.body);
--- a/src/app/internal/json_api.cc
+++ b/src/app/internal/json_api.cc
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "framework/http_status.h"
 #include "query/answer_json.h"
 
 namespace limpetrudder {
@@ -37,22 +38,22 @@
   switch (code) {
     case ResultCode::kOk:
     case ResultCode::kPartialAnswer:
-      return kHttpOk;
+      return http_status::kOk;
     case ResultCode::kCollectionUnknown:
     case ResultCode::kNoSuchPath:
     case ResultCode::kRequestNotKept:
-      return kHttpNotFound;
+      return http_status::kNotFound;
     case ResultCode::kOverloaded:
     case ResultCode::kQueueFull:
     case ResultCode::kRingFull:
     case ResultCode::kLedgerFull:
-      return kHttpTooMany;
+      return http_status::kTooManyRequests;
     case ResultCode::kNotAuthorised:
-      return kHttpUnauthorised;
+      return http_status::kUnauthorised;
     case ResultCode::kNotGranted:
-      return kHttpForbidden;
+      return http_status::kForbidden;
     case ResultCode::kDeadlinePassed:
-      return kHttpLate;
+      return http_status::kGatewayTimeout;
     case ResultCode::kConfigConflict:
     case ResultCode::kChangeReused:
     case ResultCode::kKeyBodyDiffers:
@@ -61,7 +62,7 @@
     case ResultCode::kIssuerGone:
     case ResultCode::kWriteNotRun:
     case ResultCode::kWriteRefused:
-      return kHttpConflict;
+      return http_status::kConflict;
     case ResultCode::kNotWhole:
     case ResultCode::kNoAnswer:
     case ResultCode::kNoHome:
@@ -75,9 +76,9 @@
     case ResultCode::kConfigOutcomeUnknown:
     case ResultCode::kPlatformUnavailable:
     case ResultCode::kNoServer:
-      return kHttpUnavailable;
+      return http_status::kUnavailable;
     default:
-      return kHttpBadRequest;
+      return http_status::kBadRequest;
   }
 }
 
@@ -116,7 +117,8 @@
   ServerResponse response;
   response.status = HttpStatusOf(code);
   response.body = RefusalBody(code, message);
-  if (response.status == kHttpTooMany || response.status == kHttpUnavailable)
+  if (response.status == http_status::kTooManyRequests ||
+      response.status == http_status::kUnavailable)
     response.retry_after_seconds = 1;
   return response;
 }
--- a/src/app/internal/json_api.h
+++ b/src/app/internal/json_api.h
@@ -9,16 +9,6 @@
 
 namespace limpetrudder {
 
-inline constexpr int kHttpOk = 200;
-inline constexpr int kHttpBadRequest = 400;
-inline constexpr int kHttpUnauthorised = 401;
-inline constexpr int kHttpForbidden = 403;
-inline constexpr int kHttpNotFound = 404;
-inline constexpr int kHttpConflict = 409;
-inline constexpr int kHttpTooMany = 429;
-inline constexpr int kHttpUnavailable = 503;
-inline constexpr int kHttpLate = 504;
-
 // Returns the HTTP status that goes with `code`. Thread safe.
 int HttpStatusOf(ResultCode code);
 
--- a/src/app/operator_api.cc
+++ b/src/app/operator_api.cc
@@ -7,6 +7,7 @@
 #include "config/document.h"
 #include "framework/clock.h"
 #include "framework/hash.h"
+#include "framework/http_status.h"
 #include "framework/json_schema.h"
 #include "query/answer_json.h"
 
@@ -60,7 +61,7 @@
 
 void OperatorApi::OnRequest(ServerRequest request, Responder respond) {
   if (request.method == "GET" && request.path == "/")
-    return respond({kHttpOk, std::string(ConsolePage()), "text/html"});
+    return respond({http_status::kOk, std::string(ConsolePage()), "text/html"});
   if (Sha256Hex(request.bearer_token) != token_sha256_) {
     return respond(
         Refusal(ResultCode::kNotAuthorised, "the bearer token isn't known"));
@@ -71,7 +72,7 @@
   if (route == "GET /v1/servers")
     return Ask(search_, ServersQuestion{std::move(respond)});
   if (route == "GET /v1/metrics")
-    return respond({kHttpOk, front_->metrics().Snapshot().dump()});
+    return respond({http_status::kOk, front_->metrics().Snapshot().dump()});
   if (route == "GET /v1/explain") {
     return Ask(search_, ExplainQuestion{QueryValue(request.query, "request_id"),
                                         std::move(respond)});
@@ -91,25 +92,26 @@
                           const Responder& respond) {
   const auto json = ParseJson(request.body);
   if (!json)
-    return respond({kHttpBadRequest, WriteFaults({json.error()})});
+    return respond({http_status::kBadRequest, WriteFaults({json.error()})});
   const auto faults = CheckDocument(json.assume_value());
-  respond({faults.empty() ? kHttpOk : kHttpBadRequest, WriteFaults(faults)});
+  respond({faults.empty() ? http_status::kOk : http_status::kBadRequest,
+           WriteFaults(faults)});
 }
 
 void OperatorApi::OnSubmit(const ServerRequest& request, Responder respond) {
   static const JsonSchema schema(kSubmitSchema);
   const auto json = ParseJson(request.body);
   if (!json)
-    return respond({kHttpBadRequest, WriteFaults({json.error()})});
+    return respond({http_status::kBadRequest, WriteFaults({json.error()})});
   const Json& body = json.assume_value();
   auto faults = schema.Check(body);
   if (faults.empty())
     faults = CheckDocument(body.at("document"));
   if (!faults.empty())
-    return respond({kHttpBadRequest, WriteFaults(faults)});
+    return respond({http_status::kBadRequest, WriteFaults(faults)});
   auto split = SplitIntoParts(body.at("document"));
   if (!split)
-    return respond({kHttpBadRequest, WriteFaults({split.error()})});
+    return respond({http_status::kBadRequest, WriteFaults({split.error()})});
   SubmitChange event;
   event.change.change_id = body.at("change_id");
   event.change.base_revision = body.at("base_revision");
--- a/src/app/search_duty.cc
+++ b/src/app/search_duty.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "app/internal/json_api.h"
+#include "framework/http_status.h"
 #include "framework/logger.h"
 #include "query/answer_json.h"
 
@@ -102,8 +103,8 @@
     return engine_.OnForward(event.query, ForwardOutcome::kAnswered, now);
   if (!event.reply)
     return engine_.OnForward(event.query, ForwardOutcome::kFailed, now);
-  const bool try_next =
-      event.reply->not_run && event.reply->http_status == kHttpUnavailable;
+  const bool try_next = event.reply->not_run &&
+                        event.reply->http_status == http_status::kUnavailable;
   if (try_next)
     return engine_.OnForward(event.query, ForwardOutcome::kNotRun, now);
   engine_.OnForward(event.query, ForwardOutcome::kAnswered, now);
@@ -139,14 +140,14 @@
   const auto* decisions = engine_.Explain(event.request_id);
   if (decisions == nullptr) {
     return event.respond(
-        {kHttpNotFound,
+        {http_status::kNotFound,
          RefusalBody(ResultCode::kRequestNotKept,
                      "no decisions are kept for this request here")});
   }
   const nlohmann::ordered_json body = {
       {"request_id", event.request_id},
       {"decisions", WriteDecisions(*decisions)}};
-  event.respond({kHttpOk, body.dump()});
+  event.respond({http_status::kOk, body.dump()});
 }
 
 void SearchDuty::On(const ServersQuestion& event, Time) {
@@ -163,7 +164,7 @@
                     {"held", std::move(held)}});
   }
   const nlohmann::ordered_json body = {{"servers", std::move(list)}};
-  event.respond({kHttpOk, body.dump()});
+  event.respond({http_status::kOk, body.dump()});
 }
 
 void SearchDuty::On(const StopSearches& event, Time) {
--- a/src/app/server_app.cc
+++ b/src/app/server_app.cc
@@ -9,6 +9,7 @@
 #include "app/internal/json_api.h"
 #include "framework/clock.h"
 #include "framework/hash.h"
+#include "framework/http_status.h"
 #include "framework/logger.h"
 
 namespace limpetrudder {
@@ -107,7 +108,7 @@
   handlers.search = [this](PeerSearch search, auto reply) {
     if (search_.Post(PeerSearchCall{std::move(search), reply}))
       return;
-    reply({kHttpTooMany,
+    reply({http_status::kTooManyRequests,
            RefusalBody(ResultCode::kRingFull, "too many requests"), true,
            front_.revision()});
   };
--- a/src/app/write_duty.cc
+++ b/src/app/write_duty.cc
@@ -6,6 +6,7 @@
 #include "app/internal/json_api.h"
 #include "config/document.h"
 #include "framework/hash.h"
+#include "framework/http_status.h"
 #include "framework/logger.h"
 #include "routing/home_plan.h"
 
@@ -26,8 +27,8 @@
 // Whether the server gave the write back without having run it.
 bool IsServerRefusal(const WriteRunResult& result) {
   return result.result == RunResult::kReplied &&
-         (result.server_status == kHttpUnavailable ||
-          result.server_status == kHttpTooMany);
+         (result.server_status == http_status::kUnavailable ||
+          result.server_status == http_status::kTooManyRequests);
 }
 
 }  // namespace
@@ -288,7 +289,7 @@
   if (!issued)
     return waiter.respond(ToResponse(outcome, waiter.key));
   const nlohmann::json body = {{"key", outcome.message}};
-  waiter.respond({kHttpOk, body.dump()});
+  waiter.respond({http_status::kOk, body.dump()});
 }
 
 void WriteDuty::CarryOut(Time now) {
--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -8,21 +8,11 @@
 #include "dispatch/internal/hedge_policy.h"
 #include "dispatch/internal/leg_selection.h"
 #include "dispatch/internal/record_merge.h"
+#include "framework/http_status.h"
 
 namespace limpetrudder {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kMultipleChoices = 300;
-constexpr int kNotFound = 404;
-constexpr int kRequestTimeout = 408;
-constexpr int kMisdirected = 421;
-constexpr int kTooManyRequests = 429;
-constexpr int kInternalError = 500;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-
 // Time that an answer takes to its caller, there and back for its request, and
 // for a connection that the request opened: the way to callers is 1 to 3 ms.
 constexpr Duration kCallerRoundTrip = Millis(11);
@@ -63,13 +53,15 @@
 constexpr Duration kRetryAfterFailure = Millis(300);
 
 bool IsSuccess(int status) {
-  return status >= kOk && status < kMultipleChoices;
+  return status >= http_status::kOk && status < http_status::kMultipleChoices;
 }
 
 // Whether the status says that a request has not run and never will.
 bool PromisesNotRun(int status) {
-  return status == kRequestTimeout || status == kMisdirected ||
-         status == kTooManyRequests || status == kUnavailable;
+  return status == http_status::kRequestTimeout ||
+         status == http_status::kMisdirected ||
+         status == http_status::kTooManyRequests ||
+         status == http_status::kUnavailable;
 }
 
 ResultCode CodeOf(const TargetReply& reply) {
@@ -81,8 +73,9 @@
     return ResultCode::kServerLeaving;
   if (reply.not_executed)
     return ResultCode::kServerShed;
-  return reply.status >= kInternalError ? ResultCode::kServerFailed
-                                        : ResultCode::kAnswerMalformed;
+  return reply.status >= http_status::kInternalError
+             ? ResultCode::kServerFailed
+             : ResultCode::kAnswerMalformed;
 }
 
 double RatioOf(Duration latency, Duration usual) {
@@ -158,14 +151,16 @@
 
 void DispatchEngine::OnCall(CallRequest call, Time now) {
   if (!routes_)
-    return Refuse(call, kUnavailable, ResultCode::kNotReady, kRetryAfterStart);
+    return Refuse(call, http_status::kUnavailable, ResultCode::kNotReady,
+                  kRetryAfterStart);
   // NOTE The other instance gathers by itself rather than under older routes.
   if (call.forwarded && call.routes_version > routes_->version())
-    return Refuse(call, kUnavailable, ResultCode::kRevisionTooLow,
+    return Refuse(call, http_status::kUnavailable, ResultCode::kRevisionTooLow,
                   std::nullopt);
   const Route* route = routes_->Find(call.message->host, call.message->target);
   if (route == nullptr)
-    return Refuse(call, kNotFound, ResultCode::kNoSuchPath, std::nullopt);
+    return Refuse(call, http_status::kNotFound, ResultCode::kNoSuchPath,
+                  std::nullopt);
   auto owned = std::make_unique<ActiveCall>();
   ActiveCall* active = owned.get();
   active->call = std::move(call);
@@ -426,7 +421,7 @@
     return reply.signature.empty() ? Verdict::kLost : Verdict::kGood;
   if (PromisesNotRun(reply.status))
     return Verdict::kLost;
-  if (reply.status >= kInternalError || send.route->is_scatter())
+  if (reply.status >= http_status::kInternalError || send.route->is_scatter())
     return Verdict::kFailed;
   return Verdict::kGood;
 }
@@ -665,9 +660,10 @@
       static_cast<double>(kRetryAfterFailure.count()) *
       (0.5 + random_.Unit())));
   if (!call->may_have_run()) {
-    reply.status = kUnavailable;
+    reply.status = http_status::kUnavailable;
   } else {
-    reply.status = now >= call->deadline ? kGatewayTimeout : kBadGateway;
+    reply.status = now >= call->deadline ? http_status::kGatewayTimeout
+                                         : http_status::kBadGateway;
   }
   return reply;
 }
--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -77,11 +77,9 @@
   // Returns and clears the actions due.
   std::vector<DispatchAction> TakeActions();
 
-  bool has_routes() const { return routes_ != nullptr; }
   std::uint64_t routes_version() const {
     return routes_ ? routes_->version() : 0;
   }
-  std::size_t active_calls() const { return calls_.size(); }
 
  private:
   using Leg = detail::Leg;
--- a/src/dispatch/dispatch_engine_homes.cc
+++ b/src/dispatch/dispatch_engine_homes.cc
@@ -8,6 +8,7 @@
 #include "dispatch/dispatch_engine.h"
 #include "dispatch/internal/answer_policy.h"
 #include "dispatch/internal/leg_selection.h"
+#include "framework/http_status.h"
 
 namespace limpetrudder {
 namespace {
@@ -23,8 +24,6 @@
 // Fewer far parts than this are asked for directly.
 constexpr std::size_t kFewestDelegated = 4;
 
-constexpr int kOk = 200;
-
 bool IsTaken(const TargetReply& reply) {
   return reply.outcome == SendOutcome::kAnswered && !reply.not_executed;
 }
@@ -144,7 +143,7 @@
   call->home_send = 0;
   call->record.parts =
       static_cast<std::uint32_t>(reply->part_signatures.size());
-  if (reply->status != kOk)
+  if (reply->status != http_status::kOk)
     call->record.code = ResultCode::kNoAnswer;
   CallReply final_reply;
   final_reply.status = reply->status;
@@ -172,7 +171,7 @@
   for (std::size_t i = 0; i < batch.legs.size(); ++i) {
     const std::size_t index = batch.legs[i];
     Leg& leg = call->legs[index];
-    if (reply->status != kOk || i >= signatures.size() ||
+    if (reply->status != http_status::kOk || i >= signatures.size() ||
         signatures[i].empty()) {
       OnPartMissed(leg.group, now);
       FailLeg(call, index, ResultCode::kNoAnswer);
--- a/src/dispatch/internal/server_placer.cc
+++ b/src/dispatch/internal/server_placer.cc
@@ -103,7 +103,7 @@
     if (cost >= least)
       continue;
     least = cost;
-    choice = {PlacementStatus::kFound, server, expected};
+    choice = {PlacementStatus::kFound, server};
   }
   return choice;
 }
--- a/src/dispatch/internal/server_placer.h
+++ b/src/dispatch/internal/server_placer.h
@@ -21,7 +21,6 @@
 struct Placement {
   PlacementStatus status = PlacementStatus::kNoServer;
   std::shared_ptr<ServerLoad> server;
-  Duration expected{0};  // Until its answer.
 };
 
 // What is being placed.
--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -308,7 +308,7 @@
   reply.outcome =
       server->resetting ? SendOutcome::kBroken : SendOutcome::kAnswered;
   reply.status = server->failing ? 500 : 200;
-  if (!server->unsigned_)
+  if (!server->without_signature)
     reply.signature = server->entry.id + "/" + job.request_id;
   reply.body = std::string(15, 'x') + server->entry.id.back();
   if (options_.servers_tell_load) {
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -23,7 +23,7 @@
   bool silent = false;      // Takes requests and answers nothing.
   bool failing = false;     // Runs requests and answers 500.
   bool resetting = false;   // Runs requests and resets the connection.
-  bool unsigned_ = false;   // Answers 200 without a signature.
+  bool without_signature = false;   // Answers 200 without a signature.
   Time paused_until{};
 
   int arrivals = 0;
--- a/src/dispatch/tests/search_test.cc
+++ b/src/dispatch/tests/search_test.cc
@@ -63,8 +63,8 @@
       CHECK(signature.find("s5-") == std::string::npos);
   }
   SUBCASE("never takes an answer without a signature as a part") {
-    session.server(5, 0).unsigned_ = true;
-    session.server(5, 1).unsigned_ = true;
+    session.server(5, 0).without_signature = true;
+    session.server(5, 1).without_signature = true;
     CHECK(session.SearchNow().reply.missing_parts == 1);
   }
   SUBCASE("holds each shard once, however many servers were asked") {
--- /dev/null
+++ b/src/framework/http_status.h
@@ -0,0 +1,26 @@
+#ifndef FRAMEWORK_HTTP_STATUS_H_
+#define FRAMEWORK_HTTP_STATUS_H_
+
+// Status codes of HTTP (RFC 9110) that the program sends or tells apart.
+namespace limpetrudder::http_status {
+
+inline constexpr int kOk = 200;
+inline constexpr int kMultipleChoices = 300;  // The first that isn't a success.
+inline constexpr int kBadRequest = 400;
+inline constexpr int kUnauthorised = 401;
+inline constexpr int kForbidden = 403;
+inline constexpr int kNotFound = 404;
+inline constexpr int kRequestTimeout = 408;
+inline constexpr int kConflict = 409;
+inline constexpr int kGone = 410;
+inline constexpr int kMisdirected = 421;
+inline constexpr int kTooManyRequests = 429;
+inline constexpr int kCancelled = 499;  // In use, though in no standard.
+inline constexpr int kInternalError = 500;
+inline constexpr int kBadGateway = 502;
+inline constexpr int kUnavailable = 503;
+inline constexpr int kGatewayTimeout = 504;
+
+}  // namespace limpetrudder::http_status
+
+#endif  // FRAMEWORK_HTTP_STATUS_H_
--- a/src/net/feed_client.cc
+++ b/src/net/feed_client.cc
@@ -4,6 +4,7 @@
 #include <string_view>
 #include <utility>
 
+#include "framework/http_status.h"
 #include "framework/json_schema.h"
 #include "framework/logger.h"
 
@@ -15,13 +16,12 @@
 // What an answer takes beyond its wait before the other instance is given up.
 constexpr Duration kAnswerTime = Millis(500);
 
-constexpr int kOk = 200;
 constexpr std::string_view kAfter = "after=";
 
 FeedReply ReadReply(const HttpResponse& response) {
   FeedReply reply;
   if (response.status != TransferStatus::kAnswered ||
-      response.http_status != kOk) {
+      response.http_status != http_status::kOk) {
     return reply;
   }
   const auto json = ParseJson(response.body);
--- a/src/net/forward_codec.cc
+++ b/src/net/forward_codec.cc
@@ -22,12 +22,6 @@
 constexpr char kMissing[] = "Limpet-Missing-Parts";
 constexpr char kRetryAfterMs[] = "Limpet-Retry-After-Ms";
 
-void AppendHeader(std::string* bytes,
-                  std::string_view name,
-                  std::string_view value) {
-  bytes->append(name).append(": ").append(value).append("\r\n");
-}
-
 void AppendMillis(std::string* bytes, std::string_view name, Duration value) {
   AppendHeader(bytes, name,
                std::to_string(std::max<std::int64_t>(0, WholeMillis(value))));
--- a/src/net/http_text.cc
+++ b/src/net/http_text.cc
@@ -29,4 +29,25 @@
                      });
 }
 
+const HeaderField* FindHeader(const std::vector<HeaderField>& headers,
+                              std::string_view name) {
+  const auto found =
+      std::find_if(headers.begin(), headers.end(), [name](const auto& header) {
+        return EqualsIgnoringCase(header.name, name);
+      });
+  return found == headers.end() ? nullptr : &*found;
+}
+
+std::string_view HeaderValue(const std::vector<HeaderField>& headers,
+                             std::string_view name) {
+  const HeaderField* header = FindHeader(headers, name);
+  return header == nullptr ? std::string_view() : header->value;
+}
+
+void AppendHeader(std::string* head,
+                  std::string_view name,
+                  std::string_view value) {
+  head->append(name).append(": ").append(value).append("\r\n");
+}
+
 }  // namespace limpetrudder
--- a/src/net/http_text.h
+++ b/src/net/http_text.h
@@ -1,7 +1,11 @@
 #ifndef NET_HTTP_TEXT_H_
 #define NET_HTTP_TEXT_H_
 
+#include <string>
 #include <string_view>
+#include <vector>
+
+#include "dispatch/dispatch_types.h"
 
 namespace limpetrudder {
 
@@ -12,6 +16,20 @@
 // Thread safe.
 bool IsHopByHop(std::string_view header_name);
 
+// Returns the first header called `name`, or null. Thread safe.
+const HeaderField* FindHeader(const std::vector<HeaderField>& headers,
+                              std::string_view name);
+
+// Returns the value of the first header called `name`, or an empty text. The
+// text lives as long as `headers`. Thread safe.
+std::string_view HeaderValue(const std::vector<HeaderField>& headers,
+                             std::string_view name);
+
+// Appends a line of a message's head. Thread safe.
+void AppendHeader(std::string* head,
+                  std::string_view name,
+                  std::string_view value);
+
 }  // namespace limpetrudder
 
 #endif  // NET_HTTP_TEXT_H_
--- a/src/net/internal/target_codec.cc
+++ b/src/net/internal/target_codec.cc
@@ -2,17 +2,13 @@
 
 #include <nlohmann/json.hpp>
 
+#include "framework/http_status.h"
+
 namespace limpetrudder::detail {
 namespace {
 
 using Json = nlohmann::json;
 
-constexpr int kHttpOk = 200;
-constexpr int kHttpConflict = 409;
-constexpr int kHttpTooMany = 429;
-constexpr int kHttpCancelled = 499;
-constexpr int kHttpUnavailable = 503;
-
 std::vector<Snapshot> ReadHeld(const Json& json) {
   std::vector<Snapshot> held;
   for (const auto& entry : json)
@@ -30,14 +26,14 @@
 ResultCode RefusalCode(int http_status, const Json& json) {
   const std::string error = json.value("error", std::string());
   switch (http_status) {
-    case kHttpConflict:
+    case http_status::kConflict:
       return error == "map_not_held" ? ResultCode::kMapNotHeld
                                      : ResultCode::kVersionNotHeld;
-    case kHttpTooMany:
+    case http_status::kTooManyRequests:
       return ResultCode::kServerShed;
-    case kHttpCancelled:
+    case http_status::kCancelled:
       return ResultCode::kAttemptCancelled;
-    case kHttpUnavailable:
+    case http_status::kUnavailable:
       return error == "draining" ? ResultCode::kServerLeaving
                                  : ResultCode::kServerShed;
     default:
@@ -76,7 +72,7 @@
   result->has_report = json.contains("state") && json.contains("held");
   if (result->has_report)
     result->report = ReadReport(json);
-  if (response.http_status != kHttpOk) {
+  if (response.http_status != http_status::kOk) {
     result->code = RefusalCode(response.http_status, json);
     result->retry_after = Millis(json.value("retry_after_ms", std::int64_t{0}));
     return;
@@ -121,15 +117,16 @@
   } catch (const Json::exception&) {
     result = AttemptResult();
     result.attempt = id;
-    result.code = response.http_status == kHttpOk ? ResultCode::kAnswerMalformed
-                                                  : ResultCode::kServerFailed;
+    result.code = response.http_status == http_status::kOk
+                      ? ResultCode::kAnswerMalformed
+                      : ResultCode::kServerFailed;
   }
   return result;
 }
 
 std::optional<ServerReport> ReadTargetHealth(const HttpResponse& response) {
   if (response.status != TransferStatus::kAnswered ||
-      response.http_status != kHttpOk) {
+      response.http_status != http_status::kOk) {
     return std::nullopt;
   }
   try {
--- a/src/net/target_pool.cc
+++ b/src/net/target_pool.cc
@@ -114,14 +114,6 @@
     idle_.erase(found);
   }
 
-  std::uint64_t opened() const { return opened_; }
-  std::size_t open() const {
-    std::size_t count = busy_.size();
-    for (const auto& [server, idle] : idle_)
-      count += idle.size();
-    return count;
-  }
-
  private:
   struct Connection {
     explicit Connection(asio::io_context* context)
@@ -188,7 +180,6 @@
       return;
     }
     Configure(&connection->socket);
-    ++opened_;
     connection->timer.expires_after(kConnectTimeout);
     connection->timer.async_wait(
         [this, connection](const asio::error_code& timer_error) {
@@ -286,11 +277,10 @@
   }
 
   bool BelongsTo(const Connection& connection) const {
-    for (const auto& header : connection.reader.headers()) {
-      if (EqualsIgnoringCase(header.name, settings_.echo_header))
-        return header.value == connection.request.echo;
-    }
-    return true;
+    // NOTE Not every answer names the request.
+    const HeaderField* echo =
+        FindHeader(connection.reader.headers(), settings_.echo_header);
+    return echo == nullptr || echo->value == connection.request.echo;
   }
 
   void Complete(const ConnectionPtr& connection, bool surplus) {
@@ -353,7 +343,6 @@
   const Handler handler_;
   std::unordered_map<std::uint64_t, ConnectionPtr> busy_;
   std::unordered_map<std::string, std::vector<ConnectionPtr>> idle_;
-  std::uint64_t opened_ = 0;
 };
 
 TargetPool::TargetPool(asio::io_context* context,
@@ -377,12 +366,4 @@
   impl_->Drop(server);
 }
 
-std::uint64_t TargetPool::connections_opened() const {
-  return impl_->opened();
-}
-
-std::size_t TargetPool::connections_open() const {
-  return impl_->open();
-}
-
 }  // namespace limpetrudder
--- a/src/net/target_pool.h
+++ b/src/net/target_pool.h
@@ -65,9 +65,6 @@
   // Closes the idle connections of a server that is gone.
   void Drop(const std::string& server);
 
-  std::uint64_t connections_opened() const;
-  std::size_t connections_open() const;
-
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/testing/soak/part_server.cc
+++ b/testing/soak/part_server.cc
@@ -16,14 +16,6 @@
 constexpr int kMostWaiting = 30;
 constexpr int kRecords = 8;
 
-std::string HeaderOf(const ServerRequest& request, std::string_view name) {
-  for (const auto& header : request.headers) {
-    if (EqualsIgnoringCase(header.name, name))
-      return header.value;
-  }
-  return {};
-}
-
 }  // namespace
 
 std::string PartRecords(const std::string& service,
@@ -93,7 +85,7 @@
     response.status = draining_ || fault_ == ServerFault::kHang ? 503 : 200;
     return respond(std::move(response));
   }
-  if (HeaderOf(request, "Target-Instance") != id_) {
+  if (HeaderValue(request.headers, "Target-Instance") != id_) {
     ++ledger_->misdirected;
     response.status = 421;
     return respond(std::move(response));
@@ -103,7 +95,7 @@
     ++ledger_->late_arrivals;
   const bool refused = running_ >= kSlots + kMostWaiting ||
                        (fault_ == ServerFault::kRefuse && random_.Unit() < 0.7);
-  const std::string request_id = HeaderOf(request, "Request-Id");
+  const std::string request_id(HeaderValue(request.headers, "Request-Id"));
   response.headers.push_back({"Request-Id", request_id});
   if (refused) {
     response.status = 503;
