--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -175,6 +175,9 @@
   CallReply ComposeFailure(ActiveCall* call, Time now);
   void Finish(ActiveCall* call, CallReply reply, Time now);
   void Forget(ActiveCall* call, Time now, bool cancel_now);
+  // Nobody waits for the answer any more; it still tells something about the
+  // server if it comes soon.
+  void Abandon(SendId send, bool cancel_now, Time now);
   void CancelOrphans(Time now);
   void SendProbes(Time now);
   void PingDownHomes(Time now);
--- /dev/null
+++ b/src/dispatch/dispatch_engine_servers.cc
@@ -0,0 +1,191 @@
+// What the engine learns of servers from requests that end there.
+
+#include <algorithm>
+#include <utility>
+
+#include "dispatch/dispatch_engine.h"
+#include "dispatch/internal/answer_policy.h"
+#include "framework/http_status.h"
+
+namespace limpetrudder {
+namespace {
+
+// A request that nobody waits for goes on this long, so that a paused server
+// answers it and keeps its connection: pauses take a quarter of a second.
+constexpr Duration kOrphanTime = Millis(350);
+
+bool IsSuccess(int status) {
+  return status >= http_status::kOk && status < http_status::kMultipleChoices;
+}
+
+// Whether the status says that a request has not run and never will.
+bool PromisesNotRun(int status) {
+  return status == http_status::kRequestTimeout ||
+         status == http_status::kMisdirected ||
+         status == http_status::kTooManyRequests ||
+         status == http_status::kUnavailable;
+}
+
+double RatioOf(Duration latency, Duration usual) {
+  return static_cast<double>(std::max(latency, Duration(0)).count()) /
+         static_cast<double>(std::max<std::int64_t>(usual.count(), 1));
+}
+
+}  // namespace
+
+DispatchEngine::Verdict DispatchEngine::Judge(const OpenSend& send,
+                                              const TargetReply& reply) const {
+  if (reply.outcome == SendOutcome::kNotSent)
+    return Verdict::kRejected;
+  if (reply.outcome != SendOutcome::kAnswered)
+    return Verdict::kLost;
+  if (reply.misdirected || reply.not_executed)
+    return Verdict::kRejected;
+  if (IsSuccess(reply.status))
+    return reply.signature.empty() ? Verdict::kLost : Verdict::kGood;
+  if (PromisesNotRun(reply.status))
+    return Verdict::kLost;
+  if (reply.status >= http_status::kInternalError || send.route->is_scatter())
+    return Verdict::kFailed;
+  return Verdict::kGood;
+}
+
+void DispatchEngine::LearnPace(const OpenSend& send, Time now) {
+  if (!send.route->is_scatter())
+    return;
+  const Duration target =
+      detail::TargetHere(*send.route, /*new_connection=*/false);
+  detail::ServerPace& pace = send.server->pace();
+  if (send.known_late)
+    pace.OnLateAnswer();
+  else
+    pace_started_ |= pace.OnAnswer(target, send.sent, now);
+}
+
+void DispatchEngine::NoteLateSends(ActiveCall* call, Time now) {
+  if (!call->route->is_scatter())
+    return;
+  for (const Leg& leg : call->legs) {
+    // NOTE Second sends had less time; they say nothing yet.
+    if (leg.open_sends.empty() || leg.sends != leg.open_sends.size())
+      continue;
+    OpenSend& first = sends_.at(leg.open_sends.front());
+    first.known_late = true;
+    pace_started_ |= first.server->pace().OnLate(first.sent, now);
+  }
+}
+
+void DispatchEngine::Learn(const OpenSend& send,
+                           const TargetReply& reply,
+                           Verdict verdict,
+                           Time now) {
+  ServerLoad& server = *send.server;
+  const std::string& data_centre = server.entry().data_centre;
+  if (reply.connect_time > Duration::zero())
+    topology_.OnConnected(data_centre, reply.connect_time);
+  if (reply.load)
+    server.OnLoad(*reply.load, now);
+  switch (verdict) {
+    case Verdict::kGood: {
+      LearnPace(send, now);
+      const Duration work = now - send.sent - reply.connect_time -
+                            topology_.RoundTrip(data_centre);
+      const Duration median = profiles_.TimesOf(*send.route).median;
+      server.OnAnswer(RatioOf(work, median), now);
+      profiles_.Record(*send.route, work, reply.body.size());
+      return;
+    }
+    case Verdict::kRejected:
+      if (reply.outcome == SendOutcome::kNotSent) {
+        if (server.OnUnreachable(now))
+          Believe(server, ResultCode::kConnectFailed, now);
+      } else if (reply.misdirected) {
+        server.MarkGone();
+        Believe(server, ResultCode::kServerLeaving, now);
+      } else {
+        server.OnRejected(now);
+      }
+      return;
+    case Verdict::kFailed:
+    case Verdict::kLost:
+      if (reply.outcome == SendOutcome::kTurnedAway)
+        server.OnTurnedAway(now);
+      else
+        server.OnFailed(now);
+      return;
+  }
+}
+
+void DispatchEngine::Abandon(SendId send, bool cancel_now, Time now) {
+  sends_.at(send).call = 0;
+  if (cancel_now)
+    orphans_.emplace_front(now, send);
+  else
+    orphans_.emplace_back(now + kOrphanTime, send);
+}
+
+void DispatchEngine::CancelOrphans(Time now) {
+  detail::GroupSet groups;
+  while (!orphans_.empty() && orphans_.front().first <= now) {
+    const SendId id = orphans_.front().second;
+    orphans_.pop_front();
+    const auto found = sends_.find(id);
+    if (found == sends_.end())
+      continue;
+    const OpenSend send = std::move(found->second);
+    sends_.erase(found);
+    ServerLoad& server = *send.server;
+    server.OnSettled();
+    actions_.emplace_back(CancelSend{id});
+    if (send.group == nullptr)
+      continue;
+    const Duration elapsed = now - send.sent;
+    const double ratio =
+        RatioOf(elapsed, profiles_.TimesOf(*send.route).median);
+    if (server.OnUnanswered(ratio, elapsed, now))
+      Believe(server, ResultCode::kConnectionSilent, now);
+    groups.insert(send.group);
+  }
+  for (detail::ServerGroup* group : groups)
+    ServeWaiting(group, now);
+}
+
+void DispatchEngine::SendProbes(Time now) {
+  for (auto id = down_.begin(); id != down_.end();) {
+    const auto server = servers_.Find(*id);
+    if (!server || server->gone() || !server->down()) {
+      id = down_.erase(id);
+      continue;
+    }
+    if (server->IsProbeDue(now)) {
+      const ServerEntry& entry = server->entry();
+      actions_.emplace_back(ProbeHealth{
+          entry.id, entry.address, servers_.Group(entry.service)->health_path});
+      server->OnProbeSent(now);
+    }
+    ++id;
+  }
+}
+
+void DispatchEngine::OnProbe(const std::string& id, bool healthy, Time now) {
+  const auto server = servers_.Find(id);
+  if (!server || !server->OnProbe(healthy, now))
+    return;
+  Believe(*server, ResultCode::kOk, now);
+  down_.erase(id);
+  ServeWaiting(servers_.Group(server->entry().service), now);
+}
+
+void DispatchEngine::Believe(const ServerLoad& server,
+                             ResultCode reason,
+                             Time now) {
+  if (server.down()) {
+    auto& down = server.entry().service.empty() ? down_homes_ : down_;
+    down.insert(server.entry().id);
+  }
+  actions_.emplace_back(ServerBelief{server.entry().id, server.entry().service,
+                                     reason, now - server.last_heard(),
+                                     server.in_flight()});
+}
+
+}  // namespace limpetrudder
--- a/src/dispatch/internal/answer_policy.cc
+++ b/src/dispatch/internal/answer_policy.cc
@@ -9,8 +9,19 @@
 // Keeps the least count on the right side of rounding.
 constexpr double kRounding = 1e-9;
 
+// Time that an answer takes to its caller, there and back for its request, and
+// for a connection that the request opened: the way to callers is 1 to 3 ms.
+constexpr Duration kCallerRoundTrip = Millis(11);
+constexpr Duration kConnectAllowance = Millis(7);
+
 }  // namespace
 
+Duration TargetHere(const Route& route, bool new_connection) {
+  const Duration way =
+      new_connection ? kCallerRoundTrip + kConnectAllowance : kCallerRoundTrip;
+  return route.latency_target - way;
+}
+
 std::uint32_t FewestParts(const Route& route) {
   const double wanted =
       route.coverage_floor * static_cast<double>(route.shards.size());
--- a/src/dispatch/internal/answer_policy.h
+++ b/src/dispatch/internal/answer_policy.h
@@ -20,6 +20,10 @@
 // which servers pause, and of shards that nobody serves. Thread safe.
 AnswerDecision DecideAnswer(const ActiveCall& call, Time now);
 
+// The time that an instance has from a request's arrival to an answer that its
+// caller gets within the latency target. Thread safe.
+Duration TargetHere(const Route& route, bool new_connection);
+
 // The fewest shards that an answer must hold: its share is not below the floor.
 std::uint32_t FewestParts(const Route& route);
 
