Follow the configuration's limits of messages; tests of callers' bytes

Cause: body and header limits were fixed at 8 MB and 64 KB whatever the configuration says; traps of callers' bytes and of early answers had no test. Change: HttpServer::SetMessageLimits, set with each version of the routes.

--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -27,6 +27,7 @@
 // A health answer that takes longer comes from a server in no state to work.
 constexpr Duration kProbeTimeout = Millis(400);
 
+// Until a configuration gives limits.
 constexpr std::size_t kMostBodyBytes = 8 << 20;
 constexpr std::size_t kMostHeaderBytes = 64 << 10;
 constexpr auto kReadTimeout = std::chrono::seconds(120);
@@ -161,10 +162,12 @@
   const std::uint64_t before = engine_.routes_version();
   const std::uint64_t version = event.routes->version();
   const std::size_t routes = event.routes->routes().size();
+  const RequestLimits limits = event.routes->limits();
   engine_.OnRoutes(std::move(event.routes), now);
   if (engine_.routes_version() == before)
     return;
   state_->SetRoutesKnown();
+  callers_->SetMessageLimits(limits.max_header_bytes, limits.max_body_bytes);
   Log(LogLevel::kInfo, "routes_in_force",
       {{"version", version}, {"before", before}, {"routes", routes}});
 }
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -135,6 +135,11 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
 
+  void SetMessageLimits(std::size_t header_bytes, std::size_t body_bytes) {
+    settings_.max_header_bytes = header_bytes;
+    settings_.max_body_bytes = body_bytes;
+  }
+
   void CloseDoor() { server_->close_sync(); }
 
   void Stop() {
@@ -206,6 +211,11 @@
   return impl_->Start();
 }
 
+void HttpServer::SetMessageLimits(std::size_t header_bytes,
+                                  std::size_t body_bytes) {
+  impl_->SetMessageLimits(header_bytes, body_bytes);
+}
+
 void HttpServer::CloseDoor() {
   impl_->CloseDoor();
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -70,6 +70,10 @@
   // Errors: kStartFailed.
   Result<void> Start();
 
+  // Changes what a message may take from now on. Requests that came before keep
+  // to the old limits. On the server's thread.
+  void SetMessageLimits(std::size_t header_bytes, std::size_t body_bytes);
+
   // Takes no new connections; those that are open go on. Only with a shared
   // io_context, on its thread.
   void CloseDoor();
--- a/src/net/tests/http_test.cc
+++ b/src/net/tests/http_test.cc
@@ -7,19 +7,13 @@
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/target_client.h"
+#include "net/tests/free_port.h"
 #include "net/tests/raw_server.h"
 
 namespace limpetrudder {
 namespace {
 
 // Finds a port that is free now.
-std::uint16_t FreePort() {
-  asio::io_context context;
-  asio::ip::tcp::acceptor acceptor(
-      context, asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-  return acceptor.local_endpoint().port();
-}
-
 class Client {
  public:
   Client() : http(64) { http.Start(); }
@@ -186,6 +180,14 @@
     CHECK(response.http_status == 431);
     CHECK(number(response) == NumberOf(ResultCode::kHeadersTooLarge));
   }
+  SUBCASE("a body beyond a limit that was lowered meanwhile") {
+    const std::string body(3000, 'x');
+    CHECK(client.Call(Post(address, body)).http_status == 200);
+    server.SetMessageLimits(16 << 10, 2000);
+    CHECK(client.Call(Post(address, body)).http_status == 413);
+    server.SetMessageLimits(16 << 10, 1 << 20);
+    CHECK(client.Call(Post(address, body)).http_status == 200);
+  }
   CHECK(client.Call(Post(address, "{}")).http_status == 200);
 }
 
--- a/src/net/tests/target_pool_test.cc
+++ b/src/net/tests/target_pool_test.cc
@@ -116,6 +116,17 @@
     RawServer server([](int) { return std::string(kResetConnection); });
     CHECK(fixture.Ask(server.address()).outcome == SendOutcome::kTurnedAway);
   }
+  SUBCASE("aren't used again while the server hasn't read all of a body") {
+    RawServer server([](int) { return Answer("early"); });
+    PoolRequest request = fixture.MakeRequest(server.address(), "id", false);
+    const std::string body(16 << 20, 'x');
+    request.bytes = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+                    std::to_string(body.size()) + "\r\n\r\n" + body;
+    fixture.pool().Send(std::move(request));
+    CHECK(fixture.Next().body == "early");
+    CHECK(fixture.Ask(server.address()).body == "early");
+    CHECK(server.connections() == 2);
+  }
   SUBCASE("that can't be opened carry nothing") {
     CHECK(fixture.Ask("127.0.0.1:1").outcome == SendOutcome::kNotSent);
     CHECK(fixture.Ask("nowhere").outcome == SendOutcome::kNotSent);
