Soak: ports for hundreds of instances; processes end also after a failure

Cause: from 23 instances on their ports met those of servers, and the exception ended the soak without its processes. Change: a port layout that is named; a run's failure is printed, its processes are ended.

--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -25,6 +25,12 @@
 constexpr Duration kTouch = Millis(4000);
 constexpr Duration kCallerTimeout = Millis(1500);
 
+// Ports above the first one, which is the store's: servers' proxies, the
+// servers themselves, and four for each entry instance.
+constexpr int kServerPorts = 100;
+constexpr int kBehindProxy = 500;
+constexpr int kEntryPorts = 1200;
+
 constexpr Duration kBeat = Millis(400);
 constexpr Duration kWarmUp = Millis(3500);
 constexpr Duration kLastCalm = Millis(6000);
@@ -32,19 +38,11 @@
 // Least share of calm requests that are served once the faults are over.
 constexpr double kCalmServed = 0.95;
 
-std::string HeaderOf(const PoolResponse& response, std::string_view name) {
-  for (const auto& header : response.headers) {
-    if (EqualsIgnoringCase(header.name, name))
-      return header.value;
-  }
-  return {};
-}
-
-std::vector<std::string> SplitList(const std::string& text) {
+std::vector<std::string> SplitList(std::string_view text) {
   std::vector<std::string> items;
   for (std::size_t at = 0; at < text.size();) {
     const std::size_t comma = std::min(text.find(", ", at), text.size());
-    items.push_back(text.substr(at, comma - at));
+    items.emplace_back(text.substr(at, comma - at));
     at = comma + 2;
   }
   return items;
@@ -69,10 +67,10 @@
 Soak::~Soak() = default;
 
 void Soak::StartFleet() {
-  auto port = static_cast<std::uint16_t>(options_.first_port + 100);
+  auto port = static_cast<std::uint16_t>(options_.first_port + kServerPorts);
   const auto add_server = [&](const std::string& service, int replica) {
     const std::string id = "i-" + service + std::to_string(replica);
-    const auto own = static_cast<std::uint16_t>(port + 500);
+    const auto own = static_cast<std::uint16_t>(port + kBehindProxy);
     servers_.push_back(std::make_unique<PartServer>(&context_, id, service, own,
                                                     &ledger_, random_.Next()));
     server_proxies_.push_back(std::make_unique<TcpProxy>(&context_, port, own));
@@ -88,7 +86,7 @@
   Beat();
   for (int i = 0; i < options_.entries; ++i) {
     const auto base =
-        static_cast<std::uint16_t>(options_.first_port + 10 + 4 * i);
+        static_cast<std::uint16_t>(options_.first_port + kEntryPorts + 4 * i);
     store_proxies_.push_back(std::make_unique<TcpProxy>(
         &context_, static_cast<std::uint16_t>(base + 3), options_.first_port));
     entries_.push_back(std::make_unique<EntryProcess>(
@@ -282,7 +280,8 @@
 // A whole and uncrossed answer: signatures of this request, one for each shard
 // at most, an honest count of those missing, the greatest records of the rest.
 void Soak::JudgeSearch(const Asked& asked, const PoolResponse& response) {
-  const auto signatures = SplitList(HeaderOf(response, "Part-Stamps"));
+  const auto signatures =
+      SplitList(HeaderValue(response.headers, "Part-Stamps"));
   std::set<std::string> shards;
   std::vector<std::string> records;
   for (int shard = 0; shard < options_.shards; ++shard) {
@@ -301,7 +300,8 @@
   }
   if (shards.size() != signatures.size())
     Break(asked.request_id + " holds a part that isn't its own");
-  const int missing = std::atoi(HeaderOf(response, "Missing-Parts").c_str());
+  const int missing = std::atoi(
+      std::string(HeaderValue(response.headers, "Missing-Parts")).c_str());
   if (static_cast<int>(shards.size()) + missing != options_.shards)
     Break(asked.request_id + " miscounts its missing parts");
   if (static_cast<double>(shards.size()) < kFloor * options_.shards)
@@ -315,7 +315,7 @@
 }
 
 void Soak::JudgeSingle(const Asked& asked, const PoolResponse& response) {
-  if (HeaderOf(response, "Server-Stamp") !=
+  if (HeaderValue(response.headers, "Server-Stamp") !=
           PartSignature(kWriteService, asked.request_id) ||
       response.body != PartRecords(kWriteService, asked.request_id)) {
     Break(asked.request_id + " got an answer that isn't its own");
--- a/testing/soak/soak_main.cc
+++ b/testing/soak/soak_main.cc
@@ -28,6 +28,26 @@
     "    [--seconds OF_FAULTS] [--port FIRST]\n"
     "Runs COUNT seeds from N on; exits with 1 at a broken promise.\n";
 
+// Runs one seed in a folder of its own.
+bool KeepsPromises(limpetrudder::testbed::SoakOptions run) {
+  run.folder += "/seed-" + std::to_string(run.seed);
+  std::filesystem::remove_all(run.folder);
+  std::filesystem::create_directories(run.folder);
+  std::cout << "seed " << run.seed << ", logs in " << run.folder << "\n";
+  try {
+    limpetrudder::testbed::Soak soak(run);
+    const auto broken = soak.Run();
+    std::cout << "seed " << run.seed << ": "
+              << (broken.empty() ? "kept" : "BROKEN") << std::endl;
+    return broken.empty();
+  } catch (const std::exception& error) {
+    // NOTE Caught so that the processes of the run are ended on the way.
+    std::cout << "seed " << run.seed << ": not run, " << error.what()
+              << std::endl;
+    return false;
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -75,17 +95,7 @@
     return 2;
   }
   int failed = 0;
-  for (int i = 0; i < seeds; ++i, ++options.seed) {
-    limpetrudder::testbed::SoakOptions run = options;
-    run.folder += "/seed-" + std::to_string(run.seed);
-    std::filesystem::remove_all(run.folder);
-    std::filesystem::create_directories(run.folder);
-    std::cout << "seed " << run.seed << ", logs in " << run.folder << "\n";
-    limpetrudder::testbed::Soak soak(run);
-    const auto broken = soak.Run();
-    std::cout << "seed " << run.seed << ": "
-              << (broken.empty() ? "kept" : "BROKEN") << std::endl;
-    failed += broken.empty() ? 0 : 1;
-  }
+  for (int i = 0; i < seeds; ++i, ++options.seed)
+    failed += KeepsPromises(options) ? 0 : 1;
   return failed == 0 ? 0 : 1;
 }
