Log when a server's requests are paced; a server never heard says so

Change: server_paced and server_unpaced with rate and requests in flight, and counters; unheard_ms is null if nothing was heard. Tests: pauses start no pace, three slow shards one at each instance and server.

--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -279,7 +279,18 @@
       {{"server", action.server},
        {"service", action.service},
        {"code", NumberOf(action.reason)},
-       {"unheard_ms", WholeMillis(action.unheard)},
+       {"unheard_ms",
+        action.unheard ? Json(WholeMillis(*action.unheard)) : Json()},
+       {"in_flight", action.in_flight}});
+}
+
+void DispatchDuty::Carry(const PaceBelief& action) {
+  const char* const event = action.paced ? "server_paced" : "server_unpaced";
+  state_->metrics().Add(event);
+  Log(LogLevel::kInfo, event,
+      {{"server", action.server},
+       {"service", action.service},
+       {"rate", action.rate},
        {"in_flight", action.in_flight}});
 }
 
--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -153,6 +153,7 @@
 
   Verdict Judge(const OpenSend& send, const TargetReply& reply) const;
   void LearnPace(const OpenSend& send, Time now);
+  void NotePace(ServerLoad& server, detail::PaceChange change);
   // Tells the servers' paces what hasn't come in time, answered later or not.
   void NoteLateSends(ActiveCall* call, Time now);
   void Learn(const OpenSend& send,
--- a/src/dispatch/dispatch_engine_homes.cc
+++ b/src/dispatch/dispatch_engine_homes.cc
@@ -195,8 +195,7 @@
     return;
   if (group->direct_until <= now) {
     for (const auto& server : group->servers)
-      server->pace().Begin(now);
-    pace_started_ = true;
+      NotePace(*server, server->pace().Begin(now));
   }
   group->direct_until = now + kDirectTime;
 }
--- a/src/dispatch/dispatch_engine_servers.cc
+++ b/src/dispatch/dispatch_engine_servers.cc
@@ -59,7 +59,7 @@
   if (send.known_late)
     pace.OnLateAnswer();
   else
-    pace_started_ |= pace.OnAnswer(target, send.sent, now);
+    NotePace(*send.server, pace.OnAnswer(target, send.sent, now));
 }
 
 void DispatchEngine::NoteLateSends(ActiveCall* call, Time now) {
@@ -71,10 +71,20 @@
       continue;
     OpenSend& first = sends_.at(leg.open_sends.front());
     first.known_late = true;
-    pace_started_ |= first.server->pace().OnLate(first.sent, now);
+    NotePace(*first.server, first.server->pace().OnLate(first.sent, now));
   }
 }
 
+void DispatchEngine::NotePace(ServerLoad& server, detail::PaceChange change) {
+  if (change == detail::PaceChange::kNone)
+    return;
+  const bool paced = change == detail::PaceChange::kStarted;
+  pace_started_ |= paced;
+  actions_.emplace_back(PaceBelief{server.entry().id, server.entry().service,
+                                   paced, server.pace().rate(),
+                                   server.in_flight()});
+}
+
 void DispatchEngine::Learn(const OpenSend& send,
                            const TargetReply& reply,
                            Verdict verdict,
@@ -183,9 +193,11 @@
     auto& down = server.entry().service.empty() ? down_homes_ : down_;
     down.insert(server.entry().id);
   }
+  std::optional<Duration> unheard;
+  if (server.last_heard() != Time{})
+    unheard = now - server.last_heard();
   actions_.emplace_back(ServerBelief{server.entry().id, server.entry().service,
-                                     reason, now - server.last_heard(),
-                                     server.in_flight()});
+                                     reason, unheard, server.in_flight()});
 }
 
 }  // namespace limpetrudder
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -171,7 +171,16 @@
   std::string server;
   std::string service;
   ResultCode reason = ResultCode::kOk;  // kOk: it takes work again.
-  Duration unheard{0};                  // Since the server's last answer.
+  std::optional<Duration> unheard;      // Since its last answer, if any came.
+  std::uint32_t in_flight = 0;
+};
+
+// The requests to a server are paced from now on, or aren't any more.
+struct PaceBelief {
+  std::string server;
+  std::string service;
+  bool paced = false;
+  double rate = 0;  // Requests a second of this instance.
   std::uint32_t in_flight = 0;
 };
 
@@ -181,7 +190,8 @@
                                     CancelSend,
                                     ProbeHealth,
                                     CompleteCall,
-                                    ServerBelief>;
+                                    ServerBelief,
+                                    PaceBelief>;
 
 }  // namespace limpetrudder
 
--- a/src/dispatch/internal/server_pace.cc
+++ b/src/dispatch/internal/server_pace.cc
@@ -27,56 +27,57 @@
 
 }  // namespace
 
-bool ServerPace::OnAnswer(Duration target, Time sent, Time now) {
+PaceChange ServerPace::OnAnswer(Duration target, Time sent, Time now) {
   const Duration elapsed = now - sent;
   if (elapsed > target) {
     OnLateAnswer();
     return OnLate(sent, now);
   }
-  OnTimely(elapsed < target / kQuickDivisor, now);
-  return false;
+  return OnTimely(elapsed < target / kQuickDivisor, now);
 }
 
-void ServerPace::OnTimely(bool quick, Time now) {
+PaceChange ServerPace::OnTimely(bool quick, Time now) {
   late_.Reset();
   late_answered_ = 0;
   if (!active(now))
-    return;
+    return PaceChange::kNone;
   timely_ = kTimelyMemory;
   quick_ = quick ? quick_ + 1 : 0;
   if (quick_ >= kQuickAnswers) {
     rate_ = 0;
-    return;
+    return PaceChange::kEnded;
   }
   Scale(kTimelyFactor, now);
   // NOTE The next request goes out at once, to show whether it has recovered.
   if (quick)
     tokens_ = std::max(tokens_, 1.0);
+  return PaceChange::kNone;
 }
 
-bool ServerPace::OnLate(Time sent, Time now) {
+PaceChange ServerPace::OnLate(Time sent, Time now) {
   if (active(now)) {
     quick_ = 0;
     timely_ -= timely_ > 0 ? 1 : 0;
     // NOTE Requests that were on their way say nothing about the new rate.
     if (sent < lowered_at_ || never_timely())
-      return false;
+      return PaceChange::kNone;
     Scale(kLateFactor, now);
     lowered_at_ = now;
-    return false;
+    return PaceChange::kNone;
   }
   late_.Add(now);
   if (!late_.IsLasting(now))
-    return false;
+    return PaceChange::kNone;
   Start(late_answered_ / (ToMillis(late_.Length(now)) / 1000), now);
-  return true;
+  return PaceChange::kStarted;
 }
 
-void ServerPace::Begin(Time now) {
+PaceChange ServerPace::Begin(Time now) {
   if (active(now))
-    return;
+    return PaceChange::kNone;
   Start(kLeastRate, now);
   taken_at_ = now - kLongestGap;
+  return PaceChange::kStarted;
 }
 
 void ServerPace::Start(double rate, Time now) {
--- a/src/dispatch/internal/server_pace.h
+++ b/src/dispatch/internal/server_pace.h
@@ -8,6 +8,8 @@
 
 namespace limpetrudder::detail {
 
+enum class PaceChange { kNone, kStarted, kEnded };
+
 // Paces one instance's requests to a server that answers all of them late.
 // Starts when answers have been late for longer than a pause explains, at the
 // rate of answers seen. While the server can answer in time, late answers lower
@@ -18,19 +20,17 @@
 class ServerPace {
  public:
   // A request sent at `sent` has no answer and its latency target has passed.
-  // Returns whether the pace starts.
-  bool OnLate(Time sent, Time now);
+  PaceChange OnLate(Time sent, Time now);
 
   // The answer of a request for which OnLate() was called.
   void OnLateAnswer() { ++late_answered_; }
 
-  // The answer of any other request; `target` is its latency target. Returns
-  // whether the pace starts.
-  bool OnAnswer(Duration target, Time sent, Time now);
+  // The answer of any other request; `target` is its latency target.
+  PaceChange OnAnswer(Duration target, Time sent, Time now);
 
   // Another instance found the server late. Allows one request at once, which
   // shows whether it still is.
-  void Begin(Time now);
+  PaceChange Begin(Time now);
 
   // Whether the rate is bounded. Ends when nothing was held back for a while.
   bool active(Time now) const;
@@ -55,7 +55,7 @@
   double rate() const { return rate_; }
 
  private:
-  void OnTimely(bool quick, Time now);
+  PaceChange OnTimely(bool quick, Time now);
   void Start(double rate, Time now);
   void Scale(double factor, Time now);
   // Whether even the fastest of the last answers were late.
--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -214,6 +214,8 @@
     Forward(instance, *forward);
   } else if (const auto* cancel = std::get_if<CancelSend>(&action)) {
     CancelAt(instance, cancel->send);
+  } else if (const auto* pace = std::get_if<PaceBelief>(&action)) {
+    paced_ += pace->paced ? 1 : 0;
   } else if (auto* done = std::get_if<CompleteCall>(&action)) {
     Complete(instance, std::move(*done));
   } else if (const auto* ping = std::get_if<PingInstance>(&action)) {
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -19,11 +19,11 @@
   ServerEntry entry;
   Duration work = Millis(20);
   int most_connections = 1000;
-  double reject_ratio = 0;  // Refuses so many of its requests.
-  bool silent = false;      // Takes requests and answers nothing.
-  bool failing = false;     // Runs requests and answers 500.
-  bool resetting = false;   // Runs requests and resets the connection.
-  bool without_signature = false;   // Answers 200 without a signature.
+  double reject_ratio = 0;         // Refuses so many of its requests.
+  bool silent = false;             // Takes requests and answers nothing.
+  bool failing = false;            // Runs requests and answers 500.
+  bool resetting = false;          // Runs requests and resets the connection.
+  bool without_signature = false;  // Answers 200 without a signature.
   Time paused_until{};
 
   int arrivals = 0;
@@ -102,6 +102,7 @@
   std::shared_ptr<RouteTable> MakeRoutes(std::uint64_t version) const;
   Time now() const { return now_; }
   int forwards() const { return forwards_; }
+  int paced() const { return paced_; }  // How often a pace started.
 
  private:
   struct CallState {
@@ -140,6 +141,7 @@
   std::map<std::pair<std::size_t, SendId>, CallId> forwarded_;
   CallId next_call_ = 1;
   int forwards_ = 0;
+  int paced_ = 0;
 };
 
 }  // namespace limpetrudder
--- a/src/dispatch/tests/load_test.cc
+++ b/src/dispatch/tests/load_test.cc
@@ -94,6 +94,9 @@
   const Tally tally = Count(session, from, Millis(200));
   CHECK(tally.in_target >= tally.asked / 2);
 
+  SUBCASE("once each instance knows that they are late") {
+    CHECK(session.paced() >= 3 * 4);
+  }
   SUBCASE("and what doesn't fit is refused at once, not run") {
     int held = 0;
     for (const auto& [call, answer] : session.answers()) {
@@ -154,6 +157,7 @@
   }
   session.Run(Seconds(3));
   const Tally tally = Count(session, from, Millis(200));
+  CHECK(session.paced() == 0);
   CHECK(tally.refused + tally.failed == 0);
   CHECK(tally.in_target >= tally.asked * 75 / 100);
 }
