Ask the late server that has room; lateness that is long ago doesn't count

Cause, from reading the change again: the selection found room at one late server and the placer could send to another of the same shard; and two late answers in a pause, with one of a minute before, counted as lasting lateness. Change: the selection reserves the server; a streak ends after 2 s without a late answer. Tests: of two late servers the one with room; late answers 3 s apart (both failed before).

--- a/src/dispatch/dispatch_engine_legs.cc
+++ b/src/dispatch/dispatch_engine_legs.cc
@@ -71,10 +71,12 @@
   for (const Leg& leg : call->legs)
     groups.push_back(leg.group);
   const Duration target = call->answer_by - now;
-  for (const auto& [leg, reason] :
-       detail::SelectLegs(groups, detail::FewestLegs(*call), target, now)) {
+  const detail::LegSelection selection =
+      detail::SelectLegs(groups, detail::FewestLegs(*call), target, now);
+  for (const auto& [leg, reason] : selection.left_out)
     FailLeg(call, leg, reason);
-  }
+  for (const auto& [leg, server] : selection.reserved)
+    call->legs[leg].reserved = server;
 }
 
 void DispatchEngine::DropSpareLegs(Time now) {
@@ -131,6 +133,10 @@
   Leg& leg = call->legs[leg_index];
   const detail::PlacingRequest request{
       call->route, profiles_.TimesOf(*call->route), &leg.asked};
+  if (const auto reserved = std::exchange(leg.reserved, nullptr)) {
+    return Send(call, leg_index, {detail::PlacementStatus::kFound, reserved},
+                now);
+  }
   const detail::Placement choice = placer_.Choose(*leg.group, request, now);
   switch (choice.status) {
     case detail::PlacementStatus::kFound:
--- a/src/dispatch/internal/active_call.h
+++ b/src/dispatch/internal/active_call.h
@@ -20,6 +20,7 @@
   LegState state = LegState::kOpen;
   std::vector<SendId> open_sends;
   std::vector<const ServerLoad*> asked;
+  std::shared_ptr<ServerLoad> reserved;  // To be asked first.
   std::string last_server;
   std::uint32_t sends = 0;
   std::uint32_t runs = 0;      // Sends that ran or may have.
--- a/src/dispatch/internal/late_streak.h
+++ b/src/dispatch/internal/late_streak.h
@@ -12,8 +12,12 @@
 class LateStreak {
  public:
   void Add(Time now) {
-    if (count_++ == 0)
+    if (count_ == 0 || now - last_ > kForget) {
+      count_ = 0;
       since_ = now;
+    }
+    ++count_;
+    last_ = now;
   }
   void Reset() { count_ = 0; }
 
@@ -29,8 +33,12 @@
   static constexpr Duration kLasting = Millis(500);
   static constexpr std::uint32_t kFewest = 3;
 
+  // Late answers further apart than this have nothing to do with each other.
+  static constexpr Duration kForget = Seconds(2);
+
   std::uint32_t count_ = 0;
   Time since_{};
+  Time last_{};
 };
 
 }  // namespace limpetrudder::detail
--- a/src/dispatch/internal/leg_selection.cc
+++ b/src/dispatch/internal/leg_selection.cc
@@ -15,7 +15,7 @@
 // A shard whose servers all answer late.
 struct LateShard {
   std::size_t leg = 0;
-  ServerLoad* server = nullptr;  // With room; null: none has.
+  std::shared_ptr<ServerLoad> server;  // With room; null: none has.
   double tokens = 0;
 };
 
@@ -29,7 +29,8 @@
                    Duration target,
                    bool needed,
                    Time now) {
-  LateShard shard{leg, nullptr, 0};
+  LateShard shard;
+  shard.leg = leg;
   for (const auto& server : group.servers) {
     if (!server->usable())
       continue;
@@ -39,7 +40,7 @@
         (shard.server != nullptr && tokens <= shard.tokens)) {
       continue;
     }
-    shard.server = server.get();
+    shard.server = server;
     shard.tokens = tokens;
   }
   return shard;
@@ -70,21 +71,21 @@
                      });
 }
 
-std::vector<LeftOutLeg> SelectLegs(const std::vector<ServerGroup*>& groups,
-                                   std::uint32_t fewest,
-                                   Duration target,
-                                   Time now) {
-  std::vector<LeftOutLeg> left_out;
+LegSelection SelectLegs(const std::vector<ServerGroup*>& groups,
+                        std::uint32_t fewest,
+                        Duration target,
+                        Time now) {
+  LegSelection selection;
   std::vector<std::size_t> late_legs;
   for (std::size_t leg = 0; leg < groups.size(); ++leg) {
     if (!HasUsableServer(*groups[leg]))
-      left_out.push_back({leg, ResultCode::kNoServer});
+      selection.left_out.push_back({leg, ResultCode::kNoServer});
     else if (IsLate(*groups[leg], now))
       late_legs.push_back(leg);
   }
-  const std::size_t served = groups.size() - left_out.size();
+  const std::size_t served = groups.size() - selection.left_out.size();
   if (served < fewest || late_legs.size() > groups.size() / kLateDivisor)
-    return left_out;
+    return selection;
   const std::size_t timely = served - late_legs.size();
   const std::size_t needed = fewest > timely ? fewest - timely : 0;
   std::vector<LateShard> late;
@@ -99,12 +100,13 @@
   for (std::size_t i = 0; i < late.size(); ++i) {
     if (i < asked) {
       late[i].server->pace().OnTaken(now);
+      selection.reserved.push_back({late[i].leg, late[i].server});
       continue;
     }
-    left_out.push_back({late[i].leg, ResultCode::kOverloaded});
+    selection.left_out.push_back({late[i].leg, ResultCode::kOverloaded});
     HoldBack(*groups[late[i].leg], now);
   }
-  return left_out;
+  return selection;
 }
 
 std::vector<std::size_t> SpareLegs(const ActiveCall& call, Time now) {
--- a/src/dispatch/internal/leg_selection.h
+++ b/src/dispatch/internal/leg_selection.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <vector>
 
 #include "dispatch/internal/active_call.h"
@@ -18,6 +19,17 @@
   ResultCode reason = ResultCode::kOk;
 };
 
+// A part that is asked of a server that answers late, and has room.
+struct ReservedLeg {
+  std::size_t leg = 0;
+  std::shared_ptr<ServerLoad> server;
+};
+
+struct LegSelection {
+  std::vector<LeftOutLeg> left_out;
+  std::vector<ReservedLeg> reserved;
+};
+
 // Whether all servers of a shard that take work answer late.
 bool IsLate(const ServerGroup& group, Time now);
 
@@ -30,11 +42,11 @@
 // would queue at each of them though the coverage floor spares some.
 //
 // `groups` are the query's shards; `fewest` of them make an answer; `target` is
-// the time left. Sends at late servers are counted as made.
-std::vector<LeftOutLeg> SelectLegs(const std::vector<ServerGroup*>& groups,
-                                   std::uint32_t fewest,
-                                   Duration target,
-                                   Time now);
+// the time left. Sends to reserved servers are counted as made.
+LegSelection SelectLegs(const std::vector<ServerGroup*>& groups,
+                        std::uint32_t fewest,
+                        Duration target,
+                        Time now);
 
 // Returns the parts of a call that wait at shards whose servers all answer late
 // and that its answer can do without. Which ones they are differs from call to
--- a/src/dispatch/tests/pace_test.cc
+++ b/src/dispatch/tests/pace_test.cc
@@ -37,6 +37,11 @@
       CHECK_FALSE(pace.active(At(6320)));
     }
   }
+  SUBCASE("isn't bounded by late answers that have nothing in common") {
+    for (std::int64_t i = 0; i < 5; ++i)
+      pace.OnLate(At(i * 3000), At(i * 3000 + 200));
+    CHECK_FALSE(pace.active(At(12200)));
+  }
   SUBCASE("starts from the answers of a server that is late for long") {
     MakeLate(&pace);
     REQUIRE(pace.active(At(500)));
@@ -126,7 +131,7 @@
   }
 
   std::size_t LeftOut(std::uint32_t fewest, Time now) {
-    return detail::SelectLegs(all, fewest, Millis(180), now).size();
+    return detail::SelectLegs(all, fewest, Millis(180), now).left_out.size();
   }
 
   std::vector<detail::ServerGroup*> all;
@@ -142,7 +147,7 @@
   SUBCASE("a late shard without room is left out") {
     MakeLate(&shards.server(3).pace());
     const auto left_out =
-        detail::SelectLegs(shards.all, 18, Millis(180), At(501));
+        detail::SelectLegs(shards.all, 18, Millis(180), At(501)).left_out;
     REQUIRE(left_out.size() == 1);
     CHECK(left_out[0].leg == 3);
     CHECK(left_out[0].reason == ResultCode::kOverloaded);
@@ -152,6 +157,17 @@
       CHECK(shards.LeftOut(18, At(600)) == 0);
       CHECK(shards.LeftOut(18, At(601)) == 1);
     }
+    SUBCASE("and of two late servers the one with room is asked") {
+      shards.all[3]->servers.push_back(
+          std::make_shared<detail::ServerLoad>(ServerEntry{}));
+      const auto second = shards.all[3]->servers[1];
+      MakeLate(&second->pace());
+      second->pace().OnAnswer(Millis(180), At(350), At(510));
+      const auto selection =
+          detail::SelectLegs(shards.all, 18, Millis(180), At(610));
+      REQUIRE(selection.reserved.size() == 1);
+      CHECK(selection.reserved[0].server == second);
+    }
     SUBCASE("unless another of its servers isn't late") {
       shards.all[3]->servers.push_back(
           std::make_shared<detail::ServerLoad>(ServerEntry{}));
@@ -174,7 +190,7 @@
     for (std::size_t i = 0; i < 3; ++i)
       shards.server(i).MarkGone();
     const auto left_out =
-        detail::SelectLegs(shards.all, 18, Millis(180), At(0));
+        detail::SelectLegs(shards.all, 18, Millis(180), At(0)).left_out;
     REQUIRE(left_out.size() == 3);
     CHECK(left_out[0].reason == ResultCode::kNoServer);
   }
