--- a/src/dispatch/tests/load_test.cc
+++ b/src/dispatch/tests/load_test.cc
@@ -74,6 +74,18 @@
   CHECK(tally.failed + tally.refused <= tally.asked / 100);
 }
 
+// Leaves the first `shards` with one server each, which takes `work`.
+void LeaveSlowServers(FleetSession* session,
+                      std::size_t shards,
+                      Duration work) {
+  for (std::size_t shard = 0; shard < shards; ++shard) {
+    session->server(shard, 0).work = work;
+    ServerEntry gone = session->server(shard, 1).entry;
+    gone.draining = true;
+    session->Announce(gone);
+  }
+}
+
 TEST_SUITE_BEGIN("heavy-three-shards");
 
 // Each query may miss two shards of twenty; three have one server left, which
@@ -81,12 +93,7 @@
 TEST_CASE("A heavy day: three shards have one slow server left") {
   FleetSession session(SmallSite());
   session.Load(60, Seconds(3));
-  for (std::size_t shard = 0; shard < 3; ++shard) {
-    session.server(shard, 0).work = Millis(120);
-    ServerEntry gone = session.server(shard, 1).entry;
-    gone.draining = true;
-    session.Announce(gone);
-  }
+  LeaveSlowServers(&session, 3, Millis(120));
   session.Load(60, Seconds(2));
   const CallId from = session.Search();
   session.Load(60, Seconds(8));
@@ -124,12 +131,7 @@
   options.servers_tell_load = true;
   FleetSession session(options);
   session.Load(90, Seconds(3));
-  for (std::size_t shard = 0; shard < 3; ++shard) {
-    session.server(shard, 0).work = Millis(80);
-    ServerEntry gone = session.server(shard, 1).entry;
-    gone.draining = true;
-    session.Announce(gone);
-  }
+  LeaveSlowServers(&session, 3, Millis(80));
   session.Load(90, Seconds(2));
   const CallId from = session.Search();
   session.Load(90, Seconds(8));
@@ -144,11 +146,7 @@
 // is refused because of it.
 TEST_CASE("A usual day: the last server of each of three shards pauses") {
   FleetSession session(SmallSite());
-  for (std::size_t shard = 0; shard < 3; ++shard) {
-    ServerEntry gone = session.server(shard, 1).entry;
-    gone.draining = true;
-    session.Announce(gone);
-  }
+  LeaveSlowServers(&session, 3, Millis(20));
   const CallId from = session.Search();
   for (int pause = 0; pause < 5; ++pause) {
     for (std::size_t shard = 0; shard < 3; ++shard)
