Gather a call here when its home refuses it itself

Cause, from reading: limits of messages now follow the configuration, and a peer took 16 KB of headers, callers' headers and the names of 135 shards included; a home that answered 4xx (431, or 404 under newer routes) ended the call. Change: a home's 4xx counts as a refusal with nothing run, so the call is gathered here; the peer door takes 256 KB of headers and 32 MB of body. Test: a home whose newer routes lack the one asked for (502 before, 200 now).

--- a/src/app/entry_app.cc
+++ b/src/app/entry_app.cc
@@ -33,6 +33,11 @@
 constexpr Duration kExitMargin = Millis(600);
 constexpr Duration kIdlePoll = Millis(20);
 
+// What other instances pass on is a caller's message, whose size the caller's
+// instance has checked, with headers and names of shards of their own.
+constexpr std::size_t kPeerHeaderBytes = 256 << 10;
+constexpr std::size_t kPeerBodyBytes = 32 << 20;
+
 HttpServerSettings Listen(const std::string& address,
                           asio::io_context* context) {
   const Endpoint endpoint = SplitAddress(address);
@@ -43,6 +48,14 @@
   return settings;
 }
 
+HttpServerSettings ListenForPeers(const std::string& address,
+                                  asio::io_context* context) {
+  HttpServerSettings settings = Listen(address, context);
+  settings.max_header_bytes = kPeerHeaderBytes;
+  settings.max_body_bytes = kPeerBodyBytes;
+  return settings;
+}
+
 InstanceEntry OwnEntry(const EntrySettings& settings) {
   return {settings.instance, settings.data_centre, settings.peer_address,
           settings.cores, settings.link_mbps};
@@ -73,7 +86,7 @@
           },
           nullptr),
       peer_server_(
-          Listen(settings_.peer_address, dispatch_.context()),
+          ListenForPeers(settings_.peer_address, dispatch_.context()),
           [this](ServerRequest request, Responder respond) {
             if (IsForwarded(request))
               dispatch_duty_.OnForwarded(std::move(request),
--- a/src/app/entry_settings.h
+++ b/src/app/entry_settings.h
@@ -23,8 +23,8 @@
   std::string ready_address;
   std::string peer_address;  // Other instances and metrics.
   std::string store_address;
-  double cores = 1;                // This instance's share of a processor.
-  double link_mbps = 100;          // Of its link, in Mbit/s.
+  double cores = 1;        // This instance's share of a processor.
+  double link_mbps = 100;  // Of its link, in Mbit/s.
   RetryBudgetTerms retry_budget;
   Duration stop_bound{0};  // From the stop signal to the exit.
   LogLevel log_level = LogLevel::kInfo;
--- a/src/dispatch/dispatch_engine_homes.cc
+++ b/src/dispatch/dispatch_engine_homes.cc
@@ -24,13 +24,21 @@
 // Fewer far parts than this are asked for directly.
 constexpr std::size_t kFewestDelegated = 4;
 
+// Whether the other instance refused the call itself, as when its routes are
+// newer and lack the one asked for: no server got it.
+bool IsRefused(const TargetReply& reply) {
+  return reply.outcome == SendOutcome::kAnswered &&
+         (reply.not_executed || (reply.status >= http_status::kBadRequest &&
+                                 reply.status < http_status::kInternalError));
+}
+
 bool IsTaken(const TargetReply& reply) {
-  return reply.outcome == SendOutcome::kAnswered && !reply.not_executed;
+  return reply.outcome == SendOutcome::kAnswered && !IsRefused(reply);
 }
 
 // Whether servers may have run what the other instance didn't answer.
 bool MayHaveRun(const TargetReply& reply) {
-  return !reply.not_executed && reply.outcome != SendOutcome::kNotSent;
+  return !IsRefused(reply) && reply.outcome != SendOutcome::kNotSent;
 }
 
 }  // namespace
--- a/src/dispatch/tests/homes_test.cc
+++ b/src/dispatch/tests/homes_test.cc
@@ -99,6 +99,16 @@
   CHECK(answer.reply.part_signatures.size() == 20);
   CHECK(session.forwards() == 1);
 
+  SUBCASE("gathers by itself when its home's routes lack the one asked for") {
+    session.engine(1).OnRoutes(
+        std::make_shared<RouteTable>(2, std::vector<Route>{},
+                                     std::vector<TargetService>{},
+                                     RequestLimits{}),
+        session.now());
+    const SessionAnswer& next = session.SearchNow(0);
+    CHECK(next.reply.status == 200);
+    CHECK(next.reply.part_signatures.size() == 20);
+  }
   SUBCASE("gathers by itself when its home refuses newer routes") {
     session.engine(0).OnRoutes(session.MakeRoutes(2), session.now());
     const SessionAnswer& next = session.SearchNow(0);
