--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -66,6 +66,10 @@
 
 Soak::~Soak() = default;
 
+int Soak::LastPort(const SoakOptions& options) {
+  return options.first_port + kEntryPorts + 4 * options.entries;
+}
+
 void Soak::StartFleet() {
   auto port = static_cast<std::uint16_t>(options_.first_port + kServerPorts);
   const auto add_server = [&](const std::string& service, int replica) {
@@ -351,8 +355,9 @@
   if (ledger_.late_arrivals > 0)
     Break(std::to_string(ledger_.late_arrivals) +
           " requests reached servers long after they began to leave");
-  if (calm_asked_ > 0 &&
-      calm_served_ < kCalmServed * static_cast<double>(calm_asked_)) {
+  if (calm_asked_ == 0)
+    Break("no request was calm: some process never ran");
+  if (calm_served_ < kCalmServed * static_cast<double>(calm_asked_)) {
     Break("only " + std::to_string(calm_served_) + " of " +
           std::to_string(calm_asked_) + " calm requests were served");
   }
--- a/testing/soak/soak.h
+++ b/testing/soak/soak.h
@@ -40,6 +40,9 @@
   explicit Soak(SoakOptions options);
   ~Soak();
 
+  // The highest port that a run with `options` uses.
+  static int LastPort(const SoakOptions& options);
+
   // Returns the promises that were broken; empty: none.
   std::vector<std::string> Run();
 
--- a/testing/soak/soak_main.cc
+++ b/testing/soak/soak_main.cc
@@ -28,6 +28,9 @@
     "    [--seconds OF_FAULTS] [--port FIRST]\n"
     "Runs COUNT seeds from N on; exits with 1 at a broken promise.\n";
 
+// The system takes ports of outgoing connections from above (Linux's default).
+constexpr int kLastPort = 32767;
+
 // Runs one seed in a folder of its own.
 bool KeepsPromises(limpetrudder::testbed::SoakOptions run) {
   run.folder += "/seed-" + std::to_string(run.seed);
@@ -94,6 +97,11 @@
     std::cerr << kUsage;
     return 2;
   }
+  if (limpetrudder::testbed::Soak::LastPort(options) > kLastPort) {
+    std::cerr << "ports beyond " << kLastPort
+              << " may be taken by outgoing connections\n";
+    return 2;
+  }
   int failed = 0;
   for (int i = 0; i < seeds; ++i, ++options.seed)
     failed += KeepsPromises(options) ? 0 : 1;
