--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -302,8 +302,7 @@
   metrics.Add("rejections", record.rejections);
   metrics.Add("budget_refusals", record.budget_refusals);
   metrics.Record("call", record.took);
-  const bool whole = record.status >= http_status::kOk &&
-                     record.status < http_status::kMultipleChoices &&
+  const bool whole = http_status::IsSuccess(record.status) &&
                      record.parts == record.parts_wanted;
   metrics.Add(whole ? "answered_whole"
                     : (record.status < http_status::kMultipleChoices
--- a/src/dispatch/dispatch_engine_legs.cc
+++ b/src/dispatch/dispatch_engine_legs.cc
@@ -131,12 +131,12 @@
                              std::size_t leg_index,
                              Time now) {
   Leg& leg = call->legs[leg_index];
-  const detail::PlacingRequest request{
-      call->route, profiles_.TimesOf(*call->route), &leg.asked};
   if (const auto reserved = std::exchange(leg.reserved, nullptr)) {
     return Send(call, leg_index, {detail::PlacementStatus::kFound, reserved},
                 now);
   }
+  const detail::PlacingRequest request{
+      call->route, profiles_.TimesOf(*call->route), &leg.asked};
   const detail::Placement choice = placer_.Choose(*leg.group, request, now);
   switch (choice.status) {
     case detail::PlacementStatus::kFound:
--- a/src/dispatch/dispatch_engine_servers.cc
+++ b/src/dispatch/dispatch_engine_servers.cc
@@ -14,10 +14,6 @@
 // answers it and keeps its connection: pauses take a quarter of a second.
 constexpr Duration kOrphanTime = Millis(350);
 
-bool IsSuccess(int status) {
-  return status >= http_status::kOk && status < http_status::kMultipleChoices;
-}
-
 // Whether the status says that a request has not run and never will.
 bool PromisesNotRun(int status) {
   return status == http_status::kRequestTimeout ||
@@ -41,7 +37,7 @@
     return Verdict::kLost;
   if (reply.misdirected || reply.not_executed)
     return Verdict::kRejected;
-  if (IsSuccess(reply.status))
+  if (http_status::IsSuccess(reply.status))
     return reply.signature.empty() ? Verdict::kLost : Verdict::kGood;
   if (PromisesNotRun(reply.status))
     return Verdict::kLost;
--- a/src/framework/http_status.h
+++ b/src/framework/http_status.h
@@ -21,6 +21,11 @@
 inline constexpr int kUnavailable = 503;
 inline constexpr int kGatewayTimeout = 504;
 
+// Thread safe.
+constexpr bool IsSuccess(int status) {
+  return status >= kOk && status < kMultipleChoices;
+}
+
 }  // namespace limpetrudder::http_status
 
 #endif  // FRAMEWORK_HTTP_STATUS_H_
--- a/src/net/forward_codec.cc
+++ b/src/net/forward_codec.cc
@@ -63,8 +63,7 @@
   request.address = forward.address;
   std::string& bytes = request.bytes;
   bytes.reserve(512 + message.body.size());
-  bytes.append(message.method).append(" ").append(message.target);
-  bytes.append(" HTTP/1.1\r\n");
+  AppendRequestLine(&bytes, message.method, message.target);
   AppendHeader(&bytes, "Host", forward.address);
   AppendHeader(&bytes, kHost, message.host);
   AppendHeader(&bytes, kRequestId, message.request_id);
@@ -75,8 +74,7 @@
     AppendHeader(&bytes, kShards, JoinList(forward.shards));
     AppendHeader(&bytes, kMostMissing, std::to_string(forward.most_missing));
   }
-  for (const auto& header : message.headers)
-    AppendHeader(&bytes, header.name, header.value);
+  AppendHeaders(&bytes, message.headers);
   if (!message.body.empty())
     AppendHeader(&bytes, "Content-Length", std::to_string(message.body.size()));
   bytes.append("\r\n").append(message.body);
@@ -88,7 +86,7 @@
   request.id = id;
   request.server = ping.name;
   request.address = ping.address;
-  request.bytes = "GET " + std::string(kPingPath) + " HTTP/1.1\r\n";
+  AppendRequestLine(&request.bytes, "GET", kPingPath);
   AppendHeader(&request.bytes, "Host", ping.address);
   request.bytes += "\r\n";
   return request;
--- a/src/net/http_text.cc
+++ b/src/net/http_text.cc
@@ -50,4 +50,15 @@
   head->append(name).append(": ").append(value).append("\r\n");
 }
 
+void AppendHeaders(std::string* head, const std::vector<HeaderField>& headers) {
+  for (const auto& header : headers)
+    AppendHeader(head, header.name, header.value);
+}
+
+void AppendRequestLine(std::string* head,
+                       std::string_view method,
+                       std::string_view target) {
+  head->append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
+}
+
 }  // namespace limpetrudder
--- a/src/net/http_text.h
+++ b/src/net/http_text.h
@@ -25,7 +25,13 @@
 std::string_view HeaderValue(const std::vector<HeaderField>& headers,
                              std::string_view name);
 
-// Appends a line of a message's head. Thread safe.
+// Appends the first line of a request. Thread safe.
+void AppendRequestLine(std::string* head,
+                       std::string_view method,
+                       std::string_view target);
+
+// Appends a line, or several, of a message's head. Thread safe.
+void AppendHeaders(std::string* head, const std::vector<HeaderField>& headers);
 void AppendHeader(std::string* head,
                   std::string_view name,
                   std::string_view value);
--- a/src/once/key_ledger.cc
+++ b/src/once/key_ledger.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "framework/hash.h"
+#include "framework/http_status.h"
 
 namespace limpetrudder {
 namespace {
@@ -103,7 +104,7 @@
       outcome.code = ResultCode::kWriteRunning;
       break;
     case WriteState::kDone:
-      outcome.code = entry.server_status >= 200 && entry.server_status < 300
+      outcome.code = http_status::IsSuccess(entry.server_status)
                          ? ResultCode::kOk
                          : ResultCode::kWriteRefused;
       outcome.server_status = entry.server_status;
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "framework/clock.h"
+#include "framework/http_status.h"
 #include "net/http_text.h"
 
 namespace limpetrudder::testbed {
@@ -48,10 +49,6 @@
   return items;
 }
 
-bool IsSuccess(int status) {
-  return status >= 200 && status < 300;
-}
-
 }  // namespace
 
 Soak::Soak(SoakOptions options)
@@ -270,7 +267,7 @@
   if (status == 404 || status == 400)
     Break(asked.request_id + " was answered " + std::to_string(status) +
           " though its route never went");
-  if (!IsSuccess(status))
+  if (!http_status::IsSuccess(status))
     return;
   ++served_;
   if (asked.calm && !asked.leaves_early)
