Late servers keep to their connections too

Cause, from reading the change once more: a server that the selection reserves got its request without the check of connections that the placer makes, also while it had just turned connections away. Change: HasRoom, one check for the placer and the selection. Test: a late server that takes no connection now isn't asked (failed before).

--- a/src/dispatch/internal/leg_selection.cc
+++ b/src/dispatch/internal/leg_selection.cc
@@ -32,7 +32,7 @@
   LateShard shard;
   shard.leg = leg;
   for (const auto& server : group.servers) {
-    if (!server->usable())
+    if (!server->usable() || !HasRoom(group, *server, now))
       continue;
     const ServerPace& pace = server->pace();
     const double tokens = pace.tokens(now);
--- a/src/dispatch/internal/server_placer.cc
+++ b/src/dispatch/internal/server_placer.cc
@@ -90,8 +90,7 @@
   for (const auto& server : group.servers) {
     if (!server->usable() || WasAsked(request, *server))
       continue;
-    if (server->in_flight() >=
-        server->ConnectionLimit(group.connections, now)) {
+    if (!HasRoom(group, *server, now)) {
       if (choice.status == PlacementStatus::kNoServer)
         choice.status = PlacementStatus::kFull;
       continue;
--- a/src/dispatch/internal/server_table.cc
+++ b/src/dispatch/internal/server_table.cc
@@ -18,6 +18,10 @@
 
 }  // namespace
 
+bool HasRoom(const ServerGroup& group, const ServerLoad& server, Time now) {
+  return server.in_flight() < server.ConnectionLimit(group.connections, now);
+}
+
 ServerGroup* ServerTable::Group(const std::string& service) {
   auto& group = groups_[service];
   if (!group) {
--- a/src/dispatch/internal/server_table.h
+++ b/src/dispatch/internal/server_table.h
@@ -41,6 +41,9 @@
   Time direct_until{};
 };
 
+// Whether this instance may have one more request at `server` of `group`.
+bool HasRoom(const ServerGroup& group, const ServerLoad& server, Time now);
+
 // Orders groups by name, so that sessions repeat.
 struct ByService {
   bool operator()(const ServerGroup* a, const ServerGroup* b) const {
--- a/src/dispatch/tests/pace_test.cc
+++ b/src/dispatch/tests/pace_test.cc
@@ -168,6 +168,11 @@
       REQUIRE(selection.reserved.size() == 1);
       CHECK(selection.reserved[0].server == second);
     }
+    SUBCASE("but not of a server that takes no connection now") {
+      shards.server(3).OnTurnedAway(At(2590));
+      CHECK(shards.LeftOut(18, At(2600)) == 1);
+      CHECK(shards.LeftOut(18, At(2700)) == 0);
+    }
     SUBCASE("unless another of its servers isn't late") {
       shards.all[3]->servers.push_back(
           std::make_shared<detail::ServerLoad>(ServerEntry{}));
