Refuse parts asked for under routes that are no longer in force

Only forwarded calls newer than an instance's own routes were refused.

Change: an instance takes a batch only if its routes send to each of the wanted shards (routes_outdated, 2013), says which version it has, and the one that asked fetches that version from it at once (FetchRoutes, FeedSource::AskAhead), beside the question that may wait at a reader which is cut off. A batch's number of records comes from the one that asks.

--- a/src/app/discovery_duty.cc
+++ b/src/app/discovery_duty.cc
@@ -51,6 +51,32 @@
     OnBatch(*batch, now);
 }
 
+void DiscoveryDuty::On(AheadAnswered event, Time now) {
+  source_.OnAheadEnded();
+  if (event.reply.status != FeedStatus::kOk) {
+    Log(LogLevel::kWarning, "feed_failed", {{"from", event.from}});
+    return;
+  }
+  if (const auto batch = follower_.OnPassedOn(std::move(event.reply), now))
+    OnBatch(*batch, now);
+}
+
+void DiscoveryDuty::On(const NewerRoutesSeen& event, Time now) {
+  if (routes_ && routes_->version() >= event.routes_version)
+    return;
+  const auto instance = source_.AskAhead(event.instance, now);
+  if (!instance)
+    return;
+  Log(LogLevel::kInfo, "routes_outdated",
+      {{"version", routes_ ? routes_->version() : 0},
+       {"newer", event.routes_version},
+       {"seen_at", event.instance}});
+  ports_.ask(*instance, follower_.revision(),
+             [mailbox = mailbox_, from = instance->name](FeedReply reply) {
+               mailbox->PostResult(AheadAnswered{from, std::move(reply)});
+             });
+}
+
 void DiscoveryDuty::On(FeedQuestion event, Time now) {
   if (log_.HasNewsSince(event.after) || waiting_.size() >= kMostWaiting)
     return event.respond(AnswerSince(event.after, now));
--- a/src/app/discovery_duty.h
+++ b/src/app/discovery_duty.h
@@ -32,13 +32,27 @@
   std::string from;
   FeedReply reply;
 };
+// Another instance that has newer routes answered out of turn.
+struct AheadAnswered {
+  std::string from;
+  FeedReply reply;
+};
+struct NewerRoutesSeen {
+  std::string instance;
+  std::uint64_t routes_version = 0;
+};
 struct FeedQuestion {
   std::uint64_t after = 0;
   std::function<void(const FeedReply&)> respond;
 };
 
-using DiscoveryEvent = std::
-    variant<StoreReplied, LeaseReplied, LeaveStore, PassedOn, FeedQuestion>;
+using DiscoveryEvent = std::variant<StoreReplied,
+                                    LeaseReplied,
+                                    LeaveStore,
+                                    PassedOn,
+                                    AheadAnswered,
+                                    NewerRoutesSeen,
+                                    FeedQuestion>;
 
 // How the duty reaches the store and other instances: each carries out a call
 // and hands the reply over, on any thread. `decode` reads an item of the store;
@@ -76,6 +90,8 @@
   void On(const LeaseReplied& event, Time now);
   void On(const LeaveStore& event, Time now);
   void On(PassedOn event, Time now);
+  void On(AheadAnswered event, Time now);
+  void On(const NewerRoutesSeen& event, Time now);
   void On(FeedQuestion event, Time now);
   void OnBatch(const FeedBatch& batch, Time now);
   void ApplyItem(const RawItem& item,
--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -229,6 +229,11 @@
   SendProbe(EncodeProbe(action, next_probe_), {action.server, false});
 }
 
+void DispatchDuty::Carry(const FetchRoutes& action) {
+  if (on_newer_routes_)
+    on_newer_routes_(action.instance, action.routes_version);
+}
+
 void DispatchDuty::Carry(const PingInstance& action) {
   state_->metrics().Add("instance_pings");
   SendProbe(EncodePing(action, next_probe_), {action.name, true});
--- a/src/app/dispatch_duty.h
+++ b/src/app/dispatch_duty.h
@@ -1,8 +1,10 @@
 #ifndef APP_DISPATCH_DUTY_H_
 #define APP_DISPATCH_DUTY_H_
 
+#include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 #include <unordered_map>
 #include <unordered_set>
 #include <variant>
@@ -53,6 +55,14 @@
   void Handle(DispatchEvent event, Time now);
   Time Turn(Time now);
 
+  // Called with each instance that has newer routes than this one, and their
+  // version. Call before the thread runs.
+  using NewerRoutesHandler =
+      std::function<void(const std::string& instance, std::uint64_t version)>;
+  void SetNewerRoutesHandler(NewerRoutesHandler handler) {
+    on_newer_routes_ = std::move(handler);
+  }
+
   // A request of another instance, on the duty's thread; `connection` must not
   // be one of a caller's.
   void OnForwarded(ServerRequest request, Responder respond);
@@ -91,6 +101,7 @@
   void CarryOut();
   void Carry(SendToServer action);
   void Carry(const ForwardCall& action);
+  void Carry(const FetchRoutes& action);
   void Carry(const PingInstance& action);
   void Carry(const CancelSend& action);
   void Carry(const ProbeHealth& action);
@@ -100,6 +111,7 @@
   void Count(const CallRecord& record);
 
   EntryState* const state_;
+  NewerRoutesHandler on_newer_routes_;
   DispatchEngine engine_;
   std::unique_ptr<TargetPool> pool_;
   std::unique_ptr<HttpServer> callers_;
--- a/src/app/entry_app.cc
+++ b/src/app/entry_app.cc
@@ -98,6 +98,11 @@
             dispatch_duty_.OnPeerClosed(connection);
           }) {
   discovery_duty_.SetMailboxes(&discovery_, &dispatch_);
+  // NOTE A lost post is made up for by the next contact.
+  dispatch_duty_.SetNewerRoutesHandler(
+      [this](const std::string& instance, std::uint64_t version) {
+        discovery_.Post(NewerRoutesSeen{instance, version});
+      });
 }
 
 DiscoveryPorts EntryApp::MakePorts() {
--- a/src/discovery/feed_source.cc
+++ b/src/discovery/feed_source.cc
@@ -15,6 +15,10 @@
 // this.
 constexpr Duration kRetry = Millis(50);
 
+// An instance that is ahead is asked no more often than this, since its answer
+// may be a whole listing: a megabyte takes half a second on the smallest link.
+constexpr Duration kAheadInterval = Millis(500);
+
 // Larger instances are readers first: following the store takes some percent of
 // a small one's processor.
 double ReaderScore(const InstanceEntry& instance) {
@@ -137,6 +141,22 @@
   }
 }
 
+std::optional<InstanceEntry> FeedSource::AskAhead(const std::string& name,
+                                                  Time now) {
+  if (asking_ahead_ || now < ask_ahead_at_)
+    return std::nullopt;
+  for (const auto* list : {&readers_, &others_}) {
+    for (const auto& instance : *list) {
+      if (instance.name != name)
+        continue;
+      asking_ahead_ = true;
+      ask_ahead_at_ = now + kAheadInterval;
+      return instance;
+    }
+  }
+  return std::nullopt;
+}
+
 void FeedSource::OnFailure(const std::string& name, Time now) {
   asking_ = false;
   set_aside_[name] = now + kSetAside;
--- a/src/discovery/feed_source.h
+++ b/src/discovery/feed_source.h
@@ -53,6 +53,12 @@
   void OnAnswer(const std::string& name, Duration age, Time now);
   void OnFailure(const std::string& name, Time now);
 
+  // The instance `name` was seen with newer routes than this one's. Returns it
+  // if it is to be asked now, beside the question that may be out: that one may
+  // wait at an instance that is cut off. One such question at a time.
+  std::optional<InstanceEntry> AskAhead(const std::string& name, Time now);
+  void OnAheadEnded() { asking_ahead_ = false; }
+
   bool is_reader() const { return is_reader_; }
 
  private:
@@ -68,6 +74,8 @@
   std::vector<InstanceEntry> others_;   // That aren't readers.
   bool is_reader_ = true;
   bool asking_ = false;
+  bool asking_ahead_ = false;
+  Time ask_ahead_at_ = Time::min();
   Time ask_at_ = Time::min();
   std::map<std::string, Time> set_aside_;  // Until when.
 };
--- a/src/discovery/tests/feed_test.cc
+++ b/src/discovery/tests/feed_test.cc
@@ -95,6 +95,23 @@
     source.Update(fleet);
     REQUIRE_FALSE(source.is_reader());
 
+    SUBCASE("asks one that is ahead at once, whatever else it has asked") {
+      REQUIRE(source.Ask(kStart, true, kStart, &next));
+      const std::string& ahead = fleet[7].name;
+      const auto asked = source.AskAhead(ahead, kStart);
+      REQUIRE(asked);
+      CHECK(asked->name == ahead);
+
+      SUBCASE("but not twice, nor right after its answer") {
+        CHECK_FALSE(source.AskAhead(ahead, kStart + Seconds(2)));
+        source.OnAheadEnded();
+        CHECK_FALSE(source.AskAhead(ahead, kStart + Millis(100)));
+        CHECK(source.AskAhead(ahead, kStart + Seconds(2)));
+      }
+    }
+    SUBCASE("asks nobody it doesn't know, however far ahead") {
+      CHECK_FALSE(source.AskAhead("unknown", kStart));
+    }
     SUBCASE("reads it until it knows anything") {
       CHECK(source.ShouldReadStore(Time::min(), kStart));
     }
--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -1,6 +1,8 @@
 #include "dispatch/dispatch_engine.h"
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_set>
 #include <utility>
 
 #include "dispatch/internal/answer_policy.h"
@@ -28,6 +30,17 @@
 // When a caller may come back: configuration and servers are read by then.
 constexpr Duration kRetryAfterStart = Millis(500);
 
+// Whether the route sends to each of the shards.
+bool NamesAll(const Route& route, const std::vector<std::string>& shards) {
+  if (shards.empty())
+    return true;
+  const std::unordered_set<std::string_view> named(route.shards.begin(),
+                                                   route.shards.end());
+  return std::all_of(
+      shards.begin(), shards.end(),
+      [&](const std::string& shard) { return named.count(shard) > 0; });
+}
+
 }  // namespace
 
 DispatchEngine::DispatchEngine(DispatchSettings settings)
@@ -79,6 +92,12 @@
   servers_.SetFleet(fleet);
 }
 
+std::uint64_t DispatchEngine::NewerRoutesFor(const CallRequest& call) const {
+  return call.forwarded && call.routes_version < routes_version()
+             ? routes_version()
+             : 0;
+}
+
 void DispatchEngine::Refuse(const CallRequest& call,
                             int status,
                             ResultCode code,
@@ -87,6 +106,7 @@
   action.call = call.id;
   action.reply.status = status;
   action.reply.retry_after = retry_after;
+  action.reply.newer_routes = NewerRoutesFor(call);
   action.record.request_id = call.message->request_id;
   action.record.routes_version = routes_version();
   action.record.status = status;
@@ -106,6 +126,11 @@
   if (route == nullptr)
     return Refuse(call, http_status::kNotFound, ResultCode::kNoSuchPath,
                   std::nullopt);
+  // NOTE An instance that has used newer routes doesn't go back for the sake
+  // of one that hasn't heard of them.
+  if (!NamesAll(*route, call.only_shards))
+    return Refuse(call, http_status::kUnavailable, ResultCode::kRoutesOutdated,
+                  std::nullopt);
   auto owned = std::make_unique<ActiveCall>();
   ActiveCall* active = owned.get();
   active->call = std::move(call);
--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -102,6 +102,9 @@
   // Whether a server gave what its leg needs.
   enum class Verdict { kGood, kRejected, kFailed, kLost };
 
+  // The version in force here if the instance that forwarded the call lacks it,
+  // else 0.
+  std::uint64_t NewerRoutesFor(const CallRequest& call) const;
   void Refuse(const CallRequest& call,
               int status,
               ResultCode code,
--- a/src/dispatch/dispatch_engine_answers.cc
+++ b/src/dispatch/dispatch_engine_answers.cc
@@ -78,7 +78,10 @@
   }
   reply.missing_parts =
       static_cast<std::uint32_t>(call->legs.size() - parts.size());
-  reply.body = detail::MergeGreatest(parts, call->route->top_records);
+  const std::uint32_t top_records = call->call.top_records > 0
+                                        ? call->call.top_records
+                                        : call->route->top_records;
+  reply.body = detail::MergeGreatest(parts, top_records);
   return reply;
 }
 
@@ -111,6 +114,7 @@
 }
 
 void DispatchEngine::Finish(ActiveCall* call, CallReply reply, Time now) {
+  reply.newer_routes = NewerRoutesFor(call->call);
   CallRecord& record = call->record;
   record.status = reply.status;
   record.took = now - call->received;
--- a/src/dispatch/dispatch_engine_homes.cc
+++ b/src/dispatch/dispatch_engine_homes.cc
@@ -72,7 +72,8 @@
   actions_.emplace_back(ForwardCall{
       id, home->entry().id, home->entry().address, call->call.message,
       call->deadline - now - way, call->answer_by - now - way,
-      call->table->version(), std::move(shards), detail::SpareParts(*call)});
+      call->table->version(), std::move(shards), detail::SpareParts(*call),
+      call->route->top_records});
 }
 
 void DispatchEngine::GatherHere(ActiveCall* call, bool repeated, Time now) {
@@ -125,6 +126,8 @@
                                  TargetReply* reply,
                                  Time now) {
   ServerLoad& home = *send.server;
+  if (reply->newer_routes > routes_version())
+    actions_.emplace_back(FetchRoutes{home.entry().id, reply->newer_routes});
   if (reply->outcome == SendOutcome::kAnswered) {
     home.OnHeard(now);
   } else if (reply->outcome == SendOutcome::kNotSent) {
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -48,6 +48,8 @@
   // How many of them may be missing when the time for the target is up; with
   // more the answer waits, since the whole query would fail without them.
   std::uint32_t most_missing = 0;
+  // Records of its answer; 0: as many as the route says.
+  std::uint32_t top_records = 0;
 };
 
 // What a server says of its load beside an answer.
@@ -78,6 +80,7 @@
   std::vector<std::string> part_signatures;  // From a home.
   std::uint32_t missing_parts = 0;           // From a home.
   std::optional<Duration> retry_after;       // From a home.
+  std::uint64_t newer_routes = 0;  // A home's version if it is newer than ours.
   std::optional<LoadReport> load;
   Duration connect_time{0};  // 0: the connection was open.
 };
@@ -90,9 +93,19 @@
   std::vector<std::string> part_signatures;  // Of a merged answer.
   std::uint32_t missing_parts = 0;
   std::optional<Duration> retry_after;
-  bool from_server = false;  // Status, headers and body are a server's.
+  std::uint64_t newer_routes = 0;  // This instance's, if a forwarded call's
+                                   // instance has older ones.
+  bool from_server = false;        // Status, headers and body are a server's.
 };
 
+// Whether a forwarded call that ended with `code` was refused by the instance
+// itself: nothing was sent, and the one that forwarded it gathers by itself.
+constexpr bool IsNotTaken(ResultCode code) {
+  return code == ResultCode::kNotReady ||
+         code == ResultCode::kRevisionTooLow ||
+         code == ResultCode::kRoutesOutdated;
+}
+
 // What became of one shard, or of the one server asked, for the log.
 struct LegRecord {
   std::string service;
@@ -142,6 +155,13 @@
   std::uint64_t routes_version = 0;
   std::vector<std::string> shards;
   std::uint32_t most_missing = 0;
+  std::uint32_t top_records = 0;
+};
+
+// Another instance has newer routes; they are to be had from it at once.
+struct FetchRoutes {
+  std::string instance;
+  std::uint64_t routes_version = 0;
 };
 
 struct CancelSend {
@@ -186,6 +206,7 @@
 
 using DispatchAction = std::variant<SendToServer,
                                     ForwardCall,
+                                    FetchRoutes,
                                     PingInstance,
                                     CancelSend,
                                     ProbeHealth,
--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -52,8 +52,10 @@
     add(SingleName(static_cast<std::size_t>(i)), "one", "kgn-a");
   for (std::size_t i = 0; i < options_.instances.size(); ++i) {
     const std::string name = "instance-" + std::to_string(i);
+    const double cores =
+        options_.cores_of.empty() ? options_.cores : options_.cores_of[i];
     instances_.push_back(
-        {name, options_.instances[i], name + ":70", options_.cores, 1000});
+        {name, options_.instances[i], name + ":70", cores, 1000});
     regions[options_.instances[i]] = RegionOf(options_.instances[i]);
   }
   for (std::size_t i = 0; i < instances_.size(); ++i) {
@@ -68,8 +70,9 @@
   Run(Seconds(11));
 }
 
-std::shared_ptr<RouteTable> FleetSession::MakeRoutes(
-    std::uint64_t version) const {
+std::shared_ptr<RouteTable> FleetSession::MakeRoutes(std::uint64_t version,
+                                                     std::size_t first,
+                                                     std::size_t count) const {
   Route all;
   all.name = "all";
   all.host = "shop.example";
@@ -81,8 +84,13 @@
   all.coverage_floor = options_.coverage_floor;
   std::vector<TargetService> services = {
       {"one", "/health", options_.max_connections}};
+  if (count == 0) {
+    count = options_.first_shards > 0 ? options_.first_shards
+                                      : options_.shards.size();
+  }
   for (std::size_t shard = 0; shard < options_.shards.size(); ++shard) {
-    all.shards.push_back(ShardName(shard));
+    if (shard >= first && shard < first + count)
+      all.shards.push_back(ShardName(shard));
     services.push_back({ShardName(shard), "/health", options_.max_connections});
   }
   Route one = all;
@@ -216,6 +224,8 @@
     CancelAt(instance, cancel->send);
   } else if (const auto* pace = std::get_if<PaceBelief>(&action)) {
     paced_ += pace->paced ? 1 : 0;
+  } else if (const auto* fetch = std::get_if<FetchRoutes>(&action)) {
+    fetches_.push_back(*fetch);
   } else if (auto* done = std::get_if<CompleteCall>(&action)) {
     Complete(instance, std::move(*done));
   } else if (const auto* ping = std::get_if<PingInstance>(&action)) {
@@ -262,6 +272,7 @@
   const Duration way =
       Way(options_.instances[instance], server.entry.data_centre);
   ++server.arrivals;
+  ++server.arrivals_from[instance];
   const auto held =
       static_cast<int>(server.running.size() + server.queue.size());
   if (held >= server.most_connections) {
@@ -358,6 +369,7 @@
     call.routes_version = forward.routes_version;
     call.only_shards = forward.shards;
     call.most_missing = forward.most_missing;
+    call.top_records = forward.top_records;
     engines_[other]->OnCall(std::move(call), now_);
     Pump(other);
   });
@@ -376,7 +388,8 @@
   reply.body = std::move(done.reply.body);
   reply.part_signatures = std::move(done.reply.part_signatures);
   reply.missing_parts = done.reply.missing_parts;
-  reply.not_executed = done.record.code == ResultCode::kRevisionTooLow;
+  reply.not_executed = IsNotTaken(done.record.code);
+  reply.newer_routes = done.reply.newer_routes;
   Reply(call.from, std::move(reply),
         Way(options_.instances[instance], options_.instances[call.from]));
 }
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -27,6 +27,7 @@
   Time paused_until{};
 
   int arrivals = 0;
+  std::map<std::size_t, int> arrivals_from;  // By instance.
   int runs = 0;
   int rejections = 0;
   int cancelled = 0;
@@ -55,6 +56,7 @@
   struct Options {
     std::vector<std::string> instances = {"kgn-a"};  // Data centre of each.
     std::vector<std::vector<std::string>> shards;    // Data centres of servers.
+    std::size_t first_shards = 0;  // Named by the first routes; 0: all.
     std::uint32_t max_attempts = 2;
     double coverage_floor = 0.89;
     Duration latency_target = Millis(200);
@@ -64,6 +66,7 @@
     int single_servers = 3;
     RetryBudgetTerms budget{0.2, 1000};
     double cores = 0.25;
+    std::vector<double> cores_of;  // Of each instance; empty: `cores`.
     bool servers_tell_load = false;
   };
 
@@ -99,10 +102,14 @@
   // An instance answers nothing any more, also to pings.
   void Freeze(std::size_t instance) { frozen_.insert(instance); }
 
-  std::shared_ptr<RouteTable> MakeRoutes(std::uint64_t version) const;
+  // Routes that name `count` shards from `first` on; 0: as the first routes do.
+  std::shared_ptr<RouteTable> MakeRoutes(std::uint64_t version,
+                                         std::size_t first = 0,
+                                         std::size_t count = 0) const;
   Time now() const { return now_; }
   int forwards() const { return forwards_; }
   int paced() const { return paced_; }  // How often a pace started.
+  const std::vector<FetchRoutes>& fetches() const { return fetches_; }
 
  private:
   struct CallState {
@@ -142,6 +149,7 @@
   CallId next_call_ = 1;
   int forwards_ = 0;
   int paced_ = 0;
+  std::vector<FetchRoutes> fetches_;
 };
 
 }  // namespace limpetrudder
--- a/src/framework/result_code.cc
+++ b/src/framework/result_code.cc
@@ -41,6 +41,9 @@
      "A stored part doesn't match its content address."},
     {kChangeReused, "change_reused",
      "The change id was used before for another document."},
+    {kRoutesOutdated, "routes_outdated",
+     "A forwarded call came under routes that are no longer in force; not "
+     "run."},
     {kRequestMalformed, "request_malformed", "The request can't be read."},
     {kRequestTooLarge, "request_too_large", "The request body is too large."},
     {kCollectionUnknown, "collection_unknown",
--- a/src/framework/result_code.h
+++ b/src/framework/result_code.h
@@ -34,6 +34,7 @@
   kPlatformUnavailable = 2010,
   kConfigCorrupt = 2011,
   kChangeReused = 2012,
+  kRoutesOutdated = 2013,
 
   // query: 3000 to 3999.
   kRequestMalformed = 3001,
--- a/src/net/forward_codec.cc
+++ b/src/net/forward_codec.cc
@@ -16,6 +16,8 @@
 constexpr char kRequestId[] = "Limpet-Request-Id";
 constexpr char kHost[] = "Limpet-Host";
 constexpr char kShards[] = "Limpet-Shards";
+constexpr char kTopRecords[] = "Limpet-Top-Records";
+constexpr char kNewerRoutes[] = "Limpet-Newer-Routes";
 constexpr char kMostMissing[] = "Limpet-Most-Missing";
 constexpr char kNotTaken[] = "Limpet-Not-Taken";
 constexpr char kSignatures[] = "Limpet-Part-Signatures";
@@ -73,6 +75,7 @@
   if (!forward.shards.empty()) {
     AppendHeader(&bytes, kShards, JoinList(forward.shards));
     AppendHeader(&bytes, kMostMissing, std::to_string(forward.most_missing));
+    AppendHeader(&bytes, kTopRecords, std::to_string(forward.top_records));
   }
   AppendHeaders(&bytes, message.headers);
   if (!message.body.empty())
@@ -107,6 +110,7 @@
   std::uint64_t time_left = 0;
   std::uint64_t target_left = 0;
   std::uint64_t most_missing = 0;
+  std::uint64_t top_records = 0;
   bool readable = true;
   for (auto& header : request.headers) {
     if (header.name == kHost)
@@ -119,6 +123,8 @@
       readable = ReadNumber(header.value, &target_left) && readable;
     else if (header.name == kMostMissing)
       readable = ReadNumber(header.value, &most_missing) && readable;
+    else if (header.name == kTopRecords)
+      readable = ReadNumber(header.value, &top_records) && readable;
     else if (header.name == kShards)
       call.only_shards = SplitList(header.value);
     else if (header.name == kVersion)
@@ -135,6 +141,7 @@
   call.caller_timeout = Millis(static_cast<std::int64_t>(time_left));
   call.target_left = Millis(static_cast<std::int64_t>(target_left));
   call.most_missing = static_cast<std::uint32_t>(most_missing);
+  call.top_records = static_cast<std::uint32_t>(top_records);
   message->method = std::move(request.method);
   message->target = std::move(request.target);
   message->body = std::move(request.body);
@@ -147,8 +154,11 @@
   response.status = reply.status;
   response.body = std::move(reply.body);
   response.content_type = "application/octet-stream";
-  if (record.code == ResultCode::kRevisionTooLow ||
-      record.code == ResultCode::kNotReady) {
+  if (reply.newer_routes > 0) {
+    response.headers.push_back(
+        {kNewerRoutes, std::to_string(reply.newer_routes)});
+  }
+  if (IsNotTaken(record.code)) {
     response.headers.push_back({kNotTaken, "1"});
     return response;
   }
@@ -172,6 +182,9 @@
     std::uint64_t number = 0;
     if (header.name == kNotTaken) {
       reply.not_executed = true;
+    } else if (header.name == kNewerRoutes &&
+               ReadNumber(header.value, &number)) {
+      reply.newer_routes = number;
     } else if (header.name == kSignatures) {
       whole = true;
       if (!header.value.empty())
--- a/src/net/tests/peer_feed_test.cc
+++ b/src/net/tests/peer_feed_test.cc
@@ -76,11 +76,13 @@
   SUBCASE("names the shards that are wanted") {
     forward.shards = {"s1", "s2"};
     forward.most_missing = 1;
+    forward.top_records = 50;
     const auto call = DecodeForward(sent(), 9);
     REQUIRE(call);
     CHECK(call.assume_value().only_shards ==
           std::vector<std::string>{"s1", "s2"});
     CHECK(call.assume_value().most_missing == 1);
+    CHECK(call.assume_value().top_records == 50);
   }
   SUBCASE("without its times is refused") {
     ServerRequest request = sent();
@@ -122,6 +124,17 @@
     const TargetReply back =
         DecodeForwardReply(Returned(EncodeForwardReply({}, record)));
     CHECK(back.not_executed);
+    CHECK(back.newer_routes == 0);
+  }
+  SUBCASE("says that the call came under routes that are out of force") {
+    CallReply reply;
+    reply.newer_routes = 13;
+    CallRecord record;
+    record.code = ResultCode::kRoutesOutdated;
+    const TargetReply back =
+        DecodeForwardReply(Returned(EncodeForwardReply(reply, record)));
+    CHECK(back.not_executed);
+    CHECK(back.newer_routes == 13);
   }
   SUBCASE("carries a refusal and when to come back") {
     CallReply reply;
