Leave servers alone that say they are leaving or ask for time

A server that leaves says so in all its answers (Server-Leaving: 1), a server that refuses with 503 may say for how long it wants nothing (Retry-After); neither was read.

Change: ServerNotice keeps what one process of a server asked for; it is looked at at the moment of each send, second tries, waiting and reserved parts and probes included. Leaving servers are told of between instances in the answers to forwarded calls and remembered beyond their entries, which may lapse and come back; an answer of a process that has ended since says nothing about the next one. A shard whose servers all asked for time is left out at once or its query refused with nothing run, and ReturnTime says when enough shards are back. Stand-ins and soak play both headers.

--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -133,12 +133,11 @@
     if (found != probes_.end()) {
       const Probe probe = std::move(found->second);
       probes_.erase(found);
-      const bool healthy = response.outcome == SendOutcome::kAnswered &&
-                           response.status == http_status::kOk;
+      const ProbeReply reply = DecodeProbeReply(response);
       if (probe.instance)
-        engine_.OnPing(probe.name, healthy, now);
+        engine_.OnPing(probe.name, reply.healthy, now);
       else
-        engine_.OnProbe(probe.name, healthy, now);
+        engine_.OnProbe(probe.name, reply, now);
     }
   } else if (forwards_.erase(response.id) > 0) {
     engine_.OnReply(DecodeForwardReply(std::move(response)), now);
@@ -277,10 +276,16 @@
 }
 
 void DispatchDuty::Carry(const ServerBelief& action) {
-  state_->metrics().Add(action.reason == ResultCode::kOk ? "server_up"
-                                                         : "server_down");
-  Log(LogLevel::kWarning,
-      action.reason == ResultCode::kOk ? "server_up" : "server_down",
+  const char* event = "server_down";
+  if (action.reason == ResultCode::kOk)
+    event = "server_up";
+  else if (action.reason == ResultCode::kServerLeaving)
+    event = "server_leaving";
+  // NOTE Nothing new goes there, so its open connections are of no use.
+  if (action.reason == ResultCode::kServerLeaving)
+    pool_->Drop(action.server);
+  state_->metrics().Add(event);
+  Log(LogLevel::kWarning, event,
       {{"server", action.server},
        {"service", action.service},
        {"code", NumberOf(action.reason)},
@@ -289,6 +294,16 @@
        {"in_flight", action.in_flight}});
 }
 
+void DispatchDuty::Carry(const BackoffBelief& action) {
+  const char* const event =
+      action.active ? "server_backoff" : "server_backoff_over";
+  state_->metrics().Add(event);
+  Log(LogLevel::kInfo, event,
+      {{"server", action.server},
+       {"service", action.service},
+       {"ms", WholeMillis(action.backoff)}});
+}
+
 void DispatchDuty::Carry(const PaceBelief& action) {
   const char* const event = action.paced ? "server_paced" : "server_unpaced";
   state_->metrics().Add(event);
--- a/src/app/dispatch_duty.h
+++ b/src/app/dispatch_duty.h
@@ -107,6 +107,7 @@
   void Carry(const ProbeHealth& action);
   void Carry(CompleteCall action);
   void Carry(const ServerBelief& action);
+  void Carry(const BackoffBelief& action);
   void Carry(const PaceBelief& action);
   void Count(const CallRecord& record);
 
--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -169,7 +169,8 @@
   if (send.group == nullptr)
     return OnHomeReply(send, &reply, now);
   const Verdict verdict = Judge(send, reply);
-  Learn(send, reply, verdict, now);
+  if (send.IsCurrent())
+    Learn(send, reply, verdict, now);
   const auto call = calls_.find(send.call);
   if (send.call != 0 && call != calls_.end())
     OnVerdict(call->second.get(), send.leg, &reply, verdict, now);
@@ -197,6 +198,7 @@
   PingDownHomes(now);
   Time next = kNever;
   WatchHomes(now, &next);
+  EndBackoffs(now, &next);
   if (now >= started_until_) {
     started_until_ = kNever;
     servers_.SetStarting(false);
@@ -217,7 +219,7 @@
     if (const auto home = homes_.Find(name))
       next = std::min(next, home->next_probe());
   }
-  for (const auto& id : down_) {
+  for (const auto& [id, started_ms] : down_) {
     if (const auto server = servers_.Find(id))
       next = std::min(next, server->next_probe());
   }
--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -66,7 +67,7 @@
   void OnReply(TargetReply reply, Time now);
 
   // What became of a ProbeHealth.
-  void OnProbe(const std::string& server, bool healthy, Time now);
+  void OnProbe(const std::string& server, const ProbeReply& reply, Time now);
 
   // What became of a PingInstance.
   void OnPing(const std::string& name, bool answered, Time now);
@@ -96,7 +97,17 @@
     std::shared_ptr<const RouteTable> table;
     const Route* route = nullptr;
     Time sent{};
-    bool known_late = false;  // Its server's pace knows.
+    bool known_late = false;      // Its server's pace knows.
+    std::int64_t started_ms = 0;  // Of the server's process that was asked.
+
+    // Whether its answer says something about the server as it is now.
+    bool IsCurrent() const { return server->entry().started_ms == started_ms; }
+  };
+
+  // A leaving server that other instances are told of for a while.
+  struct LeavingNews {
+    LeavingServer server;
+    Time until{};
   };
 
   // Whether a server gave what its leg needs.
@@ -155,6 +166,14 @@
   void ServeWaiting(detail::ServerGroup* group, Time now);
 
   Verdict Judge(const OpenSend& send, const TargetReply& reply) const;
+  // Takes what a server asks for in an answer.
+  void Heed(ServerLoad& server,
+            bool leaving,
+            std::optional<Duration> backoff,
+            Time now);
+  void OnLeaving(const LeavingServer& leaving, Time now);
+  std::vector<LeavingServer> LeavingToTell(Time now);
+  void EndBackoffs(Time now, Time* next);
   void LearnPace(const OpenSend& send, Time now);
   void NotePace(ServerLoad& server, detail::PaceChange change);
   // Tells the servers' paces what hasn't come in time, answered later or not.
@@ -201,7 +220,10 @@
   std::set<std::pair<Time, CallId>> wakes_;
   std::deque<std::pair<Time, SendId>> orphans_;  // By when they are cancelled.
   detail::GroupSet waiting_groups_;
-  std::set<std::string> down_;        // Servers to probe.
+  std::map<std::string, std::int64_t> down_;  // Servers to probe, and which
+                                              // process was probed last.
+  std::set<std::string> backing_off_;         // Servers.
+  std::deque<LeavingNews> leaving_news_;
   std::set<std::string> down_homes_;  // Instances to ping.
   std::vector<DispatchAction> actions_;
   SendId next_send_ = 1;
--- a/src/dispatch/dispatch_engine_answers.cc
+++ b/src/dispatch/dispatch_engine_answers.cc
@@ -7,15 +7,10 @@
 #include "dispatch/dispatch_engine.h"
 #include "dispatch/internal/answer_policy.h"
 #include "dispatch/internal/record_merge.h"
+#include "dispatch/internal/return_time.h"
 #include "framework/http_status.h"
 
 namespace limpetrudder {
-namespace {
-
-// When a caller may come back: after servers had time to recover.
-constexpr Duration kRetryAfterFailure = Millis(300);
-
-}  // namespace
 
 bool DispatchEngine::Settle(ActiveCall* call, Time now) {
   switch (detail::DecideAnswer(*call, now)) {
@@ -101,9 +96,7 @@
     if (leg.state == detail::LegState::kFailed)
       call->record.code = leg.code;
   }
-  reply.retry_after = Duration(static_cast<std::int64_t>(
-      static_cast<double>(kRetryAfterFailure.count()) *
-      (0.5 + random_.Unit())));
+  reply.retry_after = detail::ReturnTime(*call, &random_, now);
   if (!call->may_have_run()) {
     reply.status = http_status::kUnavailable;
   } else {
@@ -114,7 +107,10 @@
 }
 
 void DispatchEngine::Finish(ActiveCall* call, CallReply reply, Time now) {
-  reply.newer_routes = NewerRoutesFor(call->call);
+  if (call->call.forwarded) {
+    reply.newer_routes = NewerRoutesFor(call->call);
+    reply.leaving_servers = LeavingToTell(now);
+  }
   CallRecord& record = call->record;
   record.status = reply.status;
   record.took = now - call->received;
--- a/src/dispatch/dispatch_engine_homes.cc
+++ b/src/dispatch/dispatch_engine_homes.cc
@@ -65,8 +65,15 @@
                                std::vector<std::string> shards,
                                Time now) {
   home->OnSent(now);
-  sends_[id] = {call->call.id, batch.value_or(0), home, nullptr,
-                call->table,   call->route,       now,  false};
+  sends_[id] = {call->call.id,
+                batch.value_or(0),
+                home,
+                nullptr,
+                call->table,
+                call->route,
+                now,
+                false,
+                home->entry().started_ms};
   const Duration way =
       topology_.RoundTrip(home->entry().data_centre) / 2 + kHopMargin;
   actions_.emplace_back(ForwardCall{
@@ -128,6 +135,8 @@
   ServerLoad& home = *send.server;
   if (reply->newer_routes > routes_version())
     actions_.emplace_back(FetchRoutes{home.entry().id, reply->newer_routes});
+  for (const auto& leaving : reply->leaving_servers)
+    OnLeaving(leaving, now);
   if (reply->outcome == SendOutcome::kAnswered) {
     home.OnHeard(now);
   } else if (reply->outcome == SendOutcome::kNotSent) {
--- a/src/dispatch/dispatch_engine_legs.cc
+++ b/src/dispatch/dispatch_engine_legs.cc
@@ -131,7 +131,8 @@
                              std::size_t leg_index,
                              Time now) {
   Leg& leg = call->legs[leg_index];
-  if (const auto reserved = std::exchange(leg.reserved, nullptr)) {
+  const auto reserved = std::exchange(leg.reserved, nullptr);
+  if (reserved && reserved->TakesWork(now)) {
     return Send(call, leg_index, {detail::PlacementStatus::kFound, reserved},
                 now);
   }
@@ -143,6 +144,8 @@
       return Send(call, leg_index, choice, now);
     case detail::PlacementStatus::kFull:
       return Wait(call, leg_index);
+    case detail::PlacementStatus::kBackoff:
+      return FailLeg(call, leg_index, ResultCode::kServerBackoff);
     case detail::PlacementStatus::kNoServer:
       return FailLeg(
           call, leg_index,
@@ -166,8 +169,9 @@
   ++leg.arrivals;
   ++call->record.sends;
   choice.server->OnSent(now);
-  sends_[id] = {call->call.id, leg_index,   choice.server, leg.group,
-                call->table,   call->route, now,           false};
+  sends_[id] = {call->call.id, leg_index,   choice.server,
+                leg.group,     call->table, call->route,
+                now,           false,       entry.started_ms};
   actions_.emplace_back(SendToServer{id, entry.id, entry.address,
                                      call->call.message, call->deadline - now,
                                      !call->may_repeat()});
@@ -187,7 +191,7 @@
   inputs.round_trip = topology_.RoundTrip(first.entry().data_centre);
   inputs.other_round_trip = Duration::max();
   for (const auto& server : leg->group->servers) {
-    if (server.get() == &first || !server->usable())
+    if (server.get() == &first || !server->TakesWork(now))
       continue;
     inputs.other_round_trip =
         std::min(inputs.other_round_trip,
@@ -256,7 +260,10 @@
       Send(call, first.leg, choice, now);
       Schedule(call, now);
     } else {
-      FailLeg(call, first.leg, ResultCode::kNoServer);
+      FailLeg(call, first.leg,
+              choice.status == detail::PlacementStatus::kBackoff
+                  ? ResultCode::kServerBackoff
+                  : ResultCode::kNoServer);
       Advance(call, now);
     }
   }
--- a/src/dispatch/dispatch_engine_servers.cc
+++ b/src/dispatch/dispatch_engine_servers.cc
@@ -14,6 +14,14 @@
 // answers it and keeps its connection: pauses take a quarter of a second.
 constexpr Duration kOrphanTime = Millis(350);
 
+// Other instances are told of a leaving server for this long: each forwards
+// several calls a second, and the store's list tells all of them after about a
+// second.
+constexpr Duration kLeavingNewsTime = Seconds(2);
+
+// Leaving servers told of in one answer; each takes about 30 bytes.
+constexpr std::size_t kMostLeavingTold = 16;
+
 // Whether the status says that a request has not run and never will.
 bool PromisesNotRun(int status) {
   return status == http_status::kRequestTimeout ||
@@ -46,6 +54,54 @@
   return Verdict::kGood;
 }
 
+void DispatchEngine::Heed(ServerLoad& server,
+                          bool leaving,
+                          std::optional<Duration> backoff,
+                          Time now) {
+  const ServerEntry& entry = server.entry();
+  if (leaving)
+    OnLeaving({entry.id, entry.started_ms}, now);
+  if (!backoff || !server.notice().OnBackoff(*backoff, now))
+    return;
+  backing_off_.insert(entry.id);
+  actions_.emplace_back(BackoffBelief{entry.id, entry.service, true, *backoff});
+}
+
+void DispatchEngine::OnLeaving(const LeavingServer& leaving, Time now) {
+  if (!servers_.OnLeaving(leaving))
+    return;
+  leaving_news_.push_back({leaving, now + kLeavingNewsTime});
+  if (leaving_news_.size() > kMostLeavingTold)
+    leaving_news_.pop_front();
+  if (const auto server = servers_.Find(leaving.id))
+    Believe(*server, ResultCode::kServerLeaving, now);
+}
+
+std::vector<LeavingServer> DispatchEngine::LeavingToTell(Time now) {
+  while (!leaving_news_.empty() && leaving_news_.front().until <= now)
+    leaving_news_.pop_front();
+  std::vector<LeavingServer> leaving;
+  for (const auto& news : leaving_news_)
+    leaving.push_back(news.server);
+  return leaving;
+}
+
+void DispatchEngine::EndBackoffs(Time now, Time* next) {
+  for (auto id = backing_off_.begin(); id != backing_off_.end();) {
+    const auto server = servers_.Find(*id);
+    if (server && server->notice().IsBackingOff(now)) {
+      *next = std::min(*next, server->notice().backoff_until());
+      ++id;
+      continue;
+    }
+    if (server) {
+      actions_.emplace_back(
+          BackoffBelief{*id, server->entry().service, false, Duration(0)});
+    }
+    id = backing_off_.erase(id);
+  }
+}
+
 void DispatchEngine::LearnPace(const OpenSend& send, Time now) {
   if (!send.route->is_scatter())
     return;
@@ -91,6 +147,9 @@
     topology_.OnConnected(data_centre, reply.connect_time);
   if (reply.load)
     server.OnLoad(*reply.load, now);
+  // NOTE Another server at the same address speaks for itself only.
+  if (!reply.misdirected)
+    Heed(server, reply.leaving, reply.backoff, now);
   switch (verdict) {
     case Verdict::kGood: {
       LearnPace(send, now);
@@ -143,7 +202,7 @@
     ServerLoad& server = *send.server;
     server.OnSettled();
     actions_.emplace_back(CancelSend{id});
-    if (send.group == nullptr)
+    if (send.group == nullptr || !send.IsCurrent())
       continue;
     const Duration elapsed = now - send.sent;
     const double ratio =
@@ -158,13 +217,14 @@
 
 void DispatchEngine::SendProbes(Time now) {
   for (auto id = down_.begin(); id != down_.end();) {
-    const auto server = servers_.Find(*id);
+    const auto server = servers_.Find(id->first);
     if (!server || server->gone() || !server->down()) {
       id = down_.erase(id);
       continue;
     }
     if (server->IsProbeDue(now)) {
       const ServerEntry& entry = server->entry();
+      id->second = entry.started_ms;
       actions_.emplace_back(ProbeHealth{
           entry.id, entry.address, servers_.Group(entry.service)->health_path});
       server->OnProbeSent(now);
@@ -173,9 +233,17 @@
   }
 }
 
-void DispatchEngine::OnProbe(const std::string& id, bool healthy, Time now) {
+void DispatchEngine::OnProbe(const std::string& id,
+                             const ProbeReply& reply,
+                             Time now) {
   const auto server = servers_.Find(id);
-  if (!server || !server->OnProbe(healthy, now))
+  const auto probed = down_.find(id);
+  if (!server || probed == down_.end() ||
+      probed->second != server->entry().started_ms) {
+    return;
+  }
+  Heed(*server, reply.leaving, reply.backoff, now);
+  if (!server->OnProbe(reply.healthy, now))
     return;
   Believe(*server, ResultCode::kOk, now);
   down_.erase(id);
@@ -186,8 +254,11 @@
                              ResultCode reason,
                              Time now) {
   if (server.down()) {
-    auto& down = server.entry().service.empty() ? down_homes_ : down_;
-    down.insert(server.entry().id);
+    const ServerEntry& entry = server.entry();
+    if (entry.service.empty())
+      down_homes_.insert(entry.id);
+    else
+      down_.try_emplace(entry.id, entry.started_ms);
   }
   std::optional<Duration> unheard;
   if (server.last_heard() != Time{})
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -60,6 +60,12 @@
   double slowness = 1;  // How long work takes there now, against the usual.
 };
 
+// A process of a server that said in an answer that it is leaving.
+struct LeavingServer {
+  std::string id;
+  std::int64_t started_ms = 0;  // Unix time of its start, as in its entry.
+};
+
 enum class SendOutcome {
   kAnswered,
   kNotSent,     // No connection; no byte of the request left.
@@ -74,13 +80,16 @@
   int status = 0;
   std::vector<HeaderField> headers;
   std::string body;
-  bool not_executed = false;  // The server says that it didn't run it.
-  bool misdirected = false;   // Another server has the address now.
-  std::string signature;      // Names the run; empty if the server gave none.
+  bool not_executed = false;        // The server says that it didn't run it.
+  bool misdirected = false;         // Another server has the address now.
+  bool leaving = false;             // The server says that it is leaving.
+  std::optional<Duration> backoff;  // It asks for no requests for so long.
+  std::string signature;  // Names the run; empty if the server gave none.
   std::vector<std::string> part_signatures;  // From a home.
   std::uint32_t missing_parts = 0;           // From a home.
   std::optional<Duration> retry_after;       // From a home.
   std::uint64_t newer_routes = 0;  // A home's version if it is newer than ours.
+  std::vector<LeavingServer> leaving_servers;  // That a home heard of lately.
   std::optional<LoadReport> load;
   Duration connect_time{0};  // 0: the connection was open.
 };
@@ -95,14 +104,22 @@
   std::optional<Duration> retry_after;
   std::uint64_t newer_routes = 0;  // This instance's, if a forwarded call's
                                    // instance has older ones.
-  bool from_server = false;        // Status, headers and body are a server's.
+  // Heard of lately, for the instance that forwarded the call.
+  std::vector<LeavingServer> leaving_servers;
+  bool from_server = false;  // Status, headers and body are a server's.
+};
+
+// A server's answer to a probe of its health.
+struct ProbeReply {
+  bool healthy = false;
+  bool leaving = false;
+  std::optional<Duration> backoff;
 };
 
 // Whether a forwarded call that ended with `code` was refused by the instance
 // itself: nothing was sent, and the one that forwarded it gathers by itself.
 constexpr bool IsNotTaken(ResultCode code) {
-  return code == ResultCode::kNotReady ||
-         code == ResultCode::kRevisionTooLow ||
+  return code == ResultCode::kNotReady || code == ResultCode::kRevisionTooLow ||
          code == ResultCode::kRoutesOutdated;
 }
 
@@ -195,6 +212,14 @@
   std::uint32_t in_flight = 0;
 };
 
+// A server asked to be left alone for a while, or that time is over.
+struct BackoffBelief {
+  std::string server;
+  std::string service;
+  bool active = false;
+  Duration backoff{0};
+};
+
 // The requests to a server are paced from now on, or aren't any more.
 struct PaceBelief {
   std::string server;
@@ -212,6 +237,7 @@
                                     ProbeHealth,
                                     CompleteCall,
                                     ServerBelief,
+                                    BackoffBelief,
                                     PaceBelief>;
 
 }  // namespace limpetrudder
--- a/src/dispatch/internal/leg_selection.cc
+++ b/src/dispatch/internal/leg_selection.cc
@@ -19,9 +19,16 @@
   double tokens = 0;
 };
 
-bool HasUsableServer(const ServerGroup& group) {
-  return std::any_of(group.servers.begin(), group.servers.end(),
-                     [](const auto& server) { return server->usable(); });
+// Why the shard can't be asked now; kOk: it can.
+ResultCode WhyNotServed(const ServerGroup& group, Time now) {
+  ResultCode reason = ResultCode::kNoServer;
+  for (const auto& server : group.servers) {
+    if (server->TakesWork(now))
+      return ResultCode::kOk;
+    if (server->usable())
+      reason = ResultCode::kServerBackoff;
+  }
+  return reason;
 }
 
 LateShard FindRoom(const ServerGroup& group,
@@ -32,7 +39,7 @@
   LateShard shard;
   shard.leg = leg;
   for (const auto& server : group.servers) {
-    if (!server->usable() || !HasRoom(group, *server, now))
+    if (!server->TakesWork(now) || !HasRoom(group, *server, now))
       continue;
     const ServerPace& pace = server->pace();
     const double tokens = pace.tokens(now);
@@ -78,8 +85,9 @@
   LegSelection selection;
   std::vector<std::size_t> late_legs;
   for (std::size_t leg = 0; leg < groups.size(); ++leg) {
-    if (!HasUsableServer(*groups[leg]))
-      selection.left_out.push_back({leg, ResultCode::kNoServer});
+    const ResultCode reason = WhyNotServed(*groups[leg], now);
+    if (reason != ResultCode::kOk)
+      selection.left_out.push_back({leg, reason});
     else if (IsLate(*groups[leg], now))
       late_legs.push_back(leg);
   }
--- /dev/null
+++ b/src/dispatch/internal/return_time.cc
@@ -0,0 +1,60 @@
+#include "dispatch/internal/return_time.h"
+
+#include <algorithm>
+#include <vector>
+
+#include "dispatch/internal/answer_policy.h"
+
+namespace limpetrudder::detail {
+namespace {
+
+// After servers failed or were full: a queue of a dozen requests of 20 ms.
+constexpr Duration kRecoveryTime = Millis(300);
+
+// Returns are spread over this part of the time told.
+constexpr double kSpread = 0.25;
+
+// When the first server of the group that takes work can be asked.
+Time FirstBack(const ServerGroup& group) {
+  Time first = kNever;
+  for (const auto& server : group.servers) {
+    if (server->usable())
+      first = std::min(first, server->notice().backoff_until());
+  }
+  return first;
+}
+
+// When so many legs can be asked again that they make an answer; `now` if that
+// doesn't depend on servers that asked for time.
+Time EnoughBack(const ActiveCall& call, Time now) {
+  std::vector<Time> back;
+  for (const Leg& leg : call.legs) {
+    if (leg.state == LegState::kFailed &&
+        leg.code == ResultCode::kServerBackoff) {
+      back.push_back(FirstBack(*leg.group));
+    }
+  }
+  const std::size_t others = call.legs.size() - back.size();
+  const std::size_t fewest = FewestLegs(call);
+  if (back.empty() || fewest <= others)
+    return now;
+  std::sort(back.begin(), back.end());
+  const Time enough = back[std::min(fewest - others, back.size()) - 1];
+  return enough == kNever ? now : std::max(now, enough);
+}
+
+Duration Scale(Duration duration, double factor) {
+  return Duration(static_cast<std::int64_t>(
+      static_cast<double>(duration.count()) * factor));
+}
+
+}  // namespace
+
+Duration ReturnTime(const ActiveCall& call, Random* random, Time now) {
+  const Duration backoff = EnoughBack(call, now) - now;
+  if (backoff > Duration::zero())
+    return Scale(backoff, 1 + kSpread * random->Unit());
+  return Scale(kRecoveryTime, 0.5 + random->Unit());
+}
+
+}  // namespace limpetrudder::detail
--- a/src/dispatch/internal/server_load.h
+++ b/src/dispatch/internal/server_load.h
@@ -1,6 +1,7 @@
 #ifndef DISPATCH_INTERNAL_SERVER_LOAD_H_
 #define DISPATCH_INTERNAL_SERVER_LOAD_H_
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <string>
@@ -8,6 +9,7 @@
 
 #include "discovery/server_directory.h"
 #include "dispatch/dispatch_types.h"
+#include "dispatch/internal/server_notice.h"
 #include "dispatch/internal/server_pace.h"
 #include "framework/time.h"
 
@@ -24,9 +26,13 @@
   void Update(const ServerEntry& entry);
   void MarkGone() { gone_ = true; }
 
-  // Whether anything new may be sent.
-  bool usable() const { return !gone_ && !entry_.draining && !down_; }
-  bool gone() const { return gone_ || entry_.draining; }
+  // Whether it is a server to send to, at once or after a backoff.
+  bool usable() const { return !gone() && !down_; }
+  // Whether anything new may be sent now.
+  bool TakesWork(Time now) const {
+    return usable() && !notice_.IsBackingOff(now);
+  }
+  bool gone() const { return gone_ || entry_.draining || notice_.leaving(); }
   bool down() const { return down_; }
 
   // How long work takes here against the usual; an old finding fades.
@@ -73,14 +79,17 @@
   // instance's share of the server's connections.
   std::uint32_t ConnectionLimit(std::uint32_t share, Time now) const;
 
-  bool IsProbeDue(Time now) const { return down_ && now >= next_probe_; }
+  bool IsProbeDue(Time now) const { return down_ && now >= next_probe(); }
   void OnProbeSent(Time now);
   // Returns whether the server takes work again.
   bool OnProbe(bool healthy, Time now);
-  Time next_probe() const { return down_ ? next_probe_ : kNever; }
+  Time next_probe() const {
+    return down_ ? std::max(next_probe_, notice_.backoff_until()) : kNever;
+  }
 
   const ServerEntry& entry() const { return entry_; }
   ServerPace& pace() { return pace_; }
+  ServerNotice& notice() { return notice_; }
   std::uint32_t in_flight() const { return in_flight_; }
   Time last_heard() const { return last_heard_; }
 
@@ -129,6 +138,7 @@
   FadingRatio rejects_;
   FadingRatio failures_;
   ServerPace pace_;
+  ServerNotice notice_;
   LoadReport load_;
   Time load_at_{};
 };
--- a/src/dispatch/internal/server_placer.cc
+++ b/src/dispatch/internal/server_placer.cc
@@ -90,8 +90,13 @@
   for (const auto& server : group.servers) {
     if (!server->usable() || WasAsked(request, *server))
       continue;
-    if (!HasRoom(group, *server, now)) {
+    if (!server->TakesWork(now)) {
       if (choice.status == PlacementStatus::kNoServer)
+        choice.status = PlacementStatus::kBackoff;
+      continue;
+    }
+    if (!HasRoom(group, *server, now)) {
+      if (choice.status != PlacementStatus::kFound)
         choice.status = PlacementStatus::kFull;
       continue;
     }
--- a/src/dispatch/internal/server_placer.h
+++ b/src/dispatch/internal/server_placer.h
@@ -15,6 +15,7 @@
 enum class PlacementStatus {
   kFound,
   kFull,      // Servers could take it, but none has room now.
+  kBackoff,   // All that are left asked to be left alone for a while.
   kNoServer,  // No server of the service takes work, or all were asked.
 };
 
--- a/src/dispatch/internal/server_table.cc
+++ b/src/dispatch/internal/server_table.cc
@@ -13,6 +13,9 @@
 // What an instance opens to one server while it starts.
 constexpr std::uint32_t kStartingConnections = 1;
 
+// Leaving servers that are remembered; each takes some seconds to be gone.
+constexpr std::size_t kMostLeaving = 4096;
+
 // Before the configuration says how many connections a server takes.
 constexpr std::uint32_t kUnknownConnections = 16;
 
@@ -48,15 +51,44 @@
 void ServerTable::Update(const ServerEntry& entry) {
   const auto found = servers_.find(entry.id);
   if (found != servers_.end()) {
-    if (found->second->entry().service == entry.service)
-      return found->second->Update(entry);
+    if (found->second->entry().service == entry.service) {
+      found->second->Update(entry);
+      if (IsLeaving(entry))
+        found->second->notice().OnLeaving();
+      return;
+    }
     Remove(entry.id);
   }
   auto server = std::make_shared<ServerLoad>(entry);
+  if (IsLeaving(entry))
+    server->notice().OnLeaving();
   Group(entry.service)->servers.push_back(server);
   servers_[entry.id] = std::move(server);
 }
 
+bool ServerTable::OnLeaving(const LeavingServer& leaving) {
+  const auto [known, is_new] =
+      leaving_.try_emplace(leaving.id, leaving.started_ms);
+  if (!is_new && known->second >= leaving.started_ms)
+    return false;
+  known->second = leaving.started_ms;
+  if (is_new)
+    leaving_ids_.push_back(leaving.id);
+  if (leaving_ids_.size() > kMostLeaving) {
+    leaving_.erase(leaving_ids_.front());
+    leaving_ids_.pop_front();
+  }
+  const auto server = Find(leaving.id);
+  if (server && server->entry().started_ms == leaving.started_ms)
+    server->notice().OnLeaving();
+  return true;
+}
+
+bool ServerTable::IsLeaving(const ServerEntry& entry) const {
+  const auto leaving = leaving_.find(entry.id);
+  return leaving != leaving_.end() && leaving->second == entry.started_ms;
+}
+
 void ServerTable::Remove(const std::string& id) {
   const auto found = servers_.find(id);
   if (found == servers_.end())
--- a/src/dispatch/internal/server_table.h
+++ b/src/dispatch/internal/server_table.h
@@ -2,6 +2,7 @@
 #define DISPATCH_INTERNAL_SERVER_TABLE_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -64,6 +65,10 @@
   void Apply(const DirectoryChange& change);
   void Apply(const RouteTable& routes);
 
+  // A process of a server said that it is leaving. Remembered beyond its entry,
+  // which may lapse and come back. Returns whether that is news.
+  bool OnLeaving(const LeavingServer& leaving);
+
   // The instances that share connections and budgets.
   void SetFleet(const FleetShare& fleet);
 
@@ -81,6 +86,7 @@
  private:
   void DivideConnections();
   void Update(const ServerEntry& entry);
+  bool IsLeaving(const ServerEntry& entry) const;
   void Remove(const std::string& id);
   std::uint32_t ConnectionShare(std::uint32_t max_connections) const;
 
@@ -93,6 +99,9 @@
   std::unordered_map<std::string, std::unique_ptr<ServerGroup>> groups_;
   std::unordered_map<std::string, std::shared_ptr<ServerLoad>> servers_;
   std::map<std::string, std::uint32_t> max_connections_;  // By service.
+  // When the processes that said that they are leaving started, by id.
+  std::unordered_map<std::string, std::int64_t> leaving_;
+  std::deque<std::string> leaving_ids_;  // The oldest first.
 };
 
 }  // namespace limpetrudder::detail
--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -128,6 +128,13 @@
   }
 }
 
+void FleetSession::Withdraw(const ServerEntry& entry) {
+  for (std::size_t i = 0; i < engines_.size(); ++i) {
+    engines_[i]->OnServers({{}, {entry.id}}, now_);
+    Pump(i);
+  }
+}
+
 void FleetSession::Announce(const std::shared_ptr<const RouteTable>& routes) {
   for (std::size_t i = 0; i < engines_.size(); ++i) {
     engines_[i]->OnRoutes(routes, now_);
@@ -239,9 +246,12 @@
          Pump(instance);
        });
   } else if (const auto* probe = std::get_if<ProbeHealth>(&action)) {
-    const bool alive = !servers_.at(probe->server).silent;
-    At(now_ + 2 * kFar, [this, instance, alive, id = probe->server] {
-      engines_[instance]->OnProbe(id, alive, now_);
+    const SessionServer& server = servers_.at(probe->server);
+    ++probes_;
+    const ProbeReply reply{!server.silent && !server.says_leaving,
+                           server.says_leaving, server.asks_backoff};
+    At(now_ + 2 * kFar, [this, instance, reply, id = probe->server] {
+      engines_[instance]->OnProbe(id, reply, now_);
       Pump(instance);
     });
   }
@@ -281,9 +291,11 @@
     away.outcome = SendOutcome::kTurnedAway;
     return Reply(instance, std::move(away), way);
   }
-  if (random_.Unit() < server.reject_ratio) {
+  if (server.asks_backoff || random_.Unit() < server.reject_ratio) {
     ++server.rejections;
     TargetReply rejected;
+    rejected.leaving = server.says_leaving;
+    rejected.backoff = server.asks_backoff;
     rejected.send = send.send;
     rejected.outcome = SendOutcome::kAnswered;
     rejected.status = 503;
@@ -321,6 +333,7 @@
   reply.outcome =
       server->resetting ? SendOutcome::kBroken : SendOutcome::kAnswered;
   reply.status = server->failing ? 500 : 200;
+  reply.leaving = server->says_leaving;
   if (!server->without_signature)
     reply.signature = server->entry.id + "/" + job.request_id;
   reply.body = std::string(15, 'x') + server->entry.id.back();
@@ -390,6 +403,8 @@
   reply.missing_parts = done.reply.missing_parts;
   reply.not_executed = IsNotTaken(done.record.code);
   reply.newer_routes = done.reply.newer_routes;
+  reply.leaving_servers = std::move(done.reply.leaving_servers);
+  reply.retry_after = done.reply.retry_after;
   Reply(call.from, std::move(reply),
         Way(options_.instances[instance], options_.instances[call.from]));
 }
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -24,6 +25,9 @@
   bool failing = false;            // Runs requests and answers 500.
   bool resetting = false;          // Runs requests and resets the connection.
   bool without_signature = false;  // Answers 200 without a signature.
+  bool says_leaving = false;       // In all its answers.
+  // Turns all requests away and asks for so much time.
+  std::optional<Duration> asks_backoff;
   Time paused_until{};
 
   int arrivals = 0;
@@ -98,6 +102,7 @@
 
   // The servers' entries change for all instances.
   void Announce(const ServerEntry& entry);
+  void Withdraw(const ServerEntry& entry);
   void Announce(const std::shared_ptr<const RouteTable>& routes);
   // An instance answers nothing any more, also to pings.
   void Freeze(std::size_t instance) { frozen_.insert(instance); }
@@ -108,6 +113,7 @@
                                          std::size_t count = 0) const;
   Time now() const { return now_; }
   int forwards() const { return forwards_; }
+  int probes() const { return probes_; }
   int paced() const { return paced_; }  // How often a pace started.
   const std::vector<FetchRoutes>& fetches() const { return fetches_; }
 
@@ -149,6 +155,7 @@
   CallId next_call_ = 1;
   int forwards_ = 0;
   int paced_ = 0;
+  int probes_ = 0;
   std::vector<FetchRoutes> fetches_;
 };
 
--- /dev/null
+++ b/src/dispatch/tests/notice_test.cc
@@ -0,0 +1,213 @@
+#include <doctest/doctest.h>
+
+#include "dispatch/internal/server_notice.h"
+#include "dispatch/tests/fleet_session.h"
+
+namespace limpetrudder {
+namespace {
+
+FleetSession::Options TwoServersEach(std::size_t shards) {
+  FleetSession::Options options;
+  options.shards.assign(shards, {"kgn-a", "kgn-a"});
+  return options;
+}
+
+int ArrivalsAt(FleetSession* session, std::size_t shard) {
+  return session->server(shard, 0).arrivals +
+         session->server(shard, 1).arrivals;
+}
+
+// Searches until the server has answered at least once more.
+void SearchUntilAsked(FleetSession* session, const SessionServer& server) {
+  const int before = server.arrivals;
+  for (int i = 0; i < 50 && server.arrivals == before; ++i)
+    session->SearchNow();
+  REQUIRE(server.arrivals > before);
+}
+
+TEST_CASE("A server that says in its answers that it is leaving") {
+  FleetSession session(TwoServersEach(4));
+  SessionServer& leaving = session.server(0, 0);
+  leaving.says_leaving = true;
+  SearchUntilAsked(&session, leaving);
+  const int asked = leaving.arrivals;
+
+  SUBCASE("gets nothing new, though its entry says nothing") {
+    for (int i = 0; i < 40; ++i)
+      CHECK(session.SearchNow().reply.missing_parts == 0);
+    CHECK(leaving.arrivals == asked);
+  }
+  SUBCASE("gets no second tries") {
+    session.server(0, 1).paused_until = session.now() + Seconds(1);
+    session.SearchNow();
+    CHECK(leaving.arrivals == asked);
+  }
+  SUBCASE("gets none of the requests that waited for the other one") {
+    session.server(0, 1).work = Millis(100);
+    for (int i = 0; i < 40; ++i)
+      session.Search();
+    session.Run(Seconds(3));
+    CHECK(leaving.arrivals == asked);
+  }
+  SUBCASE("gets nothing when its entry lapses and comes back") {
+    session.Withdraw(leaving.entry);
+    session.Announce(leaving.entry);
+    for (int i = 0; i < 20; ++i)
+      session.SearchNow();
+    CHECK(leaving.arrivals == asked);
+  }
+  SUBCASE("is another server once it has started again") {
+    leaving.says_leaving = false;
+    ServerEntry reborn = leaving.entry;
+    reborn.started_ms = 2;
+    session.Announce(reborn);
+    SearchUntilAsked(&session, leaving);
+  }
+}
+
+TEST_CASE("An answer of the process before that says that it is leaving") {
+  FleetSession::Options options = TwoServersEach(1);
+  options.max_attempts = 1;  // Nothing is sent anew meanwhile.
+  FleetSession session(options);
+  SessionServer& server = session.server(0, 0);
+  server.says_leaving = true;
+  server.work = Millis(60);
+  session.server(0, 1).work = Millis(60);
+  for (int i = 0; i < 20; ++i)
+    session.Search();
+  REQUIRE(server.arrivals == 0);
+  session.Run(Millis(5));
+  ServerEntry reborn = server.entry;
+  reborn.started_ms = 2;
+  session.Announce(reborn);
+  // The answers of the old process come in now.
+  session.Run(Seconds(3));
+  server.says_leaving = false;
+  SearchUntilAsked(&session, server);
+}
+
+TEST_CASE("Another instance that heard that a server is leaving") {
+  FleetSession::Options options;
+  options.instances = {"kgn-a", "mbj-a"};
+  options.shards.assign(6, {"mbj-a", "mbj-a"});
+  FleetSession session(options);
+  SessionServer& leaving = session.server(0, 0);
+  leaving.says_leaving = true;
+  for (int i = 0; i < 30 && leaving.arrivals == 0; ++i)
+    session.SearchNow(1);
+  REQUIRE(leaving.arrivals == 1);
+  // It tells with its next answer to this one.
+  REQUIRE(session.SearchNow(0).record.delegated == 6);
+  session.Freeze(1);
+  for (int i = 0; i < 30; ++i)
+    session.SearchNow(0);
+  CHECK(session.server(0, 1).arrivals > 10);
+  CHECK(leaving.arrivals == 1);
+}
+
+TEST_CASE("A server that asks to be left alone for a while") {
+  FleetSession session(TwoServersEach(20));
+  SessionServer& busy = session.server(0, 0);
+  busy.asks_backoff = Millis(1500);
+  SearchUntilAsked(&session, busy);
+  const int asked = busy.arrivals;
+  const Time told = session.now();
+
+  SUBCASE("gets nothing in that time, and the query is whole") {
+    while (session.now() < told + Millis(1400))
+      CHECK(session.SearchNow().reply.missing_parts == 0);
+    CHECK(busy.arrivals == asked);
+
+    SUBCASE("and is asked again after it") {
+      busy.asks_backoff.reset();
+      session.Load(300, Seconds(2));
+      CHECK(busy.arrivals > asked + 10);
+    }
+  }
+  SUBCASE("isn't probed either") {
+    busy.silent = true;
+    session.server(0, 1).silent = true;
+    session.Load(50, Millis(1000));
+    CHECK(busy.arrivals == asked);
+  }
+  SUBCASE("is a shard without a server if all its servers ask for it") {
+    session.server(0, 1).asks_backoff = Millis(2000);
+    SearchUntilAsked(&session, session.server(0, 1));
+    const int both = ArrivalsAt(&session, 0);
+    const SessionAnswer& answer = session.SearchNow();
+    CHECK(answer.reply.status == 200);
+    CHECK(answer.reply.missing_parts == 1);
+    CHECK(answer.record.took < Millis(60));
+    CHECK(ArrivalsAt(&session, 0) == both);
+  }
+}
+
+TEST_CASE("A query whose shards mostly asked to be left alone") {
+  FleetSession session(TwoServersEach(4));
+  for (std::size_t shard = 0; shard < 2; ++shard) {
+    for (std::size_t replica = 0; replica < 2; ++replica)
+      session.server(shard, replica).asks_backoff = Seconds(shard + 2);
+  }
+  // Both servers of each shard are asked once.
+  session.SearchNow();
+  const Time told = session.now();
+  int sent = 0;
+  for (auto* server : session.shard_servers())
+    sent += server->arrivals;
+  const SessionAnswer& refused = session.SearchNow();
+
+  SUBCASE("is refused at once with nothing sent") {
+    CHECK(refused.reply.status == 503);
+    CHECK(refused.record.code == ResultCode::kServerBackoff);
+    CHECK(refused.record.took < Millis(2));
+    int now_sent = 0;
+    for (auto* server : session.shard_servers())
+      now_sent += server->arrivals;
+    CHECK(now_sent == sent);
+  }
+  SUBCASE("is told when enough of them are back") {
+    // 0.89 of four shards are all four: the later of the two counts.
+    REQUIRE(refused.reply.retry_after);
+    CHECK(*refused.reply.retry_after > Millis(2800));
+    CHECK(*refused.reply.retry_after < Millis(4000));
+    for (auto* server : session.shard_servers())
+      server->asks_backoff.reset();
+    session.Run(*refused.reply.retry_after - (session.now() - told));
+    CHECK(session.SearchNow().reply.status == 200);
+  }
+}
+
+TEST_CASE("A request to one server where all asked to be left alone") {
+  FleetSession session(FleetSession::Options{});
+  for (std::size_t i = 0; i < 3; ++i)
+    session.single(i).asks_backoff = Seconds(2);
+  // A budget that has just begun lets each call ask one or two of them.
+  for (int i = 0; i < 3; ++i)
+    session.SingleNow();
+  const SessionAnswer& refused = session.SingleNow();
+  CHECK(refused.reply.status == 503);
+  CHECK(refused.record.sends == 0);
+  REQUIRE(refused.reply.retry_after);
+  CHECK(*refused.reply.retry_after > Millis(1800));
+}
+
+TEST_CASE("What a server asks for") {
+  detail::ServerNotice notice;
+  const Time now(Seconds(10));
+
+  SUBCASE("is news only once") {
+    CHECK(notice.OnLeaving());
+    CHECK_FALSE(notice.OnLeaving());
+    CHECK(notice.OnBackoff(Millis(500), now));
+    CHECK_FALSE(notice.OnBackoff(Millis(500), now + Millis(100)));
+  }
+  SUBCASE("isn't cut short by a later answer") {
+    notice.OnBackoff(Seconds(5), now);
+    notice.OnBackoff(Millis(100), now + Millis(10));
+    CHECK(notice.IsBackingOff(now + Millis(4900)));
+    CHECK_FALSE(notice.IsBackingOff(now + Seconds(5)));
+  }
+}
+
+}  // namespace
+}  // namespace limpetrudder
--- a/src/framework/result_code.cc
+++ b/src/framework/result_code.cc
@@ -81,6 +81,8 @@
     {kConnectFailed, "connect_failed",
      "No connection could be opened; nothing was sent."},
     {kAnswerMalformed, "answer_malformed", "A server's answer can't be read."},
+    {kServerBackoff, "server_backoff",
+     "All servers of the shard asked to be left alone for a while; not run."},
     {kNoHome, "no_home", "No instance can run the collection."},
     {kPeerUnreachable, "peer_unreachable",
      "Another instance can't be reached."},
--- a/src/framework/result_code.h
+++ b/src/framework/result_code.h
@@ -66,6 +66,7 @@
   kAttemptCancelled = 5008,
   kConnectFailed = 5009,
   kAnswerMalformed = 5010,
+  kServerBackoff = 5011,
 
   // membership: 6000 to 6999.
   kNoHome = 6001,
--- a/src/net/forward_codec.cc
+++ b/src/net/forward_codec.cc
@@ -18,6 +18,7 @@
 constexpr char kShards[] = "Limpet-Shards";
 constexpr char kTopRecords[] = "Limpet-Top-Records";
 constexpr char kNewerRoutes[] = "Limpet-Newer-Routes";
+constexpr char kLeaving[] = "Limpet-Leaving";
 constexpr char kMostMissing[] = "Limpet-Most-Missing";
 constexpr char kNotTaken[] = "Limpet-Not-Taken";
 constexpr char kSignatures[] = "Limpet-Part-Signatures";
@@ -55,6 +56,30 @@
   return items;
 }
 
+// Writes servers as "ID@START,..."; no id has an "@".
+std::string JoinLeaving(const std::vector<LeavingServer>& servers) {
+  std::vector<std::string> rows;
+  rows.reserve(servers.size());
+  for (const auto& server : servers)
+    rows.push_back(server.id + '@' + std::to_string(server.started_ms));
+  return JoinList(rows);
+}
+
+std::vector<LeavingServer> SplitLeaving(std::string_view text) {
+  std::vector<LeavingServer> servers;
+  for (const auto& row : SplitList(text)) {
+    const std::size_t at = row.rfind('@');
+    std::uint64_t started_ms = 0;
+    if (at == std::string::npos ||
+        !ReadNumber(std::string_view(row).substr(at + 1), &started_ms)) {
+      continue;
+    }
+    servers.push_back(
+        {row.substr(0, at), static_cast<std::int64_t>(started_ms)});
+  }
+  return servers;
+}
+
 }  // namespace
 
 PoolRequest EncodeForward(const ForwardCall& forward) {
@@ -158,6 +183,8 @@
     response.headers.push_back(
         {kNewerRoutes, std::to_string(reply.newer_routes)});
   }
+  if (!reply.leaving_servers.empty())
+    response.headers.push_back({kLeaving, JoinLeaving(reply.leaving_servers)});
   if (IsNotTaken(record.code)) {
     response.headers.push_back({kNotTaken, "1"});
     return response;
@@ -185,6 +212,8 @@
     } else if (header.name == kNewerRoutes &&
                ReadNumber(header.value, &number)) {
       reply.newer_routes = number;
+    } else if (header.name == kLeaving) {
+      reply.leaving_servers = SplitLeaving(header.value);
     } else if (header.name == kSignatures) {
       whole = true;
       if (!header.value.empty())
--- a/src/net/tests/peer_feed_test.cc
+++ b/src/net/tests/peer_feed_test.cc
@@ -136,6 +136,17 @@
     CHECK(back.not_executed);
     CHECK(back.newer_routes == 13);
   }
+  SUBCASE("tells which servers are leaving") {
+    CallReply reply;
+    reply.status = 200;
+    reply.leaving_servers = {{"i-1", 1700}, {"i-2", 0}};
+    const TargetReply back =
+        DecodeForwardReply(Returned(EncodeForwardReply(reply, {})));
+    REQUIRE(back.leaving_servers.size() == 2);
+    CHECK(back.leaving_servers[0].id == "i-1");
+    CHECK(back.leaving_servers[0].started_ms == 1700);
+    CHECK(back.leaving_servers[1].id == "i-2");
+  }
   SUBCASE("carries a refusal and when to come back") {
     CallReply reply;
     reply.status = 503;
--- a/testing/soak/part_server.cc
+++ b/testing/soak/part_server.cc
@@ -16,6 +16,11 @@
 constexpr int kMostWaiting = 30;
 constexpr int kRecords = 8;
 
+// What a server asks for, and how many requests of each caller it gets for one
+// refusal: the refused one and two that were on their way.
+constexpr Duration kBackoffTime = Millis(1500);
+constexpr int kArrivalsPerRefusal = 3;
+
 }  // namespace
 
 std::string PartRecords(const std::string& service,
@@ -68,19 +73,42 @@
                          {"Slots", kSlots},
                          {"State", draining_ ? "draining" : "ready"},
                          {"WarmupLeftMs", 0},
-                         {"Sequence", sequence}})
+                         {"Sequence", sequence},
+                         {"born", started_ms_}})
       .dump();
 }
 
 void PartServer::SetDraining(bool draining) {
+  // NOTE Whoever takes work again after it left is another process.
+  started_ms_ += draining_ && !draining ? 1 : 0;
   draining_ = draining;
   if (!draining)
     late_after_ = kNever;
 }
 
+void PartServer::SetFault(ServerFault fault, int callers) {
+  fault_ = fault;
+  callers_ = callers;
+  backoff_began_ = SteadyNow();
+  backoff_arrivals_ = 0;
+}
+
+void PartServer::CountBackoffArrival() {
+  ++backoff_arrivals_;
+  // NOTE An instance that was restarted meanwhile learns anew.
+  const auto rounds =
+      2 + static_cast<int>((SteadyNow() - backoff_began_) / kBackoffTime);
+  if (backoff_arrivals_ > callers_ * kArrivalsPerRefusal * rounds)
+    ++ledger_->pressed_arrivals;
+}
+
 void PartServer::OnRequest(const ServerRequest& request, Responder respond) {
   ServerResponse response;
   response.content_type = "application/octet-stream";
+  if (draining_)
+    response.headers.push_back({"Server-Leaving", "1"});
+  if (fault_ == ServerFault::kBackoff)
+    CountBackoffArrival();
   if (request.path == "/healthz") {
     response.status = draining_ || fault_ == ServerFault::kHang ? 503 : 200;
     return respond(std::move(response));
@@ -94,12 +122,15 @@
   if (SteadyNow() > late_after_)
     ++ledger_->late_arrivals;
   const bool refused = running_ >= kSlots + kMostWaiting ||
+                       fault_ == ServerFault::kBackoff ||
                        (fault_ == ServerFault::kRefuse && random_.Unit() < 0.7);
   const std::string request_id(HeaderValue(request.headers, "Request-Id"));
   response.headers.push_back({"Request-Id", request_id});
   if (refused) {
     response.status = 503;
     response.headers.push_back({"Not-Executed", "1"});
+    if (fault_ == ServerFault::kBackoff)
+      response.headers.push_back({"Retry-After", "1.5"});
     return respond(std::move(response));
   }
   ++ledger_->runs[request_id + "@" + service_];
--- a/testing/soak/part_server.h
+++ b/testing/soak/part_server.h
@@ -18,18 +18,20 @@
 // How a stand-in server misbehaves.
 enum class ServerFault {
   kNone,
-  kSlow,    // Ten times as long.
-  kRefuse,  // Says that it didn't run most requests.
-  kFail,    // Runs requests and answers 500.
-  kHang,    // Runs requests and answers nothing.
+  kSlow,     // Ten times as long.
+  kRefuse,   // Says that it didn't run most requests.
+  kFail,     // Runs requests and answers 500.
+  kHang,     // Runs requests and answers nothing.
+  kBackoff,  // Refuses all and asks to be left alone for kBackoffTime.
 };
 
-inline constexpr EnumNames<ServerFault, 5> kServerFaultNames{{
+inline constexpr EnumNames<ServerFault, 6> kServerFaultNames{{
     {ServerFault::kNone, "none"},
     {ServerFault::kSlow, "slow"},
     {ServerFault::kRefuse, "refuse"},
     {ServerFault::kFail, "fail"},
     {ServerFault::kHang, "hang"},
+    {ServerFault::kBackoff, "backoff"},
 }};
 
 // What all stand-in servers saw.
@@ -39,6 +41,8 @@
   std::uint64_t misdirected = 0;
   // Arrivals at servers that had said long before that they leave.
   std::uint64_t late_arrivals = 0;
+  // Arrivals at servers that had asked all their callers to be left alone.
+  std::uint64_t pressed_arrivals = 0;
 };
 
 // A small stand-in for one server that answers with a signature and records
@@ -56,7 +60,8 @@
   // The entry that it writes into the store.
   std::string Entry(std::uint64_t sequence) const;
 
-  void SetFault(ServerFault fault) { fault_ = fault; }
+  // `callers`: how many instances may learn of a backoff by one refusal each.
+  void SetFault(ServerFault fault, int callers);
   void SetDraining(bool draining);
   bool draining() const { return draining_; }
   // Work for which new arrivals count as late, if it drains.
@@ -67,6 +72,7 @@
 
  private:
   void OnRequest(const ServerRequest& request, Responder respond);
+  void CountBackoffArrival();
 
   asio::io_context* const context_;
   const std::string id_;
@@ -78,6 +84,10 @@
   bool draining_ = false;
   Time late_after_ = kNever;
   int running_ = 0;
+  std::int64_t started_ms_ = 1;
+  int callers_ = 0;
+  Time backoff_began_{};
+  int backoff_arrivals_ = 0;
   HttpServer http_;
 };
 
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -352,6 +352,9 @@
   if (ledger_.late_arrivals > 0)
     Break(std::to_string(ledger_.late_arrivals) +
           " requests reached servers long after they began to leave");
+  if (ledger_.pressed_arrivals > 0)
+    Break(std::to_string(ledger_.pressed_arrivals) +
+          " requests reached servers that had asked to be left alone");
   if (calm_asked_ == 0)
     Break("no request was calm: some process never ran");
   if (calm_served_ < kCalmServed * static_cast<double>(calm_asked_)) {
@@ -406,10 +409,13 @@
       Millis(500 + static_cast<std::int64_t>(random_.Below(4000)));
   const std::uint64_t draw = random_.Below(11);
   if (draw < 4) {
-    const auto fault = static_cast<ServerFault>(1 + draw);
+    auto fault = static_cast<ServerFault>(1 + draw);
+    // NOTE Not a draw of its own, so that old seeds play as they did.
+    if (fault == ServerFault::kRefuse && index % 2 == 1)
+      fault = ServerFault::kBackoff;
     Say(server->id() + " " + std::string(NameOf(kServerFaultNames, fault)));
-    server->SetFault(fault);
-    return Undo(lasts, [server] { server->SetFault(ServerFault::kNone); });
+    server->SetFault(fault, options_.entries);
+    return Undo(lasts, [server] { server->SetFault(ServerFault::kNone, 0); });
   }
   if (draw < 8) {
     const auto mode = static_cast<ProxyMode>(1 + (draw - 4));
