Admit queries as a whole while servers' queues are long

Cause: with four times the usual traffic every query was taken. Its parts queued at all shards; the last ones were refused by full servers after the others had run, so the slots went to queries that failed.

Change: QueryAdmission decides at whoever gathers, before anything is sent. AdmissionRate, a proportional-integral controller as in PIE, follows the median queue delay that servers tell beside parts, that legs waited here and that instances gathering batches tell; what is over the share is refused at once with 503, not run, and with the time by which all queries are taken again. Urgent kinds are refused a little less.

--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -304,6 +304,16 @@
        {"ms", WholeMillis(action.backoff)}});
 }
 
+void DispatchDuty::Carry(const AdmissionBelief& action) {
+  const char* const event =
+      action.limited ? "admission_limited" : "admission_free";
+  state_->metrics().Add(event);
+  Log(LogLevel::kWarning, event,
+      {{"shard", action.shard},
+       {"share", action.share},
+       {"pressure", action.pressure}});
+}
+
 void DispatchDuty::Carry(const PaceBelief& action) {
   const char* const event = action.paced ? "server_paced" : "server_unpaced";
   state_->metrics().Add(event);
--- a/src/app/dispatch_duty.h
+++ b/src/app/dispatch_duty.h
@@ -108,6 +108,7 @@
   void Carry(CompleteCall action);
   void Carry(const ServerBelief& action);
   void Carry(const BackoffBelief& action);
+  void Carry(const AdmissionBelief& action);
   void Carry(const PaceBelief& action);
   void Count(const CallRecord& record);
 
--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -62,6 +62,7 @@
   homes_.ForgetDistances();
   profiles_.Keep(*routes_);
   split_.Keep(*routes_);
+  admission_.Keep(*routes_);
   Turn(now);
 }
 
@@ -156,6 +157,10 @@
   calls_[active->call.id] = std::move(owned);
   if (TryForward(active, now))
     return Schedule(active, now);
+  if (route->is_scatter() && !active->is_partial() &&
+      !admission_.Admit(*route, now)) {
+    return RefuseForLoad(active, now);
+  }
   GatherHere(active, /*repeated=*/false, now);
 }
 
@@ -168,6 +173,7 @@
   send.server->OnSettled();
   if (send.group == nullptr)
     return OnHomeReply(send, &reply, now);
+  LearnDelay(send, reply, now);
   const Verdict verdict = Judge(send, reply);
   if (send.IsCurrent())
     Learn(send, reply, verdict, now);
@@ -199,6 +205,8 @@
   Time next = kNever;
   WatchHomes(now, &next);
   EndBackoffs(now, &next);
+  for (auto& change : admission_.TakeChanges(now))
+    actions_.emplace_back(std::move(change));
   if (now >= started_until_) {
     started_until_ = kNever;
     servers_.SetStarting(false);
--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -15,6 +15,7 @@
 #include "dispatch/dispatch_types.h"
 #include "dispatch/internal/active_call.h"
 #include "dispatch/internal/home_set.h"
+#include "dispatch/internal/query_admission.h"
 #include "dispatch/internal/route_profiles.h"
 #include "dispatch/internal/server_placer.h"
 #include "dispatch/internal/server_table.h"
@@ -120,6 +121,10 @@
               int status,
               ResultCode code,
               std::optional<Duration> retry_after);
+  // Ends a call before anything of it was sent, as the servers are overloaded.
+  void RefuseForLoad(ActiveCall* call, Time now);
+  // Tells admission what the answer to a part says of queues.
+  void LearnDelay(const OpenSend& send, const TargetReply& reply, Time now);
   // `repeated`: a home may have sent to the servers already.
   void BeginLegs(ActiveCall* call, bool repeated, Time now);
   // Fails the legs that the call does without.
@@ -161,7 +166,7 @@
             Time now);
   void PlanHedge(ActiveCall* call, Leg* leg, const ServerLoad& first, Time now);
   void TryHedge(ActiveCall* call, std::size_t leg_index, Time now);
-  void Wait(ActiveCall* call, std::size_t leg_index);
+  void Wait(ActiveCall* call, std::size_t leg_index, Time now);
   void StopWaiting(const ActiveCall& call, std::size_t leg_index);
   void ServeWaiting(detail::ServerGroup* group, Time now);
 
@@ -213,6 +218,7 @@
   detail::HomeSet homes_;
   detail::RouteProfiles profiles_;
   detail::WeightedSplit split_;
+  detail::QueryAdmission admission_;
   detail::ServerPlacer placer_;
   std::shared_ptr<const RouteTable> routes_;
   std::unordered_map<CallId, std::unique_ptr<ActiveCall>> calls_;
--- a/src/dispatch/dispatch_engine_answers.cc
+++ b/src/dispatch/dispatch_engine_answers.cc
@@ -106,10 +106,22 @@
   return reply;
 }
 
+void DispatchEngine::RefuseForLoad(ActiveCall* call, Time now) {
+  CallReply reply;
+  reply.status = http_status::kUnavailable;
+  reply.retry_after = admission_.ReturnTime(*call->route, &random_);
+  call->record.code = ResultCode::kOverloaded;
+  call->record.parts_wanted =
+      static_cast<std::uint32_t>(call->route->shards.size());
+  Finish(call, std::move(reply), now);
+}
+
 void DispatchEngine::Finish(ActiveCall* call, CallReply reply, Time now) {
   if (call->call.forwarded) {
     reply.newer_routes = NewerRoutesFor(call->call);
     reply.leaving_servers = LeavingToTell(now);
+    if (call->is_partial())
+      reply.queue_pressure = admission_.PressureOf(*call->route, now);
   }
   CallRecord& record = call->record;
   record.status = reply.status;
--- a/src/dispatch/dispatch_engine_homes.cc
+++ b/src/dispatch/dispatch_engine_homes.cc
@@ -186,6 +186,8 @@
       BeginLeg(call, leg, repeated, now);
     return Advance(call, now);
   }
+  admission_.OnPressure(*call->route, reply->queue_pressure, batch.legs.size(),
+                        now);
   const auto& signatures = reply->part_signatures;
   bool body_taken = false;
   for (std::size_t i = 0; i < batch.legs.size(); ++i) {
--- a/src/dispatch/dispatch_engine_legs.cc
+++ b/src/dispatch/dispatch_engine_legs.cc
@@ -143,7 +143,7 @@
     case detail::PlacementStatus::kFound:
       return Send(call, leg_index, choice, now);
     case detail::PlacementStatus::kFull:
-      return Wait(call, leg_index);
+      return Wait(call, leg_index, now);
     case detail::PlacementStatus::kBackoff:
       return FailLeg(call, leg_index, ResultCode::kServerBackoff);
     case detail::PlacementStatus::kNoServer:
@@ -227,9 +227,10 @@
   Send(call, leg_index, choice, now);
 }
 
-void DispatchEngine::Wait(ActiveCall* call, std::size_t leg_index) {
+void DispatchEngine::Wait(ActiveCall* call, std::size_t leg_index, Time now) {
   Leg& leg = call->legs[leg_index];
   leg.waiting = true;
+  leg.waiting_since = now;
   leg.group->waiting.insert(
       {call->route->priority, call->deadline, call->call.id, leg_index});
   waiting_groups_.insert(leg.group);
@@ -256,6 +257,7 @@
       return;
     group->waiting.erase(group->waiting.begin());
     leg.waiting = false;
+    leg.waited = now - leg.waiting_since;
     if (choice.status == detail::PlacementStatus::kFound) {
       Send(call, first.leg, choice, now);
       Schedule(call, now);
--- a/src/dispatch/dispatch_engine_servers.cc
+++ b/src/dispatch/dispatch_engine_servers.cc
@@ -102,6 +102,22 @@
   }
 }
 
+void DispatchEngine::LearnDelay(const OpenSend& send,
+                                const TargetReply& reply,
+                                Time now) {
+  if (!send.route->is_scatter() || !reply.load)
+    return;
+  detail::PartDelay delay;
+  delay.load = *reply.load;
+  delay.refused = reply.not_executed;
+  delay.took = now - send.sent - reply.connect_time -
+               topology_.RoundTrip(send.server->entry().data_centre);
+  const auto call = calls_.find(send.call);
+  if (send.call != 0 && call != calls_.end())
+    delay.waited_here = call->second->legs[send.leg].waited;
+  admission_.OnPart(*send.route, delay, now);
+}
+
 void DispatchEngine::LearnPace(const OpenSend& send, Time now) {
   if (!send.route->is_scatter())
     return;
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -90,6 +90,9 @@
   std::optional<Duration> retry_after;       // From a home.
   std::uint64_t newer_routes = 0;  // A home's version if it is newer than ours.
   std::vector<LeavingServer> leaving_servers;  // That a home heard of lately.
+  // Queue delay at a home's servers, against the time that a query has to
+  // spare.
+  double queue_pressure = 0;
   std::optional<LoadReport> load;
   Duration connect_time{0};  // 0: the connection was open.
 };
@@ -106,7 +109,8 @@
                                    // instance has older ones.
   // Heard of lately, for the instance that forwarded the call.
   std::vector<LeavingServer> leaving_servers;
-  bool from_server = false;  // Status, headers and body are a server's.
+  double queue_pressure = 0;  // Likewise, of its route.
+  bool from_server = false;   // Status, headers and body are a server's.
 };
 
 // A server's answer to a probe of its health.
@@ -220,6 +224,14 @@
   Duration backoff{0};
 };
 
+// Some queries of a shard set are refused from now on, or none are any more.
+struct AdmissionBelief {
+  std::string shard;  // The set's first one.
+  bool limited = false;
+  double share = 1;     // Of the queries that are taken.
+  double pressure = 0;  // Queue delay against the time to spare.
+};
+
 // The requests to a server are paced from now on, or aren't any more.
 struct PaceBelief {
   std::string server;
@@ -238,6 +250,7 @@
                                     CompleteCall,
                                     ServerBelief,
                                     BackoffBelief,
+                                    AdmissionBelief,
                                     PaceBelief>;
 
 }  // namespace limpetrudder
--- a/src/dispatch/internal/active_call.h
+++ b/src/dispatch/internal/active_call.h
@@ -26,7 +26,9 @@
   std::uint32_t runs = 0;      // Sends that ran or may have.
   std::uint32_t arrivals = 0;  // Sends that reached a server.
   bool waiting = false;        // In its group's queue.
-  bool delegated = false;      // Another instance asks the servers.
+  Time waiting_since{};
+  Duration waited{0};      // In the queue, before its sends.
+  bool delegated = false;  // Another instance asks the servers.
   Time hedge_at = kNever;
   std::string signature;
   std::string body;
--- /dev/null
+++ b/src/dispatch/internal/query_admission.cc
@@ -0,0 +1,127 @@
+#include "dispatch/internal/query_admission.h"
+
+#include <algorithm>
+
+namespace limpetrudder::detail {
+namespace {
+
+// What a part takes until one was answered, as a part of the latency target.
+constexpr int kLikelyWorkPart = 8;
+constexpr int kWorkWeightDivisor = 16;
+
+// A sample has delays of this part of the shards.
+constexpr std::size_t kSampleDivisor = 2;
+
+// A query has at least this part of its target to spare for queues.
+constexpr int kLeastSparePart = 4;
+
+// The first retry of callers lies within their patience, a third of a second or
+// two; a longer time would tell them to give up.
+constexpr Duration kShortestReturn = Millis(100);
+constexpr Duration kLongestReturn = Seconds(2);
+
+// A share below this is told; it is free again when all queries are taken.
+constexpr double kLimitedShare = 0.9;
+
+Duration SpareTime(const Route& route, Duration work) {
+  return std::max(route.latency_target - work * 2,
+                  route.latency_target / kLeastSparePart);
+}
+
+}  // namespace
+
+QueryAdmission::ShardSet* QueryAdmission::Find(const Route& route) {
+  const auto found = sets_.find(route.shards.front());
+  return found == sets_.end() ? nullptr : &found->second;
+}
+
+const QueryAdmission::ShardSet* QueryAdmission::Find(const Route& route) const {
+  const auto found = sets_.find(route.shards.front());
+  return found == sets_.end() ? nullptr : &found->second;
+}
+
+void QueryAdmission::Keep(const RouteTable& table) {
+  std::unordered_map<std::string, ShardSet> kept;
+  for (const Route& route : table.routes()) {
+    if (!route.is_scatter())
+      continue;
+    const auto [row, is_new] = kept.try_emplace(route.shards.front());
+    ShardSet& set = row->second;
+    if (is_new) {
+      if (const ShardSet* before = Find(route))
+        set = *before;
+      else
+        set.rate = AdmissionRate(route.shards.size() / kSampleDivisor);
+      set.most_urgent = route.priority;
+    }
+    set.most_urgent = std::min(set.most_urgent, route.priority);
+  }
+  sets_ = std::move(kept);
+}
+
+void QueryAdmission::OnPart(const Route& route,
+                            const PartDelay& delay,
+                            Time now) {
+  ShardSet* set = Find(route);
+  if (set == nullptr)
+    return;
+  if (set->work == Duration::zero())
+    set->work = route.latency_target / kLikelyWorkPart;
+  // NOTE Longer times show a pause or a slow server rather than its work.
+  if (delay.load.waiting == 0 && delay.took > Duration::zero()) {
+    const Duration took = std::min(delay.took, set->work * 2);
+    set->work += (took - set->work) / kWorkWeightDivisor;
+  }
+  const std::uint32_t slots = std::max(1U, delay.load.slots);
+  const Duration queue = set->work * delay.load.waiting / slots;
+  const Duration waited = delay.waited_here + queue;
+  // NOTE A server that is full leaves no time at all; one that refuses with an
+  // empty queue has another reason.
+  const bool full = delay.refused && delay.load.waiting > 0;
+  const double pressure =
+      full ? 1 : ToMillis(waited) / ToMillis(SpareTime(route, set->work));
+  set->rate.OnDelay(pressure, 1, now);
+}
+
+void QueryAdmission::OnPressure(const Route& route,
+                                double pressure,
+                                std::size_t parts,
+                                Time now) {
+  if (ShardSet* set = Find(route))
+    set->rate.OnDelay(pressure, parts, now);
+}
+
+bool QueryAdmission::Admit(const Route& route, Time now) {
+  ShardSet* set = Find(route);
+  return set == nullptr ||
+         set->rate.Admit(route.priority <= set->most_urgent, now);
+}
+
+double QueryAdmission::PressureOf(const Route& route, Time now) const {
+  const ShardSet* set = Find(route);
+  return set == nullptr ? 0 : set->rate.pressure(now);
+}
+
+std::vector<AdmissionBelief> QueryAdmission::TakeChanges(Time now) {
+  std::vector<AdmissionBelief> changes;
+  for (auto& [shard, set] : sets_) {
+    const double share = set.rate.share();
+    const bool limited = set.limited ? share < 1 : share < kLimitedShare;
+    if (limited == set.limited)
+      continue;
+    set.limited = limited;
+    changes.push_back({shard, limited, share, set.rate.pressure(now)});
+  }
+  return changes;
+}
+
+Duration QueryAdmission::ReturnTime(const Route& route, Random* random) const {
+  const ShardSet* set = Find(route);
+  const Duration recovery =
+      set == nullptr ? Duration(0) : set->rate.RecoveryTime();
+  const Duration told = std::clamp(recovery, kShortestReturn, kLongestReturn);
+  return Duration(static_cast<std::int64_t>(static_cast<double>(told.count()) *
+                                            (0.75 + 0.5 * random->Unit())));
+}
+
+}  // namespace limpetrudder::detail
--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -8,6 +8,7 @@
 
 constexpr Duration kNear = Millis(1) / 4;
 constexpr Duration kFar = Millis(8);
+constexpr int kReturnsOfPressing = 3;
 
 std::string RegionOf(const std::string& data_centre) {
   return data_centre.substr(0, data_centre.find('-'));
@@ -40,6 +41,7 @@
     server.entry.address = id + ":80";
     server.entry.data_centre = data_centre;
     server.entry.slots = 2;
+    server.most_waiting = options_.most_waiting;
     server.entry.started_ms = 1;
     change.updated.push_back(server.entry);
     regions[data_centre] = RegionOf(data_centre);
@@ -142,14 +144,16 @@
   }
 }
 
-CallId FleetSession::Ask(const std::string& target, std::size_t instance) {
+CallId FleetSession::Ask(const std::string& target,
+                         std::size_t instance,
+                         std::optional<std::size_t> caller) {
   auto message = std::make_shared<RequestMessage>();
   const CallId id = next_call_++;
   message->request_id = "request-" + std::to_string(id);
   message->method = "GET";
   message->host = "shop.example";
   message->target = target;
-  calls_[id] = {instance, 0, 0, false};
+  calls_[id] = {instance, 0, 0, false, caller, target, now_};
   CallRequest call;
   call.id = id;
   call.message = std::move(message);
@@ -189,6 +193,60 @@
   }
 }
 
+void FleetSession::Callers(double per_second,
+                           Duration duration,
+                           const std::string& target) {
+  const Time end = now_ + duration;
+  const auto gap = static_cast<std::int64_t>(1e6 / per_second);
+  while (now_ < end) {
+    callers_.push_back({});
+    callers_.back().asked = now_;
+    AskFor(callers_.size() - 1, target);
+    Run(Duration(gap / 2 + static_cast<std::int64_t>(random_.Below(
+                               static_cast<std::uint64_t>(gap)))));
+  }
+}
+
+void FleetSession::AskFor(std::size_t caller, const std::string& target) {
+  ++callers_[caller].attempts;
+  Ask(target, random_.Below(engines_.size()), caller);
+}
+
+void FleetSession::OnCallerAnswered(const CallState& call,
+                                    const CallReply& reply) {
+  CallerOutcome& caller = callers_[*call.caller];
+  caller.status = reply.status;
+  caller.took = now_ - caller.asked;
+  caller.last_took = now_ - call.began;
+  const bool refused = reply.status == 503;
+  if (refused) {
+    ++caller.refusals;
+    caller.late_refusals +=
+        caller.last_took > options_.latency_target / 10 ? 1 : 0;
+  }
+  const bool pressing =
+      static_cast<double>(*call.caller % 100) < options_.pressing * 100;
+  const int returns = pressing ? kReturnsOfPressing : options_.returns;
+  const Duration left = options_.timeout - caller.took;
+  if (reply.status == 200 || caller.attempts > returns || left <= Duration(0)) {
+    return;
+  }
+  const Duration told = refused && !pressing
+                            ? reply.retry_after.value_or(Duration(0))
+                            : Duration(0);
+  At(now_ + std::min(told, left / 3) + 2 * kNear,
+     [this, index = *call.caller, target = call.target] {
+       AskFor(index, target);
+     });
+}
+
+int FleetSession::runs() const {
+  int runs = 0;
+  for (const auto& [name, server] : servers_)
+    runs += server.runs;
+  return runs;
+}
+
 void FleetSession::At(Time time, std::function<void()> event) {
   events_.emplace(time, std::move(event));
 }
@@ -291,11 +349,18 @@
     away.outcome = SendOutcome::kTurnedAway;
     return Reply(instance, std::move(away), way);
   }
-  if (server.asks_backoff || random_.Unit() < server.reject_ratio) {
+  if (server.asks_backoff || server.queue.size() >= server.most_waiting ||
+      random_.Unit() < server.reject_ratio) {
     ++server.rejections;
     TargetReply rejected;
     rejected.leaving = server.says_leaving;
     rejected.backoff = server.asks_backoff;
+    if (options_.servers_tell_load) {
+      rejected.load =
+          LoadReport{static_cast<std::uint32_t>(server.running.size()),
+                     static_cast<std::uint32_t>(server.queue.size()),
+                     server.entry.slots, 1};
+    }
     rejected.send = send.send;
     rejected.outcome = SendOutcome::kAnswered;
     rejected.status = 503;
@@ -371,7 +436,7 @@
     if (frozen_.count(other) > 0)
       return;
     const CallId id = next_call_++;
-    calls_[id] = {other, instance, forward.send, true};
+    calls_[id] = {other, instance, forward.send, true, {}, {}, now_};
     forwarded_[{instance, forward.send}] = id;
     CallRequest call;
     call.id = id;
@@ -391,6 +456,8 @@
 void FleetSession::Complete(std::size_t instance, CompleteCall done) {
   const CallState& call = calls_.at(done.call);
   if (!call.peer) {
+    if (call.caller)
+      OnCallerAnswered(call, done.reply);
     answers_[done.call] = {std::move(done.reply), std::move(done.record), now_};
     return;
   }
@@ -405,6 +472,7 @@
   reply.newer_routes = done.reply.newer_routes;
   reply.leaving_servers = std::move(done.reply.leaving_servers);
   reply.retry_after = done.reply.retry_after;
+  reply.queue_pressure = done.reply.queue_pressure;
   Reply(call.from, std::move(reply),
         Way(options_.instances[instance], options_.instances[call.from]));
 }
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -20,12 +20,13 @@
   ServerEntry entry;
   Duration work = Millis(20);
   int most_connections = 1000;
-  double reject_ratio = 0;         // Refuses so many of its requests.
-  bool silent = false;             // Takes requests and answers nothing.
-  bool failing = false;            // Runs requests and answers 500.
-  bool resetting = false;          // Runs requests and resets the connection.
-  bool without_signature = false;  // Answers 200 without a signature.
-  bool says_leaving = false;       // In all its answers.
+  std::size_t most_waiting = 1000;  // Beyond them it refuses.
+  double reject_ratio = 0;          // Refuses so many of its requests.
+  bool silent = false;              // Takes requests and answers nothing.
+  bool failing = false;             // Runs requests and answers 500.
+  bool resetting = false;           // Runs requests and resets the connection.
+  bool without_signature = false;   // Answers 200 without a signature.
+  bool says_leaving = false;        // In all its answers.
   // Turns all requests away and asks for so much time.
   std::optional<Duration> asks_backoff;
   Time paused_until{};
@@ -47,6 +48,17 @@
   std::set<std::pair<std::size_t, SendId>> running;
 };
 
+// What a caller got who asks again, as told, after a refusal or a failure.
+struct CallerOutcome {
+  Time asked{};
+  int attempts = 0;
+  int status = 0;
+  Duration took{0};       // Since it asked first.
+  Duration last_took{0};  // Since it asked last.
+  int refusals = 0;
+  int late_refusals = 0;  // That took more than a tenth of the latency target.
+};
+
 struct SessionAnswer {
   CallReply reply;
   CallRecord record;
@@ -72,6 +84,9 @@
     double cores = 0.25;
     std::vector<double> cores_of;  // Of each instance; empty: `cores`.
     bool servers_tell_load = false;
+    std::size_t most_waiting = 1000;  // At one server.
+    int returns = 0;                  // How often each of Callers() asks again.
+    double pressing = 0;  // Part of them that asks again at once, three times.
   };
 
   explicit FleetSession(Options options);
@@ -79,7 +94,9 @@
   // Asks all shards, or one server ("/one/"), at an instance. Returns the call.
   CallId Search(std::size_t instance = 0) { return Ask("/all/x", instance); }
   CallId Single(std::size_t instance = 0) { return Ask("/one/x", instance); }
-  CallId Ask(const std::string& target, std::size_t instance);
+  CallId Ask(const std::string& target,
+             std::size_t instance,
+             std::optional<std::size_t> caller = std::nullopt);
 
   // Searches and runs until the answer is there.
   const SessionAnswer& SearchNow(std::size_t instance = 0);
@@ -91,6 +108,14 @@
   // Has the session's random callers ask `per_second` searches for `duration`.
   void Load(double per_second, Duration duration);
 
+  // Likewise, with callers that come back; `target` is what they ask for.
+  void Callers(double per_second,
+               Duration duration,
+               const std::string& target = "/all/x");
+  const std::vector<CallerOutcome>& callers() const { return callers_; }
+  // Parts that servers ran, for whomever.
+  int runs() const;
+
   bool answered(CallId call) const { return answers_.count(call) > 0; }
   const SessionAnswer& answer(CallId call) const { return answers_.at(call); }
   const std::map<CallId, SessionAnswer>& answers() const { return answers_; }
@@ -124,6 +149,9 @@
     std::size_t from = 0;
     SendId from_send = 0;
     bool peer = false;
+    std::optional<std::size_t> caller;
+    std::string target;
+    Time began{};
   };
 
   void At(Time time, std::function<void()> event);
@@ -137,6 +165,8 @@
   void Forward(std::size_t instance, const ForwardCall& forward);
   void Complete(std::size_t instance, CompleteCall done);
   void CancelAt(std::size_t instance, SendId send);
+  void AskFor(std::size_t caller, const std::string& target);
+  void OnCallerAnswered(const CallState& call, const CallReply& reply);
   Duration Way(const std::string& from, const std::string& to) const;
   std::size_t IndexOf(const std::string& instance_name) const;
 
@@ -150,6 +180,7 @@
   std::map<std::string, SessionServer> servers_;
   std::map<CallId, CallState> calls_;
   std::map<CallId, SessionAnswer> answers_;
+  std::vector<CallerOutcome> callers_;
   std::set<std::size_t> frozen_;
   std::map<std::pair<std::size_t, SendId>, CallId> forwarded_;
   CallId next_call_ = 1;
--- a/src/net/forward_codec.cc
+++ b/src/net/forward_codec.cc
@@ -19,12 +19,15 @@
 constexpr char kTopRecords[] = "Limpet-Top-Records";
 constexpr char kNewerRoutes[] = "Limpet-Newer-Routes";
 constexpr char kLeaving[] = "Limpet-Leaving";
+constexpr char kQueuePressure[] = "Limpet-Queue-Pressure-Permille";
 constexpr char kMostMissing[] = "Limpet-Most-Missing";
 constexpr char kNotTaken[] = "Limpet-Not-Taken";
 constexpr char kSignatures[] = "Limpet-Part-Signatures";
 constexpr char kMissing[] = "Limpet-Missing-Parts";
 constexpr char kRetryAfterMs[] = "Limpet-Retry-After-Ms";
 
+constexpr double kPermille = 1000;
+
 void AppendMillis(std::string* bytes, std::string_view name, Duration value) {
   AppendHeader(bytes, name,
                std::to_string(std::max<std::int64_t>(0, WholeMillis(value))));
@@ -185,6 +188,10 @@
   }
   if (!reply.leaving_servers.empty())
     response.headers.push_back({kLeaving, JoinLeaving(reply.leaving_servers)});
+  const auto permille =
+      static_cast<std::uint64_t>(reply.queue_pressure * kPermille);
+  if (permille > 0)
+    response.headers.push_back({kQueuePressure, std::to_string(permille)});
   if (IsNotTaken(record.code)) {
     response.headers.push_back({kNotTaken, "1"});
     return response;
@@ -212,6 +219,9 @@
     } else if (header.name == kNewerRoutes &&
                ReadNumber(header.value, &number)) {
       reply.newer_routes = number;
+    } else if (header.name == kQueuePressure &&
+               ReadNumber(header.value, &number)) {
+      reply.queue_pressure = static_cast<double>(number) / kPermille;
     } else if (header.name == kLeaving) {
       reply.leaving_servers = SplitLeaving(header.value);
     } else if (header.name == kSignatures) {
--- a/src/net/tests/peer_feed_test.cc
+++ b/src/net/tests/peer_feed_test.cc
@@ -136,6 +136,13 @@
     CHECK(back.not_executed);
     CHECK(back.newer_routes == 13);
   }
+  SUBCASE("tells how long requests wait at its servers") {
+    CallReply reply;
+    reply.queue_pressure = 0.25;
+    const TargetReply back =
+        DecodeForwardReply(Returned(EncodeForwardReply(reply, {})));
+    CHECK(back.queue_pressure == doctest::Approx(0.25));
+  }
   SUBCASE("tells which servers are leaving") {
     CallReply reply;
     reply.status = 200;
