Call a store that is away less in large fleets, sooner at a start

Change: beyond eighty, instances that aren't readers call a store of which nothing is heard within a span of up to 20 s; renewals are tried again after 2 s; an instance that knows nothing yet asks each 0.4 s.

--- a/src/app/discovery_duty.cc
+++ b/src/app/discovery_duty.cc
@@ -208,11 +208,12 @@
 void DiscoveryDuty::CallStore(Time now, Time* next) {
   const Time heard = follower_.heard();
   if (!source_.ShouldReadStore(heard, now)) {
-    *next = std::min(*next, heard + FeedSource::kFresh + Millis(1));
+    *next = std::min(*next, source_.NextOwnRead(heard) + Millis(1));
     return;
   }
   Time due = kNever;
   if (const auto call = follower_.Turn(now, &due)) {
+    source_.OnOwnRead(now);
     ports_.read(*call, [mailbox = mailbox_](FeedReply reply) {
       mailbox->PostResult(StoreReplied{std::move(reply)});
     });
--- a/src/discovery/feed_source.cc
+++ b/src/discovery/feed_source.cc
@@ -19,12 +19,22 @@
 // may be a whole listing: a megabyte takes half a second on the smallest link.
 constexpr Duration kAheadInterval = Millis(500);
 
+// A number in [0, 1) that is an instance's own.
+double UnitOf(const std::string& name) {
+  return static_cast<double>(Hash64(name) >> 11) * 0x1.0p-53;
+}
+
+// Instances that aren't readers call a store of which nothing is heard within a
+// span that grows with the fleet beyond the first ones, so that two hundred
+// instances make ten calls a second.
+constexpr std::size_t kFreeCallers = 80;
+constexpr Duration kSpreadPerCaller = Millis(200);
+constexpr Duration kLongestSpread = Seconds(20);
+
 // Larger instances are readers first: following the store takes some percent of
 // a small one's processor.
 double ReaderScore(const InstanceEntry& instance) {
-  const double unit =
-      static_cast<double>(Hash64(instance.name) >> 11) * 0x1.0p-53;
-  return instance.cores * 4 + unit;
+  return instance.cores * 4 + UnitOf(instance.name);
 }
 
 }  // namespace
@@ -63,6 +73,10 @@
 
 void FeedSource::Update(const std::vector<InstanceEntry>& instances) {
   const auto readers = Readers(instances);
+  const std::size_t callers =
+      instances.size() - std::min(instances.size(), kFreeCallers);
+  spread_ = std::min(kLongestSpread,
+                     kSpreadPerCaller * static_cast<std::int64_t>(callers));
   readers_.clear();
   others_.clear();
   is_reader_ = readers.empty();
@@ -86,9 +100,22 @@
 }
 
 bool FeedSource::ShouldReadStore(Time heard, Time now) const {
+  return now > NextOwnRead(heard);
+}
+
+Time FeedSource::NextOwnRead(Time heard) const {
   if (is_reader_ || readers_.empty() || heard == Time::min())
-    return true;
-  return now - heard > kFresh;
+    return Time::min();
+  return std::max(heard + kFresh + OwnPlaceIn(spread_), next_own_read_);
+}
+
+void FeedSource::OnOwnRead(Time now) {
+  next_own_read_ = now + spread_;
+}
+
+Duration FeedSource::OwnPlaceIn(Duration span) const {
+  return Duration(static_cast<std::int64_t>(static_cast<double>(span.count()) *
+                                            UnitOf(own_.name)));
 }
 
 bool FeedSource::IsSetAside(const std::string& name, Time now) const {
--- a/src/discovery/feed_source.h
+++ b/src/discovery/feed_source.h
@@ -38,10 +38,17 @@
   void Update(const std::vector<InstanceEntry>& instances);
 
   // Whether this instance has to follow the store now, where it heard of the
-  // store as of `heard`, and `store_answers` tells whether its last own call
-  // worked.
+  // store as of `heard`. Readers do; of the others in a large fleet only a few
+  // a second while none of them hears anything. Answers the load of a store
+  // that is away, which each of hundreds of instances would call all the time.
   bool ShouldReadStore(Time heard, Time now) const;
 
+  // The next time at which ShouldReadStore() may be true without other news.
+  Time NextOwnRead(Time heard) const;
+
+  // This instance called the store.
+  void OnOwnRead(Time now);
+
   // Returns the instance to ask next for what changed, if one is to be asked
   // now; `next` is when to ask again. One question at a time.
   std::optional<InstanceEntry> Ask(Time heard,
@@ -65,6 +72,8 @@
   std::vector<InstanceEntry> Readers(
       const std::vector<InstanceEntry>& instances) const;
   const std::string& RegionOf(const InstanceEntry& instance) const;
+  // This instance's place in a span of time that all instances divide.
+  Duration OwnPlaceIn(Duration span) const;
   bool IsSetAside(const std::string& name, Time now) const;
 
   const InstanceEntry own_;
@@ -73,6 +82,9 @@
   std::vector<InstanceEntry> readers_;  // Others than this one, best first.
   std::vector<InstanceEntry> others_;   // That aren't readers.
   bool is_reader_ = true;
+  Duration spread_{
+      0};  // In which each instance that isn't a reader calls once.
+  Time next_own_read_ = Time::min();
   bool asking_ = false;
   bool asking_ahead_ = false;
   Time ask_ahead_at_ = Time::min();
--- a/src/discovery/registrar.cc
+++ b/src/discovery/registrar.cc
@@ -5,8 +5,10 @@
 namespace limpetrudder {
 namespace {
 
-// After a failed call; doubled each time up to the longest.
+// After a failed call; doubled each time up to the longest. A renewal has two
+// thirds of the lease left.
 constexpr Duration kFirstRetry = Millis(500);
+constexpr Duration kFirstRenewalRetry = Seconds(2);
 constexpr Duration kLongestRetry = Seconds(4);
 
 }  // namespace
@@ -72,8 +74,10 @@
 void Registrar::RetryLater(Time now) {
   const std::uint32_t doublings = std::min(failures_, 4U);
   ++failures_;
+  const Duration first =
+      state_ == State::kRegistered ? kFirstRenewalRetry : kFirstRetry;
   const Duration pause =
-      std::min(kLongestRetry, kFirstRetry * (std::int64_t{1} << doublings));
+      std::min(kLongestRetry, first * (std::int64_t{1} << doublings));
   due_ =
       now + Duration(static_cast<std::int64_t>(
                 static_cast<double>(pause.count()) * (0.5 + random_.Unit())));
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -12,6 +12,9 @@
 constexpr Duration kFirstRetry = Millis(150);
 constexpr Duration kLongestRetry = Millis(1500);
 
+// An instance that knows nothing yet can serve nobody until the store answers.
+constexpr Duration kLongestFirstRetry = Millis(400);
+
 }  // namespace
 
 std::optional<FeedCall> StoreFollower::Turn(Time now, Time* next) {
@@ -113,9 +116,13 @@
 void StoreFollower::OnFailure(FeedStatus status, Time now) {
   const std::uint32_t doublings = std::min(failures_, 4U);
   ++failures_;
-  const Duration pause =
+  Duration pause =
       std::min(kLongestRetry, kFirstRetry * (std::int64_t{1} << doublings));
-  due_ = now + Jittered(status == FeedStatus::kRefused ? pause * 2 : pause);
+  if (status == FeedStatus::kRefused)
+    pause *= 2;
+  if (revision_ == 0)
+    pause = std::min(pause, kLongestFirstRetry);
+  due_ = now + Jittered(pause);
 }
 
 Duration StoreFollower::Jittered(Duration duration) {
--- a/src/discovery/tests/feed_test.cc
+++ b/src/discovery/tests/feed_test.cc
@@ -65,6 +65,37 @@
                                                      {"mbj-a", "mbj"},
                                                      {"mbj-b", "mbj"}};
 
+// How often the instances that aren't readers call a store of which nothing is
+// heard for `away`, if each asks what is due every 10 ms.
+int CallsOfOthers(const std::vector<InstanceEntry>& fleet, Duration away) {
+  int calls = 0;
+  for (const auto& instance : fleet) {
+    FeedSource source(instance, kRegions, 1);
+    source.Update(fleet);
+    if (source.is_reader())
+      continue;
+    for (Time now = kStart; now < kStart + away; now += Millis(10)) {
+      if (source.ShouldReadStore(kStart, now)) {
+        source.OnOwnRead(now);
+        ++calls;
+      }
+    }
+  }
+  return calls;
+}
+
+TEST_CASE("A store of which nobody hears anything") {
+  SUBCASE("is called by ten a second of a large fleet") {
+    const auto fleet = Fleet(49);
+    const int calls = CallsOfOthers(fleet, Seconds(10));
+    CHECK(calls > 30);
+    CHECK(calls < 120);
+  }
+  SUBCASE("is called by each instance of a small one") {
+    CHECK(CallsOfOthers(Fleet(2), Seconds(3)) > 6);
+  }
+}
+
 TEST_CASE("Where an instance learns what the store says") {
   const auto fleet = Fleet(20);
   Time next{};
--- a/src/discovery/tests/store_follower_test.cc
+++ b/src/discovery/tests/store_follower_test.cc
@@ -110,6 +110,18 @@
       CHECK(follower.heard() == kStart + Seconds(5) - Millis(700));
     }
   }
+  SUBCASE("asks a store that is away twice a second while it knows nothing") {
+    follower.OnReply(Failed(FeedStatus::kRefused), kStart);
+    int calls = 0;
+    for (Time now = kStart; now < kStart + Seconds(10); now += Millis(10)) {
+      if (follower.Turn(now, &next)) {
+        ++calls;
+        follower.OnReply(Failed(FeedStatus::kRefused), now);
+      }
+    }
+    CHECK(calls >= 20);
+    CHECK(calls <= 40);
+  }
   SUBCASE("begins with what another instance knows if the store is away") {
     follower.OnReply(Failed(FeedStatus::kNoReply), kStart);
     FeedReply whole = Reply(30, {Item("a", 1)});
