Ask again for parts that batches lack if their query fails without them

Full servers had refused some parts of each batch; each batch may lack as many parts as the whole query can spare, and together they lacked more, so the query failed with time left.

Change: a batch tells how many servers ran each part that it lacks, or may have. If the query is out of reach without them, those that may be asked again are asked from here, within the budget of second sends.

--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -149,6 +149,10 @@
                     std::size_t batch_index,
                     TargetReply* reply,
                     Time now);
+  // Asks for parts that a batch lacks if the query fails without them and their
+  // servers may be asked again. Answers the load of crowded servers, which
+  // refuse a few parts of each batch.
+  void AskMissingHere(ActiveCall* call, std::size_t batch_index, Time now);
   // Another instance gave no part of the group's shard.
   void OnPartMissed(detail::ServerGroup* group, Time now);
   void ForwardTo(const std::shared_ptr<ServerLoad>& home,
--- a/src/dispatch/dispatch_engine_answers.cc
+++ b/src/dispatch/dispatch_engine_answers.cc
@@ -69,6 +69,7 @@
       reply.part_signatures.push_back(leg.signature);
     } else if (call->is_partial()) {
       reply.part_signatures.emplace_back();
+      reply.missing_runs.push_back(leg.runs);
     }
   }
   reply.missing_parts =
--- a/src/dispatch/dispatch_engine_homes.cc
+++ b/src/dispatch/dispatch_engine_homes.cc
@@ -190,12 +190,18 @@
                         now);
   const auto& signatures = reply->part_signatures;
   bool body_taken = false;
+  std::size_t missing = 0;
   for (std::size_t i = 0; i < batch.legs.size(); ++i) {
     const std::size_t index = batch.legs[i];
     Leg& leg = call->legs[index];
     if (reply->status != http_status::kOk || i >= signatures.size() ||
         signatures[i].empty()) {
       OnPartMissed(leg.group, now);
+      // NOTE Without word all servers that the route allows may have run it.
+      leg.runs = missing < reply->missing_runs.size()
+                     ? reply->missing_runs[missing]
+                     : call->route->max_attempts;
+      ++missing;
       FailLeg(call, index, ResultCode::kNoAnswer);
       continue;
     }
@@ -207,10 +213,31 @@
     if (!std::exchange(body_taken, true))
       leg.body = std::move(reply->body);
   }
+  AskMissingHere(call, batch_index, now);
   if (!Settle(call, now))
     Schedule(call, now);
 }
 
+void DispatchEngine::AskMissingHere(ActiveCall* call,
+                                    std::size_t batch_index,
+                                    Time now) {
+  const std::vector<std::size_t> legs = call->batches[batch_index].legs;
+  for (const std::size_t index : legs) {
+    Leg& leg = call->legs[index];
+    if (!detail::IsOutOfReach(*call) || now >= call->deadline)
+      return;
+    if (leg.state != detail::LegState::kFailed ||
+        leg.runs >= call->route->max_attempts ||
+        !leg.group->budget.TrySpend()) {
+      continue;
+    }
+    leg.state = detail::LegState::kOpen;
+    leg.delegated = false;
+    --call->failed;
+    TrySend(call, index, now);
+  }
+}
+
 void DispatchEngine::OnPartMissed(detail::ServerGroup* group, Time now) {
   group->missed.Add(true, now);
   if (!group->missed.IsHigh())
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -87,6 +87,7 @@
   std::string signature;  // Names the run; empty if the server gave none.
   std::vector<std::string> part_signatures;  // From a home.
   std::uint32_t missing_parts = 0;           // From a home.
+  std::vector<std::uint32_t> missing_runs;   // Of each, from a home.
   std::optional<Duration> retry_after;       // From a home.
   std::uint64_t newer_routes = 0;  // A home's version if it is newer than ours.
   std::vector<LeavingServer> leaving_servers;  // That a home heard of lately.
@@ -104,6 +105,8 @@
   std::string body;
   std::vector<std::string> part_signatures;  // Of a merged answer.
   std::uint32_t missing_parts = 0;
+  // Of a delegated call: servers that ran each missing part, or may have.
+  std::vector<std::uint32_t> missing_runs;
   std::optional<Duration> retry_after;
   std::uint64_t newer_routes = 0;  // This instance's, if a forwarded call's
                                    // instance has older ones.
--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -350,7 +350,8 @@
     return Reply(instance, std::move(away), way);
   }
   if (server.asks_backoff || server.queue.size() >= server.most_waiting ||
-      random_.Unit() < server.reject_ratio) {
+      random_.Unit() < server.reject_ratio || server.reject_next > 0) {
+    server.reject_next -= server.reject_next > 0 ? 1 : 0;
     ++server.rejections;
     TargetReply rejected;
     rejected.leaving = server.says_leaving;
@@ -473,6 +474,7 @@
   reply.leaving_servers = std::move(done.reply.leaving_servers);
   reply.retry_after = done.reply.retry_after;
   reply.queue_pressure = done.reply.queue_pressure;
+  reply.missing_runs = std::move(done.reply.missing_runs);
   Reply(call.from, std::move(reply),
         Way(options_.instances[instance], options_.instances[call.from]));
 }
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -22,6 +22,7 @@
   int most_connections = 1000;
   std::size_t most_waiting = 1000;  // Beyond them it refuses.
   double reject_ratio = 0;          // Refuses so many of its requests.
+  int reject_next = 0;              // Refuses these of the next ones.
   bool silent = false;              // Takes requests and answers nothing.
   bool failing = false;             // Runs requests and answers 500.
   bool resetting = false;           // Runs requests and resets the connection.
--- a/src/dispatch/tests/homes_test.cc
+++ b/src/dispatch/tests/homes_test.cc
@@ -89,6 +89,42 @@
   }
 }
 
+// Four shards in each of five data centres; an answer may lack two of twenty.
+TEST_CASE("Servers in several data centres that refuse a part each") {
+  FleetSession::Options options;
+  options.instances = {"kgn-a", "mbj-a", "mdv-a", "poa-a", "sav-a"};
+  for (int i = 0; i < 4; ++i) {
+    for (const auto& data_centre : options.instances)
+      options.shards.push_back({data_centre});
+  }
+  FleetSession session(options);
+  for (std::size_t shard = 1; shard < 5; ++shard)
+    session.server(shard, 0).reject_next = 1;
+  const SessionAnswer& answer = session.SearchNow(0);
+
+  SUBCASE("don't fail the query together") {
+    CHECK(answer.record.delegated == 16);
+    CHECK(answer.reply.status == 200);
+    CHECK(answer.reply.missing_parts <= 2);
+    CHECK(answer.record.took < Millis(100));
+  }
+  SUBCASE("run each part once") {
+    for (std::size_t shard = 0; shard < 20; ++shard)
+      CHECK(session.server(shard, 0).runs <= 1);
+  }
+}
+
+// Each far part has run at the one server that it has.
+TEST_CASE("Parts that a batch lacks and that have run") {
+  FleetSession session(TwoDataCentres());
+  for (std::size_t shard = 1; shard < 20; shard += 2)
+    session.server(shard, 0).resetting = true;
+  const SessionAnswer& answer = session.SearchNow(0);
+  CHECK(answer.reply.status == 502);
+  for (std::size_t shard = 1; shard < 20; shard += 2)
+    CHECK(session.server(shard, 0).runs <= 2);
+}
+
 TEST_CASE("An instance far from all servers") {
   FleetSession::Options options;
   options.instances = {"mdv-a", "kgn-a"};
--- a/src/dispatch/tests/notice_test.cc
+++ b/src/dispatch/tests/notice_test.cc
@@ -144,9 +144,9 @@
 
 TEST_CASE("A query whose shards mostly asked to be left alone") {
   FleetSession session(TwoServersEach(4));
-  for (std::size_t shard = 0; shard < 2; ++shard) {
-    for (std::size_t replica = 0; replica < 2; ++replica)
-      session.server(shard, replica).asks_backoff = Seconds(shard + 2);
+  for (std::size_t replica = 0; replica < 2; ++replica) {
+    session.server(0, replica).asks_backoff = Seconds(2);
+    session.server(1, replica).asks_backoff = Seconds(3);
   }
   // Both servers of each shard are asked once.
   session.SearchNow();
--- a/src/net/forward_codec.cc
+++ b/src/net/forward_codec.cc
@@ -23,6 +23,7 @@
 constexpr char kMostMissing[] = "Limpet-Most-Missing";
 constexpr char kNotTaken[] = "Limpet-Not-Taken";
 constexpr char kSignatures[] = "Limpet-Part-Signatures";
+constexpr char kMissingRuns[] = "Limpet-Missing-Runs";
 constexpr char kMissing[] = "Limpet-Missing-Parts";
 constexpr char kRetryAfterMs[] = "Limpet-Retry-After-Ms";
 
@@ -59,6 +60,26 @@
   return items;
 }
 
+std::string JoinNumbers(const std::vector<std::uint32_t>& numbers) {
+  std::vector<std::string> rows;
+  rows.reserve(numbers.size());
+  for (const std::uint32_t number : numbers)
+    rows.push_back(std::to_string(number));
+  return JoinList(rows);
+}
+
+// Empty if one of them can't be read.
+std::vector<std::uint32_t> SplitNumbers(std::string_view text) {
+  std::vector<std::uint32_t> numbers;
+  for (const auto& row : SplitList(text)) {
+    std::uint64_t number = 0;
+    if (!ReadNumber(row, &number))
+      return {};
+    numbers.push_back(static_cast<std::uint32_t>(number));
+  }
+  return numbers;
+}
+
 // Writes servers as "ID@START,..."; no id has an "@".
 std::string JoinLeaving(const std::vector<LeavingServer>& servers) {
   std::vector<std::string> rows;
@@ -202,6 +223,8 @@
   }
   response.headers.push_back({kSignatures, JoinList(reply.part_signatures)});
   response.headers.push_back({kMissing, std::to_string(reply.missing_parts)});
+  if (!reply.missing_runs.empty())
+    response.headers.push_back({kMissingRuns, JoinNumbers(reply.missing_runs)});
   return response;
 }
 
@@ -228,6 +251,8 @@
       whole = true;
       if (!header.value.empty())
         reply.part_signatures = SplitList(header.value);
+    } else if (header.name == kMissingRuns) {
+      reply.missing_runs = SplitNumbers(header.value);
     } else if (header.name == kMissing && ReadNumber(header.value, &number)) {
       reply.missing_parts = static_cast<std::uint32_t>(number);
     } else if (header.name == kRetryAfterMs &&
--- a/src/net/tests/peer_feed_test.cc
+++ b/src/net/tests/peer_feed_test.cc
@@ -136,6 +136,15 @@
     CHECK(back.not_executed);
     CHECK(back.newer_routes == 13);
   }
+  SUBCASE("tells how many servers ran each missing part") {
+    CallReply reply;
+    reply.part_signatures = {"s1", "", ""};
+    reply.missing_parts = 2;
+    reply.missing_runs = {0, 2};
+    const TargetReply back =
+        DecodeForwardReply(Returned(EncodeForwardReply(reply, {})));
+    CHECK(back.missing_runs == reply.missing_runs);
+  }
   SUBCASE("tells how long requests wait at its servers") {
     CallReply reply;
     reply.queue_pressure = 0.25;
