A batch brings what it can get when full servers refuse some of its parts

Cause: a batch whose refused parts exceeded what its query can spare ended at once and dropped the parts at work: 23 of 28 missing after 18 ms in the burst on the large deployment (175 queries to 10 s ended 502, a third of them within 35 ms). The instance that asked then asked them again, so that parts ran twice.

Change: such a batch goes on while the parts that it lacks may be had elsewhere (refused, no budget or no connection, not run as often as the route allows); it still ends at once when they can't.

The test that a batch out of reach answers at once asserted it for any failure; it now asserts it for parts that can't be had elsewhere, and beside it what happens with the others.

Measured: dispatch tests, three far parts refused once: parts that were at work ran twice before, once after.

--- a/src/dispatch/internal/answer_policy.cc
+++ b/src/dispatch/internal/answer_policy.cc
@@ -14,6 +14,27 @@
 constexpr Duration kCallerRoundTrip = Millis(11);
 constexpr Duration kConnectAllowance = Millis(7);
 
+// Whether the instance that asked for a batch may get the part by itself.
+bool IsToBeHadElsewhere(const Leg& leg, const Route& route) {
+  return leg.runs < route.max_attempts &&
+         (leg.code == ResultCode::kServerShed ||
+          leg.code == ResultCode::kRetryBudgetSpent ||
+          leg.code == ResultCode::kConnectFailed);
+}
+
+// Whether a batch lacks no more than its query can do without, besides parts
+// that may be had elsewhere.
+bool IsCompletable(const ActiveCall& call) {
+  if (!call.is_partial())
+    return false;
+  const auto lost = std::count_if(
+      call.legs.begin(), call.legs.end(), [&call](const Leg& leg) {
+        return leg.state == LegState::kFailed &&
+               !IsToBeHadElsewhere(leg, *call.route);
+      });
+  return lost <= static_cast<std::ptrdiff_t>(call.call.most_missing);
+}
+
 }  // namespace
 
 Duration TargetHere(const Route& route, bool new_connection) {
@@ -69,13 +90,17 @@
     return call.failed > 0 || now >= call.deadline ? AnswerDecision::kGiveUp
                                                    : AnswerDecision::kWait;
   }
-  const std::uint32_t fewest = FewestLegs(call);
+  // NOTE A batch whose missing parts may still be had elsewhere brings all that
+  // it can get.
+  const bool out_of_reach = IsOutOfReach(call) && !IsCompletable(call);
+  const std::uint32_t fewest =
+      std::min(FewestLegs(call), legs - (out_of_reach ? 0 : call.failed));
   if (call.answered >= fewest) {
     const bool all_known = call.answered + call.failed == legs;
     return all_known || now >= call.answer_by ? AnswerDecision::kAnswer
                                               : AnswerDecision::kWait;
   }
-  if (!IsOutOfReach(call) && now < call.deadline)
+  if (!out_of_reach && now < call.deadline)
     return AnswerDecision::kWait;
   return call.is_partial() ? AnswerDecision::kAnswer : AnswerDecision::kGiveUp;
 }
--- a/src/dispatch/tests/homes_test.cc
+++ b/src/dispatch/tests/homes_test.cc
@@ -114,6 +114,23 @@
   }
 }
 
+// More far parts are refused at first than an answer may lack.
+TEST_CASE("A batch that can't be whole any more") {
+  FleetSession session(TwoDataCentres());
+  for (const std::size_t shard : {1, 3, 5})
+    session.server(shard, 0).reject_next = 1;
+  const SessionAnswer& answer = session.SearchNow(0);
+
+  SUBCASE("still brings the parts that it can get") {
+    CHECK(answer.reply.status == 200);
+    CHECK(answer.reply.missing_parts <= 2);
+  }
+  SUBCASE("and throws away no work") {
+    for (std::size_t shard = 7; shard < 20; shard += 2)
+      CHECK(session.server(shard, 0).runs == 1);
+  }
+}
+
 // Each far part has run at the one server that it has.
 TEST_CASE("Parts that a batch lacks and that have run") {
   FleetSession session(TwoDataCentres());
--- a/src/dispatch/tests/parts_test.cc
+++ b/src/dispatch/tests/parts_test.cc
@@ -170,10 +170,24 @@
     CHECK(deciding.At(190, 17, 0) == AnswerDecision::kWait);
     CHECK(deciding.At(500, 18, 0) == AnswerDecision::kAnswer);
 
+    const auto fail = [&deciding](ResultCode code, std::uint32_t runs) {
+      for (std::size_t leg = 0; leg < 3; ++leg) {
+        deciding.call.legs[leg].state = LegState::kFailed;
+        deciding.call.legs[leg].code = code;
+        deciding.call.legs[leg].runs = runs;
+      }
+    };
     SUBCASE("or can't be answered any more, so that it learns that at once") {
+      fail(ResultCode::kServerFailed, 1);
       CHECK(deciding.At(50, 3, 3) == AnswerDecision::kAnswer);
       CHECK(deciding.At(1900, 17, 0) == AnswerDecision::kAnswer);
     }
+    SUBCASE("or with all that comes if it may get the rest by itself") {
+      fail(ResultCode::kServerShed, 0);
+      CHECK(deciding.At(50, 3, 3) == AnswerDecision::kWait);
+      CHECK(deciding.At(60, 17, 3) == AnswerDecision::kAnswer);
+      CHECK(deciding.At(1900, 3, 3) == AnswerDecision::kAnswer);
+    }
   }
 }
 
