--- a/src/dispatch/internal/answer_policy.cc
+++ b/src/dispatch/internal/answer_policy.cc
@@ -71,7 +71,8 @@
   if (!crowded)
     return spare;
   const std::size_t open = call.legs.size() - call.failed;
-  return static_cast<std::uint32_t>(spare * legs / std::max<std::size_t>(1, open));
+  return static_cast<std::uint32_t>(spare * legs /
+                                    std::max<std::size_t>(1, open));
 }
 
 bool IsOutOfReach(const ActiveCall& call) {
--- a/src/dispatch/internal/answer_policy.h
+++ b/src/dispatch/internal/answer_policy.h
@@ -33,8 +33,8 @@
 // How many of the legs that are still open the answer can do without.
 std::uint32_t SpareParts(const ActiveCall& call);
 
-// How many parts a batch of `legs` of the call's legs may lack when the time for
-// the target is up. At usual times any that the answer can do without: few
+// How many parts a batch of `legs` of the call's legs may lack when the time
+// for the target is up. At usual times any that the answer can do without: few
 // servers pause at a time. While servers are crowded all batches lack some, and
 // each gets its share only, so that the query comes late rather than fails.
 std::uint32_t SpareOfBatch(const ActiveCall& call,
