Share services without shards among all instances

A request to one server isn't gathered; whichever instance got it sends it. The large ones could open 59 connections each and the small ones 4, 1,770 in all where a server takes 1,200.

Change: budgets and connections of services that no route names as a shard are divided equally.

--- a/src/dispatch/internal/server_table.cc
+++ b/src/dispatch/internal/server_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace limpetrudder::detail {
 namespace {
@@ -31,7 +32,7 @@
     group = std::make_unique<ServerGroup>(
         ServerGroup{service,
                     "/",
-                    ConnectionShare(kUnknownConnections),
+                    ConnectionShare(fleet_, kUnknownConnections),
                     {},
                     RetryBudget(terms_, fleet_),
                     {},
@@ -99,12 +100,14 @@
 }
 
 void ServerTable::Apply(const RouteTable& routes) {
+  std::set<std::string> shards;
   for (const Route& route : routes.routes()) {
-    for (const auto& shard : route.shards)
-      Group(shard);
+    shards.insert(route.shards.begin(), route.shards.end());
     for (const auto& backend : route.backends)
-      Group(backend.service);
+      Group(backend.service)->is_shard = false;
   }
+  for (const auto& shard : shards)
+    Group(shard)->is_shard = true;
   for (auto& [name, group] : groups_) {
     const TargetService* service = routes.FindService(name);
     if (service == nullptr)
@@ -112,28 +115,34 @@
     group->health_path = service->health_path;
     max_connections_[name] = service->max_connections;
   }
-  DivideConnections();
+  DivideAmongFleet();
 }
 
 void ServerTable::SetFleet(const FleetShare& fleet) {
   if (fleet == fleet_)
     return;
   fleet_ = fleet;
-  for (auto& [name, group] : groups_)
-    group->budget.SetFleet(terms_, fleet);
-  DivideConnections();
+  DivideAmongFleet();
 }
 
 void ServerTable::SetStarting(bool starting) {
   starting_ = starting;
-  DivideConnections();
+  DivideAmongFleet();
+}
+
+FleetShare ServerTable::SharersOf(const ServerGroup& group) const {
+  return group.is_shard ? fleet_
+                        : FleetShare{fleet_.instances, fleet_.instances, 0};
 }
 
-void ServerTable::DivideConnections() {
+void ServerTable::DivideAmongFleet() {
   for (auto& [name, group] : groups_) {
+    const FleetShare fleet = SharersOf(*group);
+    group->budget.SetFleet(terms_, fleet);
     const auto limit = max_connections_.find(name);
-    group->connections = ConnectionShare(
-        limit == max_connections_.end() ? kUnknownConnections : limit->second);
+    group->connections = ConnectionShare(fleet, limit == max_connections_.end()
+                                                    ? kUnknownConnections
+                                                    : limit->second);
   }
 }
 
@@ -143,11 +152,12 @@
 }
 
 std::uint32_t ServerTable::ConnectionShare(
+    const FleetShare& fleet,
     std::uint32_t max_connections) const {
   // NOTE Small instances forward what they could gather, so the large ones
   // count themselves only; a small one keeps to an equal share.
   const std::uint32_t sharing =
-      fleet_.larger > 0 ? fleet_.instances : fleet_.as_large;
+      fleet.larger > 0 ? fleet.instances : fleet.as_large;
   const auto share =
       static_cast<std::uint32_t>(max_connections * kConnectionShare / sharing);
   // NOTE One more for each instance must fit beside the shares, for those that
--- a/src/dispatch/internal/server_table.h
+++ b/src/dispatch/internal/server_table.h
@@ -40,6 +40,7 @@
   // many the servers are asked directly for a while, to learn how they do.
   MissShare missed;
   Time direct_until{};
+  bool is_shard = true;  // Or its servers answer whole requests.
 };
 
 // Whether this instance may have one more request at `server` of `group`.
@@ -84,11 +85,15 @@
   }
 
  private:
-  void DivideConnections();
+  void DivideAmongFleet();
+  // Who shares what the group's servers take. Queries are gathered by the large
+  // instances; a request to one server is sent by whichever instance got it.
+  FleetShare SharersOf(const ServerGroup& group) const;
   void Update(const ServerEntry& entry);
   bool IsLeaving(const ServerEntry& entry) const;
   void Remove(const std::string& id);
-  std::uint32_t ConnectionShare(std::uint32_t max_connections) const;
+  std::uint32_t ConnectionShare(const FleetShare& fleet,
+                                std::uint32_t max_connections) const;
 
   // Until the fleet is known; instances of today come in eights.
   static constexpr std::uint32_t kLikelyInstances = 8;
--- a/src/limits/admission_rate.cc
+++ b/src/limits/admission_rate.cc
@@ -35,7 +35,7 @@
 // What is taken of less urgent kinds, against urgent ones, while not all are.
 constexpr double kLessUrgentShare = 0.95;
 
-double Seconds(Duration duration) {
+double ToSeconds(Duration duration) {
   return ToMillis(duration) / 1000;
 }
 
@@ -81,7 +81,7 @@
   const double least = std::log(kLeastShare);
   const double error = pressure(now) - kGoal;
   integral_ = std::clamp(
-      integral_ - kIntegralPerSecond * error * Seconds(passed), least, 0.0);
+      integral_ - kIntegralPerSecond * error * ToSeconds(passed), least, 0.0);
   share_ = std::exp(
       std::clamp(integral_ - kProportional * std::max(error, 0.0), least, 0.0));
 }
