--- a/src/discovery/feed_source.cc
+++ b/src/discovery/feed_source.cc
@@ -114,8 +114,7 @@
 }
 
 Duration FeedSource::OwnPlaceIn(Duration span) const {
-  return Duration(static_cast<std::int64_t>(static_cast<double>(span.count()) *
-                                            UnitOf(own_.name)));
+  return Scaled(span, UnitOf(own_.name));
 }
 
 bool FeedSource::IsSetAside(const std::string& name, Time now) const {
--- a/src/discovery/registrar.cc
+++ b/src/discovery/registrar.cc
@@ -78,9 +78,7 @@
       state_ == State::kRegistered ? kFirstRenewalRetry : kFirstRetry;
   const Duration pause =
       std::min(kLongestRetry, first * (std::int64_t{1} << doublings));
-  due_ =
-      now + Duration(static_cast<std::int64_t>(
-                static_cast<double>(pause.count()) * (0.5 + random_.Unit())));
+  due_ = now + Scaled(pause, 0.5 + random_.Unit());
 }
 
 }  // namespace limpetrudder
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -126,8 +126,7 @@
 }
 
 Duration StoreFollower::Jittered(Duration duration) {
-  return Duration(static_cast<std::int64_t>(
-      static_cast<double>(duration.count()) * (0.9 + 0.2 * random_.Unit())));
+  return Scaled(duration, 0.9 + 0.2 * random_.Unit());
 }
 
 }  // namespace limpetrudder
--- a/src/dispatch/dispatch_engine_servers.cc
+++ b/src/dispatch/dispatch_engine_servers.cc
@@ -30,9 +30,8 @@
          status == http_status::kUnavailable;
 }
 
-double RatioOf(Duration latency, Duration usual) {
-  return static_cast<double>(std::max(latency, Duration(0)).count()) /
-         static_cast<double>(std::max<std::int64_t>(usual.count(), 1));
+double LatencyRatio(Duration latency, Duration usual) {
+  return RatioOf(std::max(latency, Duration(0)), std::max(usual, Duration(1)));
 }
 
 }  // namespace
@@ -172,7 +171,7 @@
       const Duration work = now - send.sent - reply.connect_time -
                             topology_.RoundTrip(data_centre);
       const Duration median = profiles_.TimesOf(*send.route).median;
-      server.OnAnswer(RatioOf(work, median), now);
+      server.OnAnswer(LatencyRatio(work, median), now);
       profiles_.Record(*send.route, work, reply.body.size());
       return;
     }
@@ -222,7 +221,7 @@
       continue;
     const Duration elapsed = now - send.sent;
     const double ratio =
-        RatioOf(elapsed, profiles_.TimesOf(*send.route).median);
+        LatencyRatio(elapsed, profiles_.TimesOf(*send.route).median);
     if (server.OnUnanswered(ratio, elapsed, now))
       Believe(server, ResultCode::kConnectionSilent, now);
     groups.insert(send.group);
--- a/src/dispatch/internal/miss_share.h
+++ b/src/dispatch/internal/miss_share.h
@@ -14,9 +14,8 @@
 class MissShare {
  public:
   void Add(bool missed, Time now) {
-    const double age =
-        static_cast<double>((now - last_).count()) / kMemory.count();
-    const double weight = std::min(kMostWeight, 1 - std::exp(-age));
+    const double weight =
+        std::min(kMostWeight, 1 - std::exp(-RatioOf(now - last_, kMemory)));
     share_ += weight * ((missed ? 1 : 0) - share_);
     last_ = now;
   }
--- a/src/dispatch/internal/query_admission.cc
+++ b/src/dispatch/internal/query_admission.cc
@@ -1,6 +1,7 @@
 #include "dispatch/internal/query_admission.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace limpetrudder::detail {
 namespace {
@@ -30,14 +31,13 @@
 
 }  // namespace
 
-QueryAdmission::ShardSet* QueryAdmission::Find(const Route& route) {
+const QueryAdmission::ShardSet* QueryAdmission::Find(const Route& route) const {
   const auto found = sets_.find(route.shards.front());
   return found == sets_.end() ? nullptr : &found->second;
 }
 
-const QueryAdmission::ShardSet* QueryAdmission::Find(const Route& route) const {
-  const auto found = sets_.find(route.shards.front());
-  return found == sets_.end() ? nullptr : &found->second;
+QueryAdmission::ShardSet* QueryAdmission::Find(const Route& route) {
+  return const_cast<ShardSet*>(std::as_const(*this).Find(route));
 }
 
 void QueryAdmission::Keep(const RouteTable& table) {
@@ -79,7 +79,7 @@
   // empty queue has another reason.
   const bool full = delay.refused && delay.load.waiting > 0;
   const double pressure =
-      full ? 1 : ToMillis(waited) / ToMillis(SpareTime(route, set->work));
+      full ? 1 : RatioOf(waited, SpareTime(route, set->work));
   set->rate.OnDelay(pressure, 1, now);
 }
 
@@ -120,8 +120,7 @@
   const Duration recovery =
       set == nullptr ? Duration(0) : set->rate.RecoveryTime();
   const Duration told = std::clamp(recovery, kShortestReturn, kLongestReturn);
-  return Duration(static_cast<std::int64_t>(static_cast<double>(told.count()) *
-                                            (0.75 + 0.5 * random->Unit())));
+  return Scaled(told, 0.75 + 0.5 * random->Unit());
 }
 
 }  // namespace limpetrudder::detail
--- a/src/dispatch/internal/return_time.cc
+++ b/src/dispatch/internal/return_time.cc
@@ -43,18 +43,13 @@
   return enough == kNever ? now : std::max(now, enough);
 }
 
-Duration Scale(Duration duration, double factor) {
-  return Duration(static_cast<std::int64_t>(
-      static_cast<double>(duration.count()) * factor));
-}
-
 }  // namespace
 
 Duration ReturnTime(const ActiveCall& call, Random* random, Time now) {
   const Duration backoff = EnoughBack(call, now) - now;
   if (backoff > Duration::zero())
-    return Scale(backoff, 1 + kSpread * random->Unit());
-  return Scale(kRecoveryTime, 0.5 + random->Unit());
+    return Scaled(backoff, 1 + kSpread * random->Unit());
+  return Scaled(kRecoveryTime, 0.5 + random->Unit());
 }
 
 }  // namespace limpetrudder::detail
--- a/src/dispatch/internal/server_load.cc
+++ b/src/dispatch/internal/server_load.cc
@@ -39,13 +39,7 @@
 constexpr double kWarmupSlowness = 1.6;
 
 double Fade(Duration age, Duration scale) {
-  return std::exp(-static_cast<double>(std::max(age, Duration(0)).count()) /
-                  static_cast<double>(scale.count()));
-}
-
-Duration Times(Duration duration, double factor) {
-  return Duration(static_cast<std::int64_t>(
-      static_cast<double>(duration.count()) * factor));
+  return std::exp(-RatioOf(std::max(age, Duration(0)), scale));
 }
 
 }  // namespace
@@ -117,7 +111,7 @@
                                      Time now) const {
   const double slots = std::max(1U, entry_.slots);
   const double ahead = std::max(0.0, Queue(now) + 1 - slots);
-  return round_trip + Times(work, Slowness(now) * (1 + ahead / slots));
+  return round_trip + Scaled(work, Slowness(now) * (1 + ahead / slots));
 }
 
 void ServerLoad::OnSent(Time now) {
--- a/src/framework/time.h
+++ b/src/framework/time.h
@@ -25,6 +25,17 @@
   return static_cast<double>(duration.count()) / 1000.0;
 }
 
+// Returns `duration` times `factor`, cut to whole microseconds.
+constexpr Duration Scaled(Duration duration, double factor) {
+  return Duration(static_cast<std::int64_t>(
+      static_cast<double>(duration.count()) * factor));
+}
+
+// Returns how many times `whole`, which must not be 0, fits into `part`.
+constexpr double RatioOf(Duration part, Duration whole) {
+  return static_cast<double>(part.count()) / static_cast<double>(whole.count());
+}
+
 constexpr std::int64_t WholeMillis(Duration duration) {
   return duration.count() / 1000;
 }
--- a/src/limits/admission_rate.cc
+++ b/src/limits/admission_rate.cc
@@ -35,10 +35,6 @@
 // What is taken of less urgent kinds, against urgent ones, while not all are.
 constexpr double kLessUrgentShare = 0.95;
 
-double ToSeconds(Duration duration) {
-  return ToMillis(duration) / 1000;
-}
-
 }  // namespace
 
 void AdmissionRate::OnDelay(double pressure, std::size_t requests, Time now) {
@@ -56,9 +52,7 @@
   const auto middle =
       delays_.begin() + static_cast<std::ptrdiff_t>(delays_.size() / 2);
   std::nth_element(delays_.begin(), middle, delays_.end());
-  const double age =
-      static_cast<double>((sample_began_ - pressure_at_).count()) /
-      static_cast<double>(kPressureTime.count());
+  const double age = RatioOf(sample_began_ - pressure_at_, kPressureTime);
   const double weight = std::min(1 - std::exp(-age), kMostWeight);
   pressure_ += weight * (*middle - pressure_);
   pressure_at_ = sample_began_;
@@ -69,8 +63,7 @@
   const Duration age = now - pressure_at_ - kPressureHold;
   if (age <= Duration(0))
     return pressure_;
-  return pressure_ * std::exp(-static_cast<double>(age.count()) /
-                              static_cast<double>(kPressureFade.count()));
+  return pressure_ * std::exp(-RatioOf(age, kPressureFade));
 }
 
 void AdmissionRate::Step(Time now) {
@@ -81,7 +74,8 @@
   const double least = std::log(kLeastShare);
   const double error = pressure(now) - kGoal;
   integral_ = std::clamp(
-      integral_ - kIntegralPerSecond * error * ToSeconds(passed), least, 0.0);
+      integral_ - kIntegralPerSecond * error * RatioOf(passed, Seconds(1)),
+      least, 0.0);
   share_ = std::exp(
       std::clamp(integral_ - kProportional * std::max(error, 0.0), least, 0.0));
 }
@@ -99,8 +93,7 @@
 }
 
 Duration AdmissionRate::RecoveryTime() const {
-  const double seconds = -integral_ / (kIntegralPerSecond * kGoal);
-  return Duration(static_cast<std::int64_t>(seconds * 1e6));
+  return Scaled(Seconds(1), -integral_ / (kIntegralPerSecond * kGoal));
 }
 
 }  // namespace limpetrudder
--- a/src/query/internal/adaptive_strategy.cc
+++ b/src/query/internal/adaptive_strategy.cc
@@ -168,8 +168,7 @@
     return std::nullopt;
   }
   const Duration usual = query_latency_.Quantile(kTailCutQuantile, Duration(0));
-  return Duration(static_cast<std::int64_t>(static_cast<double>(usual.count()) *
-                                            kTailCutFactor));
+  return Scaled(usual, kTailCutFactor);
 }
 
 bool AdaptiveStrategy::MayRetry(std::uint32_t attempts) const {
--- a/src/routing/server_state.cc
+++ b/src/routing/server_state.cc
@@ -19,8 +19,7 @@
 constexpr Duration kReportTrust = Millis(20);
 
 Duration Jittered(Duration duration, Random* random) {
-  return Duration(static_cast<std::int64_t>(
-      static_cast<double>(duration.count()) * (0.5 + random->Unit())));
+  return Scaled(duration, 0.5 + random->Unit());
 }
 
 }  // namespace
@@ -120,8 +119,7 @@
 void ServerState::RecordLatency(Duration latency, Time now) {
   const auto micros = static_cast<double>(latency.count());
   // NOTE The longer ago the last sample, the more the new one counts.
-  const double age = static_cast<double>((now - last_answer_).count()) /
-                     static_cast<double>(kStaleLatency.count());
+  const double age = RatioOf(now - last_answer_, kStaleLatency);
   const double weight = std::max(kLatencyWeight, 1.0 - std::exp(-age));
   mean_latency_ = mean_latency_ <= 0
                       ? micros
