One event for passed-on news, one way to note a belief

AheadAnswered repeated PassedOn and its handler, and the question to an instance stood twice: PassedOn says now whether it was asked out of turn, and AskFeed asks. Four changes of belief counted and logged alike: Note.

--- a/src/app/discovery_duty.cc
+++ b/src/app/discovery_duty.cc
@@ -42,21 +42,17 @@
 }
 
 void DiscoveryDuty::On(PassedOn event, Time now) {
-  if (event.reply.status != FeedStatus::kOk) {
-    Log(LogLevel::kWarning, "feed_failed", {{"from", event.from}});
-    return source_.OnFailure(event.from, now);
-  }
-  source_.OnAnswer(event.from, event.reply.age, now);
-  if (const auto batch = follower_.OnPassedOn(std::move(event.reply), now))
-    OnBatch(*batch, now);
-}
-
-void DiscoveryDuty::On(AheadAnswered event, Time now) {
-  source_.OnAheadEnded();
-  if (event.reply.status != FeedStatus::kOk) {
+  const bool failed = event.reply.status != FeedStatus::kOk;
+  if (failed)
     Log(LogLevel::kWarning, "feed_failed", {{"from", event.from}});
+  if (event.ahead)
+    source_.OnAheadEnded();
+  else if (failed)
+    source_.OnFailure(event.from, now);
+  else
+    source_.OnAnswer(event.from, event.reply.age, now);
+  if (failed)
     return;
-  }
   if (const auto batch = follower_.OnPassedOn(std::move(event.reply), now))
     OnBatch(*batch, now);
 }
@@ -71,10 +67,7 @@
       {{"version", routes_ ? routes_->version() : 0},
        {"newer", event.routes_version},
        {"seen_at", event.instance}});
-  ports_.ask(*instance, follower_.revision(),
-             [mailbox = mailbox_, from = instance->name](FeedReply reply) {
-               mailbox->PostResult(AheadAnswered{from, std::move(reply)});
-             });
+  AskFeed(*instance, /*ahead=*/true);
 }
 
 void DiscoveryDuty::On(FeedQuestion event, Time now) {
@@ -226,12 +219,16 @@
   const auto instance =
       source_.Ask(follower_.heard(), follower_.in_contact(), now, &due);
   *next = std::min(*next, due);
-  if (!instance)
-    return;
-  ports_.ask(*instance, follower_.revision(),
-             [mailbox = mailbox_, from = instance->name](FeedReply reply) {
-               mailbox->PostResult(PassedOn{from, std::move(reply)});
-             });
+  if (instance)
+    AskFeed(*instance, /*ahead=*/false);
+}
+
+void DiscoveryDuty::AskFeed(const InstanceEntry& instance, bool ahead) {
+  ports_.ask(
+      instance, follower_.revision(),
+      [mailbox = mailbox_, from = instance.name, ahead](FeedReply reply) {
+        mailbox->PostResult(PassedOn{from, std::move(reply), ahead});
+      });
 }
 
 Time DiscoveryDuty::Turn(Time now) {
--- a/src/app/discovery_duty.h
+++ b/src/app/discovery_duty.h
@@ -31,11 +31,7 @@
 struct PassedOn {
   std::string from;
   FeedReply reply;
-};
-// Another instance that has newer routes answered out of turn.
-struct AheadAnswered {
-  std::string from;
-  FeedReply reply;
+  bool ahead = false;  // Asked out of turn, since it has newer routes.
 };
 struct NewerRoutesSeen {
   std::string instance;
@@ -50,7 +46,6 @@
                                     LeaseReplied,
                                     LeaveStore,
                                     PassedOn,
-                                    AheadAnswered,
                                     NewerRoutesSeen,
                                     FeedQuestion>;
 
@@ -90,7 +85,6 @@
   void On(const LeaseReplied& event, Time now);
   void On(const LeaveStore& event, Time now);
   void On(PassedOn event, Time now);
-  void On(AheadAnswered event, Time now);
   void On(const NewerRoutesSeen& event, Time now);
   void On(FeedQuestion event, Time now);
   void OnBatch(const FeedBatch& batch, Time now);
@@ -100,6 +94,7 @@
                  Time now);
   void CallStore(Time now, Time* next);
   void AskInstance(Time now, Time* next);
+  void AskFeed(const InstanceEntry& instance, bool ahead);
   void AnswerQuestions(Time now, Time* next);
   FeedReply AnswerSince(std::uint64_t after, Time now) const;
   void TellDispatch();
--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -275,6 +275,11 @@
       EncodeReply(std::move(action.reply), action.record, state_->stopping()));
 }
 
+void DispatchDuty::Note(LogLevel level, const char* event, const Json& fields) {
+  state_->metrics().Add(event);
+  Log(level, event, fields);
+}
+
 void DispatchDuty::Carry(const ServerBelief& action) {
   const char* event = "server_down";
   if (action.reason == ResultCode::kOk)
@@ -284,44 +289,37 @@
   // NOTE Nothing new goes there, so its open connections are of no use.
   if (action.reason == ResultCode::kServerLeaving)
     pool_->Drop(action.server);
-  state_->metrics().Add(event);
-  Log(LogLevel::kWarning, event,
-      {{"server", action.server},
-       {"service", action.service},
-       {"code", NumberOf(action.reason)},
-       {"unheard_ms",
-        action.unheard ? Json(WholeMillis(*action.unheard)) : Json()},
-       {"in_flight", action.in_flight}});
+  Note(LogLevel::kWarning, event,
+       {{"server", action.server},
+        {"service", action.service},
+        {"code", NumberOf(action.reason)},
+        {"unheard_ms",
+         action.unheard ? Json(WholeMillis(*action.unheard)) : Json()},
+        {"in_flight", action.in_flight}});
 }
 
 void DispatchDuty::Carry(const BackoffBelief& action) {
-  const char* const event =
-      action.active ? "server_backoff" : "server_backoff_over";
-  state_->metrics().Add(event);
-  Log(LogLevel::kInfo, event,
-      {{"server", action.server},
-       {"service", action.service},
-       {"ms", WholeMillis(action.backoff)}});
+  Note(LogLevel::kInfo,
+       action.active ? "server_backoff" : "server_backoff_over",
+       {{"server", action.server},
+        {"service", action.service},
+        {"ms", WholeMillis(action.backoff)}});
 }
 
 void DispatchDuty::Carry(const AdmissionBelief& action) {
-  const char* const event =
-      action.limited ? "admission_limited" : "admission_free";
-  state_->metrics().Add(event);
-  Log(LogLevel::kWarning, event,
-      {{"shard", action.shard},
-       {"share", action.share},
-       {"pressure", action.pressure}});
+  Note(LogLevel::kWarning,
+       action.limited ? "admission_limited" : "admission_free",
+       {{"shard", action.shard},
+        {"share", action.share},
+        {"pressure", action.pressure}});
 }
 
 void DispatchDuty::Carry(const PaceBelief& action) {
-  const char* const event = action.paced ? "server_paced" : "server_unpaced";
-  state_->metrics().Add(event);
-  Log(LogLevel::kInfo, event,
-      {{"server", action.server},
-       {"service", action.service},
-       {"rate", action.rate},
-       {"in_flight", action.in_flight}});
+  Note(LogLevel::kInfo, action.paced ? "server_paced" : "server_unpaced",
+       {{"server", action.server},
+        {"service", action.service},
+        {"rate", action.rate},
+        {"in_flight", action.in_flight}});
 }
 
 void DispatchDuty::Count(const CallRecord& record) {
--- a/src/app/dispatch_duty.h
+++ b/src/app/dispatch_duty.h
@@ -16,6 +16,7 @@
 #include "discovery/discovery_types.h"
 #include "dispatch/dispatch_engine.h"
 #include "framework/duty_thread.h"
+#include "framework/logger.h"
 #include "net/http_server.h"
 #include "net/target_pool.h"
 
@@ -106,6 +107,8 @@
   void Carry(const CancelSend& action);
   void Carry(const ProbeHealth& action);
   void Carry(CompleteCall action);
+  // Counts and logs a change of belief.
+  void Note(LogLevel level, const char* event, const nlohmann::json& fields);
   void Carry(const ServerBelief& action);
   void Carry(const BackoffBelief& action);
   void Carry(const AdmissionBelief& action);
