Sessions ask at random times in one place; a test of probes during a backoff

Callers() repeated the loop of Load(), and its target was never another than the default. The case "isn't probed either" counted requests, not probes: it keeps its assertion under a name that says so, and a case of its own counts the probes of a server that is down and asks for time.

--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -153,7 +153,7 @@
   message->method = "GET";
   message->host = "shop.example";
   message->target = target;
-  calls_[id] = {instance, 0, 0, false, caller, target, now_};
+  calls_[id] = {instance, 0, 0, false, caller, now_};
   CallRequest call;
   call.id = id;
   call.message = std::move(message);
@@ -182,34 +182,35 @@
   Pump(instance);
 }
 
-void FleetSession::Load(double per_second, Duration duration) {
+void FleetSession::Repeat(double per_second,
+                          Duration duration,
+                          const std::function<void()>& ask) {
   const Time end = now_ + duration;
   const auto gap = static_cast<std::int64_t>(1e6 / per_second);
-  std::size_t next = 0;
   while (now_ < end) {
-    Search(next++ % engines_.size());
+    ask();
     Run(Duration(gap / 2 + static_cast<std::int64_t>(random_.Below(
                                static_cast<std::uint64_t>(gap)))));
   }
 }
 
-void FleetSession::Callers(double per_second,
-                           Duration duration,
-                           const std::string& target) {
-  const Time end = now_ + duration;
-  const auto gap = static_cast<std::int64_t>(1e6 / per_second);
-  while (now_ < end) {
+void FleetSession::Load(double per_second, Duration duration) {
+  std::size_t next = 0;
+  Repeat(per_second, duration,
+         [this, &next] { Search(next++ % engines_.size()); });
+}
+
+void FleetSession::Callers(double per_second, Duration duration) {
+  Repeat(per_second, duration, [this] {
     callers_.push_back({});
     callers_.back().asked = now_;
-    AskFor(callers_.size() - 1, target);
-    Run(Duration(gap / 2 + static_cast<std::int64_t>(random_.Below(
-                               static_cast<std::uint64_t>(gap)))));
-  }
+    AskFor(callers_.size() - 1);
+  });
 }
 
-void FleetSession::AskFor(std::size_t caller, const std::string& target) {
+void FleetSession::AskFor(std::size_t caller) {
   ++callers_[caller].attempts;
-  Ask(target, random_.Below(engines_.size()), caller);
+  Ask("/all/x", random_.Below(engines_.size()), caller);
 }
 
 void FleetSession::OnCallerAnswered(const CallState& call,
@@ -235,9 +236,7 @@
                             ? reply.retry_after.value_or(Duration(0))
                             : Duration(0);
   At(now_ + std::min(told, left / 3) + 2 * kNear,
-     [this, index = *call.caller, target = call.target] {
-       AskFor(index, target);
-     });
+     [this, index = *call.caller] { AskFor(index); });
 }
 
 int FleetSession::runs() const {
@@ -437,7 +436,7 @@
     if (frozen_.count(other) > 0)
       return;
     const CallId id = next_call_++;
-    calls_[id] = {other, instance, forward.send, true, {}, {}, now_};
+    calls_[id] = {other, instance, forward.send, true, {}, now_};
     forwarded_[{instance, forward.send}] = id;
     CallRequest call;
     call.id = id;
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -109,10 +109,8 @@
   // Has the session's random callers ask `per_second` searches for `duration`.
   void Load(double per_second, Duration duration);
 
-  // Likewise, with callers that come back; `target` is what they ask for.
-  void Callers(double per_second,
-               Duration duration,
-               const std::string& target = "/all/x");
+  // Likewise, with callers that come back.
+  void Callers(double per_second, Duration duration);
   const std::vector<CallerOutcome>& callers() const { return callers_; }
   // Parts that servers ran, for whomever.
   int runs() const;
@@ -151,7 +149,6 @@
     SendId from_send = 0;
     bool peer = false;
     std::optional<std::size_t> caller;
-    std::string target;
     Time began{};
   };
 
@@ -166,7 +163,11 @@
   void Forward(std::size_t instance, const ForwardCall& forward);
   void Complete(std::size_t instance, CompleteCall done);
   void CancelAt(std::size_t instance, SendId send);
-  void AskFor(std::size_t caller, const std::string& target);
+  void AskFor(std::size_t caller);
+  // Calls `ask` at random times, `per_second` in the mean.
+  void Repeat(double per_second,
+              Duration duration,
+              const std::function<void()>& ask);
   void OnCallerAnswered(const CallState& call, const CallReply& reply);
   Duration Way(const std::string& from, const std::string& to) const;
   std::size_t IndexOf(const std::string& instance_name) const;
--- a/src/dispatch/tests/notice_test.cc
+++ b/src/dispatch/tests/notice_test.cc
@@ -124,8 +124,7 @@
       CHECK(busy.arrivals > asked + 10);
     }
   }
-  SUBCASE("isn't probed either") {
-    busy.silent = true;
+  SUBCASE("gets nothing while the other one is silent either") {
     session.server(0, 1).silent = true;
     session.Load(50, Millis(1000));
     CHECK(busy.arrivals == asked);
@@ -142,6 +141,27 @@
   }
 }
 
+TEST_CASE("A server that is down and asks to be left alone when probed") {
+  FleetSession session(TwoServersEach(4));
+  SessionServer& silent = session.server(0, 0);
+  silent.silent = true;
+  session.Load(50, Seconds(2));
+  REQUIRE(session.probes() > 0);
+
+  SUBCASE("isn't probed in that time") {
+    silent.asks_backoff = Seconds(30);
+    session.Run(Seconds(5));
+    const int probes = session.probes();
+    session.Run(Seconds(20));
+    CHECK(session.probes() == probes);
+  }
+  SUBCASE("is probed on if it doesn't ask") {
+    const int probes = session.probes();
+    session.Run(Seconds(20));
+    CHECK(session.probes() > probes);
+  }
+}
+
 TEST_CASE("A query whose shards mostly asked to be left alone") {
   FleetSession session(TwoServersEach(4));
   for (std::size_t replica = 0; replica < 2; ++replica) {
