--- a/src/discovery/feed_source.h
+++ b/src/discovery/feed_source.h
@@ -82,8 +82,8 @@
   std::vector<InstanceEntry> readers_;  // Others than this one, best first.
   std::vector<InstanceEntry> others_;   // That aren't readers.
   bool is_reader_ = true;
-  Duration spread_{
-      0};  // In which each instance that isn't a reader calls once.
+  // In which each instance that isn't a reader calls the store once.
+  Duration spread_{0};
   Time next_own_read_ = Time::min();
   bool asking_ = false;
   bool asking_ahead_ = false;
--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -32,8 +32,6 @@
 
 // Whether the route sends to each of the shards.
 bool NamesAll(const Route& route, const std::vector<std::string>& shards) {
-  if (shards.empty())
-    return true;
   const std::unordered_set<std::string_view> named(route.shards.begin(),
                                                    route.shards.end());
   return std::all_of(
@@ -129,7 +127,7 @@
                   std::nullopt);
   // NOTE An instance that has used newer routes doesn't go back for the sake
   // of one that hasn't heard of them.
-  if (!NamesAll(*route, call.only_shards))
+  if (NewerRoutesFor(call) > 0 && !NamesAll(*route, call.only_shards))
     return Refuse(call, http_status::kUnavailable, ResultCode::kRoutesOutdated,
                   std::nullopt);
   auto owned = std::make_unique<ActiveCall>();
--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -230,9 +230,9 @@
   std::set<std::pair<Time, CallId>> wakes_;
   std::deque<std::pair<Time, SendId>> orphans_;  // By when they are cancelled.
   detail::GroupSet waiting_groups_;
-  std::map<std::string, std::int64_t> down_;  // Servers to probe, and which
-                                              // process was probed last.
-  std::set<std::string> backing_off_;         // Servers.
+  // Servers to probe, and the start of the process that was probed last.
+  std::map<std::string, std::int64_t> down_;
+  std::set<std::string> backing_off_;  // Servers.
   std::deque<LeavingNews> leaving_news_;
   std::set<std::string> down_homes_;  // Instances to ping.
   std::vector<DispatchAction> actions_;
--- a/src/dispatch/dispatch_engine_homes.cc
+++ b/src/dispatch/dispatch_engine_homes.cc
@@ -65,15 +65,13 @@
                                std::vector<std::string> shards,
                                Time now) {
   home->OnSent(now);
-  sends_[id] = {call->call.id,
-                batch.value_or(0),
-                home,
-                nullptr,
-                call->table,
-                call->route,
-                now,
-                false,
-                home->entry().started_ms};
+  sends_[id] = {.call = call->call.id,
+                .leg = batch.value_or(0),
+                .server = home,
+                .table = call->table,
+                .route = call->route,
+                .sent = now,
+                .started_ms = home->entry().started_ms};
   const Duration way =
       topology_.RoundTrip(home->entry().data_centre) / 2 + kHopMargin;
   const std::size_t wanted = shards.size();
@@ -223,8 +221,7 @@
 void DispatchEngine::AskMissingHere(ActiveCall* call,
                                     std::size_t batch_index,
                                     Time now) {
-  const std::vector<std::size_t> legs = call->batches[batch_index].legs;
-  for (const std::size_t index : legs) {
+  for (const std::size_t index : call->batches[batch_index].legs) {
     Leg& leg = call->legs[index];
     if (!detail::IsOutOfReach(*call) || now >= call->deadline)
       return;
--- a/src/dispatch/dispatch_engine_legs.cc
+++ b/src/dispatch/dispatch_engine_legs.cc
@@ -37,6 +37,13 @@
              : ResultCode::kAnswerMalformed;
 }
 
+// Why a part that no server can take has failed.
+ResultCode CodeOf(detail::PlacementStatus status) {
+  return status == detail::PlacementStatus::kBackoff
+             ? ResultCode::kServerBackoff
+             : ResultCode::kNoServer;
+}
+
 }  // namespace
 
 void DispatchEngine::BeginLegs(ActiveCall* call, bool repeated, Time now) {
@@ -145,11 +152,11 @@
     case detail::PlacementStatus::kFull:
       return Wait(call, leg_index, now);
     case detail::PlacementStatus::kBackoff:
-      return FailLeg(call, leg_index, ResultCode::kServerBackoff);
+      return FailLeg(call, leg_index, CodeOf(choice.status));
     case detail::PlacementStatus::kNoServer:
       return FailLeg(
           call, leg_index,
-          leg.code == ResultCode::kOk ? ResultCode::kNoServer : leg.code);
+          leg.code == ResultCode::kOk ? CodeOf(choice.status) : leg.code);
   }
 }
 
@@ -169,9 +176,14 @@
   ++leg.arrivals;
   ++call->record.sends;
   choice.server->OnSent(now);
-  sends_[id] = {call->call.id, leg_index,   choice.server,
-                leg.group,     call->table, call->route,
-                now,           false,       entry.started_ms};
+  sends_[id] = {.call = call->call.id,
+                .leg = leg_index,
+                .server = choice.server,
+                .group = leg.group,
+                .table = call->table,
+                .route = call->route,
+                .sent = now,
+                .started_ms = entry.started_ms};
   actions_.emplace_back(SendToServer{id, entry.id, entry.address,
                                      call->call.message, call->deadline - now,
                                      !call->may_repeat()});
@@ -262,10 +274,7 @@
       Send(call, first.leg, choice, now);
       Schedule(call, now);
     } else {
-      FailLeg(call, first.leg,
-              choice.status == detail::PlacementStatus::kBackoff
-                  ? ResultCode::kServerBackoff
-                  : ResultCode::kNoServer);
+      FailLeg(call, first.leg, CodeOf(choice.status));
       Advance(call, now);
     }
   }
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -108,8 +108,8 @@
   // Of a delegated call: servers that ran each missing part, or may have.
   std::vector<std::uint32_t> missing_runs;
   std::optional<Duration> retry_after;
-  std::uint64_t newer_routes = 0;  // This instance's, if a forwarded call's
-                                   // instance has older ones.
+  // This instance's version, if a forwarded call came under an older one.
+  std::uint64_t newer_routes = 0;
   // Heard of lately, for the instance that forwarded the call.
   std::vector<LeavingServer> leaving_servers;
   double queue_pressure = 0;  // Likewise, of its route.
--- a/src/dispatch/internal/server_table.cc
+++ b/src/dispatch/internal/server_table.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <set>
 
 namespace limpetrudder::detail {
 namespace {
@@ -50,21 +49,18 @@
 }
 
 void ServerTable::Update(const ServerEntry& entry) {
-  const auto found = servers_.find(entry.id);
-  if (found != servers_.end()) {
-    if (found->second->entry().service == entry.service) {
-      found->second->Update(entry);
-      if (IsLeaving(entry))
-        found->second->notice().OnLeaving();
-      return;
-    }
+  const auto known = Find(entry.id);
+  if (known && known->entry().service != entry.service)
     Remove(entry.id);
+  auto& server = servers_[entry.id];
+  if (server) {
+    server->Update(entry);
+  } else {
+    server = std::make_shared<ServerLoad>(entry);
+    Group(entry.service)->servers.push_back(server);
   }
-  auto server = std::make_shared<ServerLoad>(entry);
   if (IsLeaving(entry))
     server->notice().OnLeaving();
-  Group(entry.service)->servers.push_back(server);
-  servers_[entry.id] = std::move(server);
 }
 
 bool ServerTable::OnLeaving(const LeavingServer& leaving) {
@@ -80,7 +76,7 @@
     leaving_ids_.pop_front();
   }
   const auto server = Find(leaving.id);
-  if (server && server->entry().started_ms == leaving.started_ms)
+  if (server && IsLeaving(server->entry()))
     server->notice().OnLeaving();
   return true;
 }
@@ -100,14 +96,15 @@
 }
 
 void ServerTable::Apply(const RouteTable& routes) {
-  std::set<std::string> shards;
   for (const Route& route : routes.routes()) {
-    shards.insert(route.shards.begin(), route.shards.end());
     for (const auto& backend : route.backends)
       Group(backend.service)->is_shard = false;
   }
-  for (const auto& shard : shards)
-    Group(shard)->is_shard = true;
+  // NOTE A service that some route names as a shard is one, whatever others do.
+  for (const Route& route : routes.routes()) {
+    for (const auto& shard : route.shards)
+      Group(shard)->is_shard = true;
+  }
   for (auto& [name, group] : groups_) {
     const TargetService* service = routes.FindService(name);
     if (service == nullptr)
--- a/src/net/forward_codec.cc
+++ b/src/net/forward_codec.cc
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <utility>
 
+#include "framework/logger.h"
 #include "net/http_text.h"
 
 namespace limpetrudder {
@@ -40,16 +41,22 @@
   return read.ec == std::errc() && read.ptr == text.data() + text.size();
 }
 
-std::string JoinList(const std::vector<std::string>& items) {
+// Joins what `text_of` gives for each item.
+template <typename Item, typename TextOf>
+std::string JoinList(const std::vector<Item>& items, TextOf text_of) {
   std::string text;
-  for (std::size_t i = 0; i < items.size(); ++i) {
-    if (i > 0)
+  for (const auto& item : items) {
+    if (&item != &items.front())
       text += ',';
-    text += items[i];
+    text += text_of(item);
   }
   return text;
 }
 
+std::string JoinList(const std::vector<std::string>& items) {
+  return JoinList(items, [](const std::string& item) { return item; });
+}
+
 std::vector<std::string> SplitList(std::string_view text) {
   std::vector<std::string> items;
   for (std::size_t comma = 0; comma != std::string_view::npos;) {
@@ -60,33 +67,23 @@
   return items;
 }
 
-std::string JoinNumbers(const std::vector<std::uint32_t>& numbers) {
-  std::vector<std::string> rows;
-  rows.reserve(numbers.size());
-  for (const std::uint32_t number : numbers)
-    rows.push_back(std::to_string(number));
-  return JoinList(rows);
-}
-
 // Empty if one of them can't be read.
 std::vector<std::uint32_t> SplitNumbers(std::string_view text) {
   std::vector<std::uint32_t> numbers;
   for (const auto& row : SplitList(text)) {
     std::uint64_t number = 0;
-    if (!ReadNumber(row, &number))
+    if (!ReadNumber(row, &number)) {
+      Log(LogLevel::kWarning, "forward_reply_unreadable", {{"value", text}});
       return {};
+    }
     numbers.push_back(static_cast<std::uint32_t>(number));
   }
   return numbers;
 }
 
-// Writes servers as "ID@START,..."; no id has an "@".
-std::string JoinLeaving(const std::vector<LeavingServer>& servers) {
-  std::vector<std::string> rows;
-  rows.reserve(servers.size());
-  for (const auto& server : servers)
-    rows.push_back(server.id + '@' + std::to_string(server.started_ms));
-  return JoinList(rows);
+// A leaving server as text; no id has an "@".
+std::string LeavingText(const LeavingServer& server) {
+  return server.id + '@' + std::to_string(server.started_ms);
 }
 
 std::vector<LeavingServer> SplitLeaving(std::string_view text) {
@@ -96,6 +93,7 @@
     std::uint64_t started_ms = 0;
     if (at == std::string::npos ||
         !ReadNumber(std::string_view(row).substr(at + 1), &started_ms)) {
+      Log(LogLevel::kWarning, "forward_reply_unreadable", {{"value", row}});
       continue;
     }
     servers.push_back(
@@ -208,7 +206,8 @@
         {kNewerRoutes, std::to_string(reply.newer_routes)});
   }
   if (!reply.leaving_servers.empty())
-    response.headers.push_back({kLeaving, JoinLeaving(reply.leaving_servers)});
+    response.headers.push_back(
+        {kLeaving, JoinList(reply.leaving_servers, LeavingText)});
   const auto permille =
       static_cast<std::uint64_t>(reply.queue_pressure * kPermille);
   if (permille > 0)
@@ -224,7 +223,10 @@
   response.headers.push_back({kSignatures, JoinList(reply.part_signatures)});
   response.headers.push_back({kMissing, std::to_string(reply.missing_parts)});
   if (!reply.missing_runs.empty())
-    response.headers.push_back({kMissingRuns, JoinNumbers(reply.missing_runs)});
+    response.headers.push_back(
+        {kMissingRuns, JoinList(reply.missing_runs, [](std::uint32_t runs) {
+           return std::to_string(runs);
+         })});
   return response;
 }
 
