--- a/src/app/discovery_duty.h
+++ b/src/app/discovery_duty.h
@@ -2,19 +2,12 @@
 #define APP_DISCOVERY_DUTY_H_
 
 #include <functional>
-#include <map>
-#include <memory>
-#include <optional>
 #include <string>
+#include <unordered_map>
 #include <variant>
-#include <vector>
 
 #include "app/dispatch_duty.h"
-#include "discovery/feed_log.h"
-#include "discovery/feed_source.h"
-#include "discovery/registrar.h"
-#include "discovery/server_directory.h"
-#include "discovery/store_follower.h"
+#include "discovery/discovery_engine.h"
 #include "framework/duty_thread.h"
 
 namespace limpetrudder {
@@ -30,15 +23,15 @@
 struct LeaveStore {};
 struct PassedOn {
   std::string from;
+  AskReason reason = AskReason::kFollow;
   FeedReply reply;
-  bool ahead = false;  // Asked out of turn, since it has newer routes.
 };
 struct NewerRoutesSeen {
   std::string instance;
   std::uint64_t routes_version = 0;
 };
-struct FeedQuestion {
-  std::uint64_t after = 0;
+struct InstanceAsked {
+  FeedQuestion question;
   std::function<void(const FeedReply&)> respond;
 };
 
@@ -47,32 +40,27 @@
                                     LeaveStore,
                                     PassedOn,
                                     NewerRoutesSeen,
-                                    FeedQuestion>;
+                                    InstanceAsked>;
 
 // How the duty reaches the store and other instances: each carries out a call
-// and hands the reply over, on any thread. `decode` reads an item of the store;
-// one of no concern, or with a fault that it has logged, gives nothing.
+// and hands the reply over, on any thread.
 struct DiscoveryPorts {
   std::function<void(const FeedCall&, std::function<void(FeedReply)>)> read;
   std::function<void(const LeaseCall&, std::function<void(LeaseReply)>)> lease;
   std::function<void(const InstanceEntry&,
-                     std::uint64_t after,
+                     const FeedQuestion&,
                      std::function<void(FeedReply)>)>
       ask;
-  std::function<std::optional<FeedItem>(const RawItem&)> decode;
 };
 
-// Follows the store or a reader of it, passes on what it learns, keeps this
-// instance registered there, and tells the dispatch duty which routes are in
-// force and which servers and instances there are. Not thread safe.
+// Carries out what the discovery engine decides, logs each change of what it
+// believes, and tells the dispatch duty which routes are in force and which
+// servers and instances there are. Not thread safe.
 class DiscoveryDuty {
  public:
   using Mailbox = DutyThread<DiscoveryEvent, DiscoveryDuty>;
 
-  DiscoveryDuty(StoreFollowerSettings settings,
-                InstanceEntry own,
-                const std::map<std::string, std::string>& regions,
-                DiscoveryPorts ports);
+  DiscoveryDuty(DiscoverySettings settings, DiscoveryPorts ports);
 
   // Call before the thread runs.
   void SetMailboxes(Mailbox* own, DispatchDuty::Mailbox* dispatch);
@@ -86,38 +74,29 @@
   void On(const LeaveStore& event, Time now);
   void On(PassedOn event, Time now);
   void On(const NewerRoutesSeen& event, Time now);
-  void On(FeedQuestion event, Time now);
-  void OnBatch(const FeedBatch& batch, Time now);
-  void ApplyItem(const RawItem& item,
-                 FeedItem decoded,
-                 std::vector<ServerEntry>* listed,
-                 Time now);
-  void CallStore(Time now, Time* next);
-  void AskInstance(Time now, Time* next);
-  void AskFeed(const InstanceEntry& instance, bool ahead);
-  void AnswerQuestions(Time now, Time* next);
-  FeedReply AnswerSince(std::uint64_t after, Time now) const;
-  void TellDispatch();
-  void NoteContact();
-
-  StoreFollower follower_;
-  Registrar registrar_;
-  ServerDirectory directory_;
-  std::map<std::string, InstanceEntry> instances_;
-  bool instances_changed_ = false;
-  FeedSource source_;
-  FeedLog log_;
+  void On(InstanceAsked event, Time now);
+
+  void Execute();
+  void Do(const AskStore& action);
+  void Do(const AskForLease& action);
+  void Do(const AskInstance& action);
+  void Do(const AnswerQuestion& action);
+  void Do(RoutesLearnt action);
+  void Do(ServersLearnt action);
+  void Do(InstancesLearnt action);
+  void Do(const StoreContactChanged& action);
+  void Do(const StoreRestored& action);
+  void Do(const SourceOutdated& action);
+  void Do(const FirstRoutesHeld& action);
+
+  DiscoveryEngine engine_;
   const DiscoveryPorts ports_;
   Mailbox* mailbox_ = nullptr;
   DispatchDuty::Mailbox* dispatch_ = nullptr;
-  // A question of another instance that waits for news.
-  struct WaitingQuestion {
-    FeedQuestion question;
-    Time until{};
-  };
-  std::vector<WaitingQuestion> waiting_;
-  std::shared_ptr<const RouteTable> routes_;
-  bool was_in_contact_ = false;
+  // Who waits for an answer, by question.
+  std::unordered_map<std::uint64_t, std::function<void(const FeedReply&)>>
+      asking_;
+  std::uint64_t next_question_ = 1;
 };
 
 }  // namespace limpetrudder
--- a/src/app/entry_app.cc
+++ b/src/app/entry_app.cc
@@ -57,8 +57,27 @@
 }
 
 InstanceEntry OwnEntry(const EntrySettings& settings) {
-  return {settings.instance, settings.data_centre, settings.peer_address,
-          settings.cores, settings.link_mbps};
+  InstanceEntry own;
+  own.name = settings.instance;
+  own.data_centre = settings.data_centre;
+  own.peer_address = settings.peer_address;
+  own.cores = settings.cores;
+  own.link_mbps = settings.link_mbps;
+  return own;
+}
+
+std::optional<FeedItem> DecodeLogged(const RawItem& item) {
+  std::optional<Error> fault;
+  auto decoded = DecodeItem(item.key, item.value, &fault);
+  if (fault) {
+    Log(LogLevel::kWarning, "store_item_refused",
+        {{"key", item.key},
+         {"revision", item.revision},
+         {"code", NumberOf(fault->code)},
+         {"pointer", fault->pointer},
+         {"message", fault->message}});
+  }
+  return decoded;
 }
 
 }  // namespace
@@ -75,9 +94,10 @@
            Hash64(settings_.instance,
                   static_cast<std::uint64_t>(UnixMillis()))},
           &state_),
-      discovery_duty_({kReadInterval, Hash64(settings_.instance)},
-                      OwnEntry(settings_),
-                      settings_.regions,
+      discovery_duty_({{kReadInterval, Hash64(settings_.instance)},
+                       OwnEntry(settings_),
+                       settings_.regions,
+                       DecodeLogged},
                       MakePorts()),
       ready_server_(
           Listen(settings_.ready_address, dispatch_.context()),
@@ -116,22 +136,10 @@
     state_.metrics().Add("store_lease_calls");
     store_.Call(call, std::move(handler));
   };
-  ports.ask = [this](const InstanceEntry& instance, std::uint64_t after,
+  ports.ask = [this](const InstanceEntry& instance,
+                     const FeedQuestion& question,
                      FeedClient::Handler handler) {
-    feed_.Ask(instance.peer_address, after, std::move(handler));
-  };
-  ports.decode = [](const RawItem& item) {
-    std::optional<Error> fault;
-    auto decoded = DecodeItem(item.key, item.value, &fault);
-    if (fault) {
-      Log(LogLevel::kWarning, "store_item_refused",
-          {{"key", item.key},
-           {"revision", item.revision},
-           {"code", NumberOf(fault->code)},
-           {"pointer", fault->pointer},
-           {"message", fault->message}});
-    }
-    return decoded;
+    feed_.Ask(instance.peer_address, question, std::move(handler));
   };
   return ports;
 }
@@ -139,10 +147,10 @@
 void EntryApp::AnswerFeed(const ServerRequest& request,
                           const Responder& respond) {
   const FeedRequest feed = ReadFeedRequest(request);
-  const bool queued = discovery_.Post(
-      FeedQuestion{feed.after, [this, respond, feed](const FeedReply& reply) {
-                     respond(feed_encoder_.Encode(reply, feed.reads_packed));
-                   }});
+  const bool queued = discovery_.Post(InstanceAsked{
+      feed.question, [this, respond, feed](const FeedReply& reply) {
+        respond(feed_encoder_.Encode(reply, feed.reads_packed));
+      }});
   if (queued)
     return;
   ServerResponse response;
--- /dev/null
+++ b/src/discovery/discovery_engine.cc
@@ -0,0 +1,358 @@
+#include "discovery/discovery_engine.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace limpetrudder {
+namespace {
+
+// Questions that wait; beyond them an instance is answered at once.
+constexpr std::size_t kMostWaiting = 512;
+
+// Instances that are asked for newer routes than the store's.
+constexpr std::size_t kFirstRoutesQuestions = 3;
+
+}  // namespace
+
+DiscoveryEngine::DiscoveryEngine(DiscoverySettings settings)
+    : settings_(std::move(settings)),
+      follower_(settings_.follower),
+      registrar_(settings_.own, settings_.follower.seed),
+      source_(settings_.own, settings_.regions, settings_.follower.seed) {}
+
+void DiscoveryEngine::OnStoreReply(FeedReply reply, Time now) {
+  const auto batch = follower_.OnReply(std::move(reply), now);
+  NoteContact();
+  NoteEra(now);
+  if (batch)
+    OnBatch(*batch, now);
+}
+
+void DiscoveryEngine::OnLeaseReply(const LeaseReply& reply, Time now) {
+  registrar_.OnReply(reply, now);
+}
+
+void DiscoveryEngine::OnPassedOn(const std::string& from,
+                                 AskReason reason,
+                                 FeedReply reply,
+                                 Time now) {
+  // NOTE An instance that hasn't heard of the store's return yet follows the
+  // store of before; it is no source until it has.
+  const bool answered = reply.status == FeedStatus::kOk;
+  const bool useful = answered && !follower_.IsOutdated(reply);
+  switch (reason) {
+    case AskReason::kFollow:
+      if (useful)
+        source_.OnAnswer(from, reply.age, now);
+      else
+        source_.OnFailure(from, now);
+      break;
+    case AskReason::kAhead:
+      source_.OnAheadEnded();
+      break;
+    case AskReason::kFirstRoutes:
+      --first_questions_;
+      break;
+  }
+  if (answered && !useful) {
+    actions_.push_back(SourceOutdated{
+        from, {reply.era.value_or(0), reply.revision}, follower_.position()});
+  }
+  // NOTE Routes go by their version, whatever else the answer is good for.
+  if (answered && !follower_.IsNews(reply))
+    OfferRoutesOf(reply, now);
+  const auto batch = follower_.OnPassedOn(std::move(reply), now);
+  NoteEra(now);
+  if (batch)
+    OnBatch(*batch, now);
+  if (reason == AskReason::kFirstRoutes &&
+      (answered || first_questions_ == 0)) {
+    ReleaseFirstRoutes();
+  }
+}
+
+void DiscoveryEngine::OfferRoutesOf(const FeedReply& reply, Time now) {
+  for (const auto& item : reply.items) {
+    if (!item.value)
+      continue;
+    auto decoded = settings_.decode(item);
+    if (!decoded)
+      continue;
+    if (auto* routes =
+            std::get_if<std::shared_ptr<const RouteTable>>(&*decoded))
+      OfferRoutes({std::move(*routes), item}, now);
+  }
+}
+
+void DiscoveryEngine::OnNewerRoutes(const std::string& instance,
+                                    std::uint64_t version,
+                                    Time now) {
+  if (routes_version() >= version)
+    return;
+  if (const auto found = source_.AskAhead(instance, now))
+    Ask(*found, AskReason::kAhead);
+}
+
+void DiscoveryEngine::OnQuestion(std::uint64_t id,
+                                 FeedQuestion question,
+                                 Time now) {
+  if (question.at_once || HasNewsFor(question) ||
+      waiting_.size() >= kMostWaiting) {
+    actions_.push_back(AnswerQuestion{id, AnswerTo(question, now)});
+    return;
+  }
+  waiting_.push_back({id, question, now + kFeedWait});
+}
+
+void DiscoveryEngine::Leave() {
+  if (auto call = registrar_.Leave())
+    actions_.push_back(AskForLease{std::move(*call)});
+}
+
+void DiscoveryEngine::NoteContact() {
+  if (follower_.in_contact() == was_in_contact_)
+    return;
+  was_in_contact_ = follower_.in_contact();
+  actions_.push_back(
+      StoreContactChanged{was_in_contact_, follower_.position()});
+}
+
+void DiscoveryEngine::NoteEra(Time now) {
+  registrar_.OnEra(follower_.era(), now);
+}
+
+void DiscoveryEngine::OnBatch(const FeedBatch& batch, Time now) {
+  if (batch.restored_from) {
+    actions_.push_back(
+        StoreRestored{*batch.restored_from, follower_.position()});
+  }
+  if (batch.store_back) {
+    directory_.OnStoreBack(now);
+    instances_.OnStoreBack(now);
+  }
+  if (batch.whole) {
+    OnListing(batch, now);
+  } else {
+    for (const auto& item : batch.items)
+      OnChange(item, now);
+    log_.Advance(follower_.position());
+  }
+  registrar_.OnListed(instances_.IsListed(settings_.own.name),
+                      follower_.position(), now);
+}
+
+void DiscoveryEngine::OnListing(const FeedBatch& batch, Time now) {
+  Listing listing;
+  std::optional<Offer> offer;
+  for (const auto& item : batch.items) {
+    auto decoded = settings_.decode(item);
+    if (!decoded)
+      continue;
+    if (auto* routes =
+            std::get_if<std::shared_ptr<const RouteTable>>(&*decoded)) {
+      offer = Offer{std::move(*routes), item};
+      continue;
+    }
+    const auto* server = std::get_if<ServerEntry>(&*decoded);
+    // NOTE Others, who hear no heartbeats, couldn't tell that it has left.
+    if (server != nullptr && directory_.HasDeparted(*server))
+      continue;
+    if (server != nullptr)
+      listing.servers.push_back(*server);
+    else if (const auto* instance = std::get_if<InstanceEntry>(&*decoded))
+      listing.instances.push_back(*instance);
+    listing.items.push_back(item);
+  }
+  log_.Reset(listing.items, follower_.position());
+  directory_.OnListing(listing.servers, now);
+  instances_.OnListing(listing.instances, now);
+  if (offer)
+    OfferRoutes(std::move(*offer), now);
+}
+
+void DiscoveryEngine::OnChange(const RawItem& item, Time now) {
+  const std::string* before = log_.Find(item.key);
+  if (before != nullptr && item.value && *before == *item.value)
+    return;
+  auto decoded = settings_.decode(item);
+  if (!decoded)
+    return;
+  bool changed = true;
+  if (auto* routes = std::get_if<std::shared_ptr<const RouteTable>>(&*decoded))
+    return OfferRoutes({std::move(*routes), item}, now);
+  if (const auto* server = std::get_if<ServerEntry>(&*decoded))
+    changed = directory_.OnEntry(*server);
+  else if (const auto* gone = std::get_if<ServerGone>(&*decoded))
+    directory_.OnRemoved(gone->id, now);
+  else if (const auto* instance = std::get_if<InstanceEntry>(&*decoded))
+    instances_.OnEntry(*instance);
+  else if (const auto* left = std::get_if<InstanceGone>(&*decoded))
+    instances_.OnRemoved(left->name, now);
+  log_.Add(item, changed);
+}
+
+// A version that was in force never goes back. The first one that an instance
+// learns may come from a store that was restored from a copy; entries that
+// other instances wrote tell whether that is so, and these are asked first.
+void DiscoveryEngine::OfferRoutes(Offer offer, Time now) {
+  if (routes_version() >= offer.routes->version())
+    return;
+  if (!in_force_.routes && !held_) {
+    const auto candidates = MayHaveNewerRoutes(offer.routes->version());
+    if (!candidates.empty())
+      return HoldFirstRoutes(std::move(offer), candidates, now);
+  }
+  if (held_ && offer.routes->version() <= held_->routes->version())
+    return;
+  held_.reset();
+  BringIntoForce(std::move(offer));
+}
+
+void DiscoveryEngine::BringIntoForce(Offer offer) {
+  in_force_ = std::move(offer);
+  actions_.push_back(RoutesLearnt{in_force_.routes});
+}
+
+std::vector<InstanceEntry> DiscoveryEngine::MayHaveNewerRoutes(
+    std::uint64_t version) const {
+  std::vector<InstanceEntry> candidates;
+  for (const auto& instance : instances_.Entries()) {
+    const bool is_older_than_store =
+        instance.store_era < follower_.position().era;
+    if (instance.name != settings_.own.name &&
+        (instance.routes_version > version || is_older_than_store)) {
+      candidates.push_back(instance);
+    }
+  }
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const InstanceEntry& a, const InstanceEntry& b) {
+                     return a.routes_version > b.routes_version;
+                   });
+  candidates.resize(std::min(candidates.size(), kFirstRoutesQuestions));
+  return candidates;
+}
+
+void DiscoveryEngine::HoldFirstRoutes(
+    Offer offer,
+    const std::vector<InstanceEntry>& candidates,
+    Time now) {
+  held_ = std::move(offer);
+  held_until_ = now + kFirstRoutesWait;
+  actions_.push_back(
+      FirstRoutesHeld{held_->routes->version(), candidates.size()});
+  for (const auto& instance : candidates) {
+    ++first_questions_;
+    Ask(instance, AskReason::kFirstRoutes);
+  }
+}
+
+void DiscoveryEngine::ReleaseFirstRoutes() {
+  if (!held_)
+    return;
+  Offer offer = std::move(*held_);
+  held_.reset();
+  BringIntoForce(std::move(offer));
+}
+
+void DiscoveryEngine::PublishDirectories() {
+  if (auto instances = instances_.TakeChange()) {
+    source_.Update(*instances);
+    actions_.push_back(
+        InstancesLearnt{std::move(*instances), source_.is_reader()});
+  }
+  DirectoryChange change = directory_.TakeChange();
+  if (!change.empty()) {
+    actions_.push_back(ServersLearnt{std::move(change), follower_.position()});
+  }
+}
+
+bool DiscoveryEngine::HasRoutesFor(const FeedQuestion& question) const {
+  if (!in_force_.routes)
+    return false;
+  // NOTE An instance that doesn't say which version it has goes by revisions.
+  if (!question.routes_version)
+    return in_force_.item.revision > question.after.revision;
+  return in_force_.routes->version() > *question.routes_version;
+}
+
+bool DiscoveryEngine::HasNewsFor(const FeedQuestion& question) const {
+  return HasRoutesFor(question) || log_.HasNewsSince(question.after);
+}
+
+FeedReply DiscoveryEngine::AnswerTo(const FeedQuestion& question,
+                                    Time now) const {
+  FeedReply reply = log_.Since(question.after);
+  if (HasRoutesFor(question))
+    reply.items.push_back(in_force_.item);
+  reply.age = follower_.heard() == Time::min() ? FeedSource::kFresh * 2
+                                               : now - follower_.heard();
+  return reply;
+}
+
+void DiscoveryEngine::AnswerQuestions(Time now, Time* next) {
+  std::erase_if(waiting_, [&](const WaitingQuestion& waiting) {
+    if (now < waiting.until && !HasNewsFor(waiting.question)) {
+      *next = std::min(*next, waiting.until);
+      return false;
+    }
+    actions_.push_back(
+        AnswerQuestion{waiting.id, AnswerTo(waiting.question, now)});
+    return true;
+  });
+}
+
+void DiscoveryEngine::CallStore(Time now, Time* next) {
+  const Time heard = follower_.heard();
+  if (!source_.ShouldReadStore(heard, now)) {
+    *next = std::min(*next, source_.NextOwnRead(heard) + Millis(1));
+    return;
+  }
+  Time due = kNever;
+  if (auto call = follower_.Turn(now, &due)) {
+    source_.OnOwnRead(now);
+    actions_.push_back(AskStore{std::move(*call)});
+  }
+  *next = std::min(*next, due);
+}
+
+void DiscoveryEngine::Follow(Time now, Time* next) {
+  Time due = kNever;
+  const auto instance =
+      source_.Ask(follower_.heard(), follower_.in_contact(), now, &due);
+  *next = std::min(*next, due);
+  if (instance)
+    Ask(*instance, AskReason::kFollow);
+}
+
+void DiscoveryEngine::Ask(const InstanceEntry& instance, AskReason reason) {
+  const FeedQuestion question{follower_.position(), routes_version(),
+                              reason != AskReason::kFollow};
+  actions_.push_back(AskInstance{instance, question, reason});
+}
+
+Time DiscoveryEngine::Turn(Time now) {
+  Time next = std::min(directory_.Turn(now), instances_.Turn(now));
+  if (held_) {
+    if (now >= held_until_)
+      ReleaseFirstRoutes();
+    else
+      next = std::min(next, held_until_);
+  }
+  PublishDirectories();
+  CallStore(now, &next);
+  Follow(now, &next);
+  AnswerQuestions(now, &next);
+  Time next_lease = kNever;
+  if (auto call = registrar_.Turn(now, &next_lease)) {
+    if (auto* write = std::get_if<WriteInstance>(&*call))
+      write->entry.routes_version = routes_version();
+    actions_.push_back(AskForLease{std::move(*call)});
+  }
+  return std::min(next, next_lease);
+}
+
+std::vector<DiscoveryAction> DiscoveryEngine::TakeActions() {
+  return std::exchange(actions_, {});
+}
+
+}  // namespace limpetrudder
--- /dev/null
+++ b/src/discovery/discovery_engine.h
@@ -0,0 +1,210 @@
+#ifndef DISCOVERY_DISCOVERY_ENGINE_H_
+#define DISCOVERY_DISCOVERY_ENGINE_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "discovery/discovery_types.h"
+#include "discovery/feed_log.h"
+#include "discovery/feed_source.h"
+#include "discovery/instance_directory.h"
+#include "discovery/registrar.h"
+#include "discovery/server_directory.h"
+#include "discovery/store_follower.h"
+
+namespace limpetrudder {
+
+struct DiscoverySettings {
+  StoreFollowerSettings follower;
+  InstanceEntry own;
+  std::map<std::string, std::string> regions;  // By data centre.
+  // Reads an item of the store; one of no concern gives nothing. Must be pure
+  // but for logs.
+  std::function<std::optional<FeedItem>(const RawItem&)> decode;
+};
+
+// Why another instance is asked for what it knows.
+enum class AskReason {
+  kFollow,       // This instance doesn't read the store itself.
+  kAhead,        // It was seen with newer routes.
+  kFirstRoutes,  // It may have newer routes than the store, see OfferRoutes().
+};
+
+// Actions of the discovery engine.
+
+struct AskStore {
+  FeedCall call;
+};
+struct AskForLease {
+  LeaseCall call;
+};
+struct AskInstance {
+  InstanceEntry instance;
+  FeedQuestion question;
+  AskReason reason = AskReason::kFollow;
+};
+struct AnswerQuestion {
+  std::uint64_t question = 0;
+  FeedReply reply;
+};
+struct RoutesLearnt {
+  std::shared_ptr<const RouteTable> routes;
+};
+struct ServersLearnt {
+  DirectoryChange change;
+  StorePosition position;
+};
+struct InstancesLearnt {
+  std::vector<InstanceEntry> instances;
+  bool reads_store = false;  // This instance is a reader now.
+};
+struct StoreContactChanged {
+  bool in_contact = false;
+  StorePosition position;
+};
+// The store came back from an older copy.
+struct StoreRestored {
+  StorePosition known;
+  StorePosition restored;
+};
+// Another instance passed on what it knows of an earlier era of the store.
+struct SourceOutdated {
+  std::string from;
+  StorePosition its;
+  StorePosition known;
+};
+// The first routes aren't brought into force yet, as others may have newer
+// ones.
+struct FirstRoutesHeld {
+  std::uint64_t version = 0;
+  std::size_t asked = 0;  // Instances.
+};
+
+using DiscoveryAction = std::variant<AskStore,
+                                     AskForLease,
+                                     AskInstance,
+                                     AnswerQuestion,
+                                     RoutesLearnt,
+                                     ServersLearnt,
+                                     InstancesLearnt,
+                                     StoreContactChanged,
+                                     StoreRestored,
+                                     SourceOutdated,
+                                     FirstRoutesHeld>;
+
+// Decides what this instance believes of routes, servers and instances from
+// what the store and other instances say, keeps it registered, and answers
+// other instances that ask.
+//
+// Holds no clock and does no I/O: events come in with the time, actions go out
+// through TakeActions(). Not thread safe.
+class DiscoveryEngine {
+ public:
+  // How long the first routes wait for an instance that may have newer ones: a
+  // round trip between regions and a start's work.
+  static constexpr Duration kFirstRoutesWait = Millis(500);
+
+  explicit DiscoveryEngine(DiscoverySettings settings);
+
+  DiscoveryEngine(const DiscoveryEngine&) = delete;
+  DiscoveryEngine& operator=(const DiscoveryEngine&) = delete;
+
+  // What became of an AskStore, an AskForLease or an AskInstance.
+  void OnStoreReply(FeedReply reply, Time now);
+  void OnLeaseReply(const LeaseReply& reply, Time now);
+  void OnPassedOn(const std::string& from,
+                  AskReason reason,
+                  FeedReply reply,
+                  Time now);
+
+  // Another instance was seen with routes of `version`.
+  void OnNewerRoutes(const std::string& instance,
+                     std::uint64_t version,
+                     Time now);
+
+  // Another instance asks; `id` must be new. It is answered by an
+  // AnswerQuestion, perhaps later.
+  void OnQuestion(std::uint64_t id, FeedQuestion question, Time now);
+
+  // This instance is about to stop.
+  void Leave();
+
+  // Carries out what is due and returns when to be called next.
+  Time Turn(Time now);
+
+  // Returns and clears the actions due.
+  std::vector<DiscoveryAction> TakeActions();
+
+  // Of the routes in force; 0: there are none.
+  std::uint64_t routes_version() const {
+    return in_force_.routes ? in_force_.routes->version() : 0;
+  }
+  StorePosition position() const { return follower_.position(); }
+  const ServerDirectory& servers() const { return directory_; }
+
+ private:
+  // Routes with the item that holds them, which is passed on as it is.
+  struct Offer {
+    std::shared_ptr<const RouteTable> routes;
+    RawItem item;
+  };
+  struct WaitingQuestion {
+    std::uint64_t id = 0;
+    FeedQuestion question;
+    Time until{};
+  };
+  // What a whole listing names.
+  struct Listing {
+    std::vector<RawItem> items;
+    std::vector<ServerEntry> servers;
+    std::vector<InstanceEntry> instances;
+  };
+
+  void OnBatch(const FeedBatch& batch, Time now);
+  void OnListing(const FeedBatch& batch, Time now);
+  void OnChange(const RawItem& item, Time now);
+  void OfferRoutes(Offer offer, Time now);
+  void BringIntoForce(Offer offer);
+  // Takes the routes of an answer whose other items are of no use.
+  void OfferRoutesOf(const FeedReply& reply, Time now);
+  std::vector<InstanceEntry> MayHaveNewerRoutes(std::uint64_t version) const;
+  void HoldFirstRoutes(Offer offer,
+                       const std::vector<InstanceEntry>& candidates,
+                       Time now);
+  void ReleaseFirstRoutes();
+  void NoteContact();
+  void NoteEra(Time now);
+  void PublishDirectories();
+  void CallStore(Time now, Time* next);
+  void Follow(Time now, Time* next);
+  void Ask(const InstanceEntry& instance, AskReason reason);
+  bool HasRoutesFor(const FeedQuestion& question) const;
+  bool HasNewsFor(const FeedQuestion& question) const;
+  FeedReply AnswerTo(const FeedQuestion& question, Time now) const;
+  void AnswerQuestions(Time now, Time* next);
+
+  const DiscoverySettings settings_;
+  StoreFollower follower_;
+  Registrar registrar_;
+  ServerDirectory directory_;
+  InstanceDirectory instances_;
+  FeedSource source_;
+  FeedLog log_;  // Of all but the routes, which go by their version.
+  Offer in_force_;
+  std::optional<Offer> held_;
+  Time held_until_ = kNever;
+  std::size_t first_questions_ = 0;  // That are out.
+  std::vector<WaitingQuestion> waiting_;
+  bool was_in_contact_ = false;
+  std::vector<DiscoveryAction> actions_;
+};
+
+}  // namespace limpetrudder
+
+#endif  // DISCOVERY_DISCOVERY_ENGINE_H_
--- a/src/discovery/discovery_types.h
+++ b/src/discovery/discovery_types.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "discovery/server_directory.h"
+#include "discovery/store_position.h"
 #include "routing/route_table.h"
 
 namespace limpetrudder {
@@ -20,6 +21,9 @@
   std::string peer_address;
   double cores = 1;        // Its share of a processor.
   double link_mbps = 100;  // Of its own link, in Mbit/s.
+  // When it wrote this: the store's era, and the routes that it had in force.
+  std::uint64_t store_era = 0;
+  std::uint64_t routes_version = 0;
   bool operator==(const InstanceEntry&) const = default;
 };
 
@@ -55,12 +59,25 @@
 struct FeedReply {
   FeedStatus status = FeedStatus::kNoReply;
   std::vector<RawItem> items;
-  std::uint64_t revision = 0;  // Of the store, when it answered.
-  bool whole = false;          // An instance sends all it knows.
+  // Of the store, when it answered. Nothing: the answer doesn't say.
+  std::optional<std::uint64_t> era;
+  std::uint64_t revision = 0;
+  bool whole = false;  // An instance sends all it knows.
   bool has_more = false;
   Duration age{0};  // Since the store itself was heard, at an instance.
 };
 
+// How long a question waits at another instance for something to change.
+inline constexpr Duration kFeedWait = Millis(900);
+
+// What one instance asks another: what changed since a position.
+struct FeedQuestion {
+  StorePosition after;
+  // Of the routes in force at the asking instance; nothing: it doesn't say.
+  std::optional<std::uint64_t> routes_version;
+  bool at_once = false;  // Don't wait until something changes.
+};
+
 // Calls that follow the store.
 
 // One page of everything, after `after_key`; empty: from the beginning.
@@ -69,9 +86,9 @@
   bool may_be_old = false;  // Some seconds, for a tenth of the price.
 };
 
-// Everything that changed since a revision.
+// Everything that changed since a position.
 struct ReadChanges {
-  std::uint64_t after_revision = 0;
+  StorePosition after;
 };
 
 using FeedCall = std::variant<ListPage, ReadChanges>;
@@ -88,11 +105,16 @@
 struct RenewLease {
   std::uint64_t lease = 0;
 };
-struct EndLease {
-  std::uint64_t lease = 0;
+// Removes an instance's entry if it is still the one of `revision`. The lease
+// is left to run out: after the store came back from an older copy, its number
+// may be another instance's.
+struct RemoveInstance {
+  std::string name;
+  std::uint64_t revision = 0;
 };
 
-using LeaseCall = std::variant<GrantLease, WriteInstance, RenewLease, EndLease>;
+using LeaseCall =
+    std::variant<GrantLease, WriteInstance, RenewLease, RemoveInstance>;
 
 enum class LeaseStatus {
   kOk,
@@ -102,7 +124,9 @@
 
 struct LeaseReply {
   LeaseStatus status = LeaseStatus::kFailed;
-  std::uint64_t lease = 0;  // Of GrantLease.
+  std::optional<std::uint64_t> era;
+  std::uint64_t lease = 0;     // Of GrantLease.
+  std::uint64_t revision = 0;  // Of WriteInstance.
 };
 
 }  // namespace limpetrudder
--- a/src/discovery/feed_log.cc
+++ b/src/discovery/feed_log.cc
@@ -4,15 +4,15 @@
 
 namespace limpetrudder {
 
-void FeedLog::Reset(const std::vector<RawItem>& items, std::uint64_t revision) {
+void FeedLog::Reset(const std::vector<RawItem>& items, StorePosition position) {
   items_.clear();
   changes_.clear();
   for (const auto& item : items) {
     if (item.value)
       items_[item.key] = item;
   }
-  floor_ = revision;
-  revision_ = revision;
+  floor_ = position.revision;
+  position_ = position;
 }
 
 void FeedLog::Add(const RawItem& item, bool changed) {
@@ -29,8 +29,8 @@
   }
 }
 
-void FeedLog::Advance(std::uint64_t revision) {
-  revision_ = std::max(revision_, revision);
+void FeedLog::Advance(StorePosition position) {
+  position_ = std::max(position_, position);
 }
 
 const std::string* FeedLog::Find(const std::string& key) const {
@@ -38,25 +38,28 @@
   return found == items_.end() ? nullptr : &*found->second.value;
 }
 
-bool FeedLog::HasNewsSince(std::uint64_t after) const {
-  if (after > revision_)
+bool FeedLog::HasNewsSince(StorePosition after) const {
+  if (after > position_)
     return false;
-  return after < floor_ ||
-         (!changes_.empty() && changes_.back().revision > after);
+  return after.era < position_.era || after.revision < floor_ ||
+         (!changes_.empty() && changes_.back().revision > after.revision);
 }
 
-FeedReply FeedLog::Since(std::uint64_t after) const {
+FeedReply FeedLog::Since(StorePosition after) const {
   FeedReply reply;
   reply.status = FeedStatus::kOk;
-  reply.revision = revision_;
-  reply.whole = after < floor_;
+  reply.era = position_.era;
+  reply.revision = position_.revision;
+  reply.whole = after < StorePosition{position_.era, floor_};
   if (reply.whole) {
     for (const auto& [key, item] : items_)
       reply.items.push_back(item);
     return reply;
   }
+  if (after > position_)
+    return reply;
   for (const auto& item : changes_) {
-    if (item.revision > after)
+    if (item.revision > after.revision)
       reply.items.push_back(item);
   }
   return reply;
--- a/src/discovery/registrar.cc
+++ b/src/discovery/registrar.cc
@@ -1,6 +1,7 @@
 #include "discovery/registrar.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace limpetrudder {
 namespace {
@@ -26,6 +27,7 @@
     case State::kNoLease:
       return GrantLease{kLease};
     case State::kLeaseOnly:
+      entry_.store_era = era_;
       return WriteInstance{entry_, lease_};
     case State::kRegistered:
       return RenewLease{lease_};
@@ -39,6 +41,18 @@
   calling_ = false;
   if (state_ == State::kLeft)
     return;
+  // NOTE It was asked before the registration was lost; BeginAnew() said when
+  // to go on.
+  if (std::exchange(discard_reply_, false))
+    return;
+  const std::uint64_t era = reply.era.value_or(era_);
+  if (era < era_)
+    return RetryLater(now);
+  // NOTE A lease that was just granted is of the era of its answer; one that
+  // was granted earlier isn't.
+  if (era > era_ && state_ != State::kNoLease)
+    return OnEra(era, now);
+  era_ = era;
   if (reply.status == LeaseStatus::kNoLease) {
     state_ = State::kNoLease;
     due_ = now;
@@ -54,21 +68,46 @@
       state_ = State::kLeaseOnly;
       return;
     case State::kLeaseOnly:
-    case State::kRegistered:
+      written_ = reply.revision;
       state_ = State::kRegistered;
       due_ = now + kRenewal;
       return;
+    case State::kRegistered:
+      due_ = now + kRenewal;
+      return;
     case State::kLeft:
       return;
   }
 }
 
+void Registrar::OnEra(std::uint64_t era, Time now) {
+  if (era <= era_)
+    return;
+  era_ = era;
+  if (state_ == State::kLeaseOnly || state_ == State::kRegistered)
+    BeginAnew(now);
+}
+
+void Registrar::OnListed(bool present, StorePosition position, Time now) {
+  if (state_ == State::kRegistered && !present && written_ != 0 &&
+      position > StorePosition{era_, written_}) {
+    BeginAnew(now);
+  }
+}
+
+void Registrar::BeginAnew(Time now) {
+  state_ = State::kNoLease;
+  discard_reply_ = calling_;
+  failures_ = 0;
+  due_ = now + Scaled(kRewriteSpread, random_.Unit());
+}
+
 std::optional<LeaseCall> Registrar::Leave() {
-  const bool registered = lease_ != 0 && state_ != State::kNoLease;
+  const bool registered = state_ == State::kRegistered && written_ != 0;
   state_ = State::kLeft;
   if (!registered)
     return std::nullopt;
-  return EndLease{lease_};
+  return RemoveInstance{entry_.name, written_};
 }
 
 void Registrar::RetryLater(Time now) {
--- a/src/discovery/registrar.h
+++ b/src/discovery/registrar.h
@@ -13,8 +13,10 @@
 // Keeps this instance's entry in the store under a lease, so that the others
 // find it and count it, and so that it lapses if the instance is lost. The
 // store may lose replies: a write is repeated until it is acknowledged, which
-// does no harm as it always writes the same. Holds no clock and does no I/O.
-// Not thread safe.
+// does no harm as it always writes the same. A store that came back from an
+// older copy knows neither lease nor entry, or has given the lease's number to
+// another instance: both are made anew. Holds no clock and does no I/O. Not
+// thread safe.
 class Registrar {
  public:
   // How long the entry of a lost instance stays, and how often a live one
@@ -22,6 +24,11 @@
   static constexpr Duration kLease = Seconds(30);
   static constexpr Duration kRenewal = Seconds(10);
 
+  // Within which the instances of a fleet register again after all lost their
+  // entries. Two hundred make two writes each, of the 1,200 to 3,200 a second
+  // that a store gives fleets of that size.
+  static constexpr Duration kRewriteSpread = Millis(600);
+
   Registrar(InstanceEntry entry, std::uint64_t seed)
       : entry_(std::move(entry)), random_(seed) {}
 
@@ -30,6 +37,13 @@
 
   void OnReply(const LeaseReply& reply, Time now);
 
+  // The store was heard in `era`; registers anew if that is a later one.
+  void OnEra(std::uint64_t era, Time now);
+
+  // Whether the store had this instance's entry at `position`. Registers anew
+  // if it was lost: its lease may have been another instance's.
+  void OnListed(bool present, StorePosition position, Time now);
+
   // Returns the call that ends the registration, if there is one.
   std::optional<LeaseCall> Leave();
 
@@ -37,12 +51,16 @@
   enum class State { kNoLease, kLeaseOnly, kRegistered, kLeft };
 
   void RetryLater(Time now);
+  void BeginAnew(Time now);
 
-  const InstanceEntry entry_;
+  InstanceEntry entry_;
   Random random_;
   State state_ = State::kNoLease;
   bool calling_ = false;
+  bool discard_reply_ = false;  // The call that is out was made before a loss.
+  std::uint64_t era_ = 0;
   std::uint64_t lease_ = 0;
+  std::uint64_t written_ = 0;  // The revision of the entry.
   std::uint32_t failures_ = 0;
   Time due_ = Time::min();
 };
--- a/src/discovery/server_directory.cc
+++ b/src/discovery/server_directory.cc
@@ -25,6 +25,8 @@
 }  // namespace
 
 bool ServerDirectory::OnEntry(const ServerEntry& entry) {
+  if (HasDeparted(entry))
+    return false;
   auto& row = rows_[entry.id];
   const bool is_new = row.entry.id.empty();
   if (!is_new && IsOlder(entry, row.entry))
@@ -98,7 +100,27 @@
   return entries;
 }
 
+bool ServerDirectory::HasDeparted(const ServerEntry& entry) const {
+  const auto found = departed_.find(entry.id);
+  if (found == departed_.end())
+    return false;
+  // NOTE A process that doesn't say when it started can't be told from a later
+  // one under its id.
+  const Departed& last = found->second;
+  return entry.started_ms != 0 && entry.started_ms <= last.started_ms &&
+         (entry.started_ms < last.started_ms ||
+          entry.sequence <= last.sequence);
+}
+
 void ServerDirectory::Drop(const std::string& id) {
+  const ServerEntry& entry = rows_.at(id).entry;
+  if (departed_.count(id) == 0)
+    departed_order_.push_back(id);
+  departed_[id] = {entry.started_ms, entry.sequence};
+  if (departed_order_.size() > kMostDeparted) {
+    departed_.erase(departed_order_.front());
+    departed_order_.pop_front();
+  }
   rows_.erase(id);
   std::erase_if(change_.updated,
                 [&id](const ServerEntry& entry) { return entry.id == id; });
--- a/src/discovery/server_directory.h
+++ b/src/discovery/server_directory.h
@@ -2,6 +2,7 @@
 #define DISCOVERY_SERVER_DIRECTORY_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -33,17 +34,26 @@
 };
 
 // The servers that registered, as told by a store that may be away for a while,
-// tell old news, or lose entries of living servers while it is away. Holds no
-// clock. Not thread safe.
+// tell old news, lose entries of living servers while it is away, or come back
+// from an older copy that holds entries of servers which have left since. Holds
+// no clock. Not thread safe.
 class ServerDirectory {
  public:
   // An entry is missing for good if it isn't back this long after the store is.
   static constexpr Duration kReturnGrace = Millis(2200);
 
-  // Takes an entry unless a later one of the server is known. Returns whether
-  // it says more than that the server is alive.
+  // Servers that left and are remembered, the last ones; a copy of the store is
+  // some seconds old.
+  static constexpr std::size_t kMostDeparted = 4096;
+
+  // Takes an entry unless a later one of the server is known, or one as late
+  // was dropped. Returns whether it says more than that the server is alive.
   bool OnEntry(const ServerEntry& entry);
 
+  // Whether the entry says nothing later of a server than was known when it was
+  // dropped.
+  bool HasDeparted(const ServerEntry& entry) const;
+
   // The store no longer has the entry, or has one that can't be read.
   void OnRemoved(const std::string& id, Time now);
 
@@ -67,9 +77,17 @@
     Time missing_until = kNever;  // Set: gone from the store, still in grace.
   };
 
+  // The last that was known of a server's process when it was dropped.
+  struct Departed {
+    std::int64_t started_ms = 0;
+    std::uint64_t sequence = 0;
+  };
+
   void Drop(const std::string& id);
 
   std::map<std::string, Row> rows_;
+  std::map<std::string, Departed> departed_;
+  std::deque<std::string> departed_order_;
   Time store_back_ = Time::min();
   DirectoryChange change_;
 };
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -15,51 +15,85 @@
 // An instance that knows nothing yet can serve nobody until the store answers.
 constexpr Duration kLongestFirstRetry = Millis(400);
 
+// Two listings begin no closer together, whatever the store answers: listings
+// are the dearest calls, and all instances may have the same reason for one.
+constexpr Duration kListingPause = Millis(1000);
+
 }  // namespace
 
 std::optional<FeedCall> StoreFollower::Turn(Time now, Time* next) {
   *next = kNever;
-  if (calling_)
+  if (asked_)
     return std::nullopt;
   if (now < due_) {
     *next = due_;
     return std::nullopt;
   }
-  calling_ = true;
   // NOTE The first listing may be old, since what changed is read next.
-  if (listing_)
-    return ListPage{after_key_, first_list_};
-  return ReadChanges{revision_};
+  if (!listing_) {
+    asked_ = ReadChanges{position_};
+  } else {
+    if (after_key_.empty() && !first_list_)
+      list_began_ = now;
+    asked_ = ListPage{after_key_, first_list_};
+  }
+  return asked_;
 }
 
 std::optional<FeedBatch> StoreFollower::OnReply(FeedReply reply, Time now) {
-  calling_ = false;
-  if (reply.status == FeedStatus::kHistoryLost) {
-    failures_ = 0;
-    NoteHeard(now);
-    ListAnew(now);
+  const auto asked = std::exchange(asked_, std::nullopt);
+  if (!asked || reply.status == FeedStatus::kNoReply || IsOutdated(reply)) {
+    OnFailure(FeedStatus::kNoReply, now);
     return std::nullopt;
   }
-  if (reply.status != FeedStatus::kOk) {
+  const bool restored = AdoptEra(reply.era.value_or(era_));
+  if (restored)
+    ListAnew(now);
+  if (reply.status == FeedStatus::kRefused) {
     OnFailure(reply.status, now);
     return std::nullopt;
   }
   failures_ = 0;
   NoteHeard(now);
-  if (listing_)
+  if (restored)
+    return std::nullopt;
+  if (const auto* page = std::get_if<ListPage>(&*asked)) {
+    // NOTE Another instance may have passed on everything in the meantime.
+    if (!listing_ || page->after_key != after_key_)
+      return std::nullopt;
     return OnPage(std::move(reply), now);
+  }
+  return OnChanges(std::move(reply), std::get<ReadChanges>(*asked).after, now);
+}
+
+std::optional<FeedBatch> StoreFollower::OnChanges(FeedReply reply,
+                                                  StorePosition after,
+                                                  Time now) {
   due_ = now + Jittered(settings_.interval);
+  // NOTE The question was asked by a revision of an earlier era, whose number
+  // means nothing in this one.
+  if (after.era != era_)
+    return std::nullopt;
+  if (reply.status == FeedStatus::kHistoryLost) {
+    ListAnew(now);
+    return std::nullopt;
+  }
   // NOTE Another instance may have passed on more in the meantime.
-  if (reply.revision < revision_)
+  const StorePosition position{era_, reply.revision};
+  if (position < position_)
     return std::nullopt;
-  revision_ = reply.revision;
-  return FeedBatch{std::move(reply.items), false, std::exchange(away_, false)};
+  position_ = position;
+  return MakeBatch(std::move(reply.items), /*whole=*/false);
 }
 
 std::optional<FeedBatch> StoreFollower::OnPage(FeedReply reply, Time now) {
+  if (reply.status != FeedStatus::kOk) {
+    OnFailure(reply.status, now);
+    return std::nullopt;
+  }
   // NOTE Pages aren't a snapshot: changes since the first one are read again.
   if (after_key_.empty())
-    list_revision_ = reply.revision;
+    list_position_ = {era_, reply.revision};
   const std::string last_key =
       reply.items.empty() ? std::string() : reply.items.back().key;
   std::move(reply.items.begin(), reply.items.end(), std::back_inserter(pages_));
@@ -71,21 +105,30 @@
   listing_ = false;
   first_list_ = false;
   after_key_.clear();
-  FeedBatch batch{std::exchange(pages_, {}), true, std::exchange(away_, false)};
+  auto items = std::exchange(pages_, {});
   // NOTE An old listing doesn't undo what another instance passed on.
-  if (list_revision_ < revision_)
+  if (list_position_ < position_)
     return std::nullopt;
-  revision_ = list_revision_;
-  return batch;
+  position_ = list_position_;
+  return MakeBatch(std::move(items), /*whole=*/true);
+}
+
+bool StoreFollower::IsNews(const FeedReply& reply) const {
+  const StorePosition position = PositionOf(reply);
+  // NOTE A difference to what was known in an earlier era says nothing.
+  return reply.status == FeedStatus::kOk && !IsOutdated(reply) &&
+         position >= position_ &&
+         (reply.whole || position.era == position_.era);
 }
 
 std::optional<FeedBatch> StoreFollower::OnPassedOn(FeedReply reply, Time now) {
-  if (reply.status != FeedStatus::kOk)
+  if (reply.status == FeedStatus::kOk && !IsOutdated(reply))
+    NoteHeard(now - reply.age);
+  if (!IsNews(reply))
     return std::nullopt;
-  NoteHeard(now - reply.age);
-  if (reply.revision < revision_)
-    return std::nullopt;
-  revision_ = reply.revision;
+  const StorePosition position = PositionOf(reply);
+  AdoptEra(position.era);
+  position_ = position;
   if (listing_ && reply.whole) {
     listing_ = false;
     first_list_ = false;
@@ -93,8 +136,24 @@
     pages_.clear();
     due_ = now + Jittered(settings_.interval);
   }
-  return FeedBatch{std::move(reply.items), reply.whole,
-                   std::exchange(away_, false)};
+  return MakeBatch(std::move(reply.items), reply.whole);
+}
+
+bool StoreFollower::AdoptEra(std::uint64_t era) {
+  if (era == era_)
+    return false;
+  era_ = era;
+  if (position_ == StorePosition{} && pages_.empty())
+    return false;
+  away_ = true;
+  if (position_ != StorePosition{})
+    restored_from_ = position_;
+  return true;
+}
+
+FeedBatch StoreFollower::MakeBatch(std::vector<RawItem> items, bool whole) {
+  return {std::move(items), whole, std::exchange(away_, false),
+          std::exchange(restored_from_, std::nullopt)};
 }
 
 void StoreFollower::ListAnew(Time now) {
@@ -102,7 +161,9 @@
   first_list_ = false;
   after_key_.clear();
   pages_.clear();
-  due_ = now;
+  due_ = list_began_ == Time::min()
+             ? now
+             : std::max(now, list_began_ + kListingPause);
 }
 
 void StoreFollower::NoteHeard(Time at) {
@@ -120,9 +181,9 @@
       std::min(kLongestRetry, kFirstRetry * (std::int64_t{1} << doublings));
   if (status == FeedStatus::kRefused)
     pause *= 2;
-  if (revision_ == 0)
+  if (position_ == StorePosition{})
     pause = std::min(pause, kLongestFirstRetry);
-  due_ = now + Jittered(pause);
+  due_ = std::max(due_, now + Jittered(pause));
 }
 
 Duration StoreFollower::Jittered(Duration duration) {
--- a/src/discovery/store_follower.h
+++ b/src/discovery/store_follower.h
@@ -24,14 +24,17 @@
   std::vector<RawItem> items;
   bool whole = false;       // All there is; what isn't in it is gone.
   bool store_back = false;  // The store was away and may have lost entries.
+  // The store came back from an older copy: what was known until then.
+  std::optional<StorePosition> restored_from;
 };
 
 // Follows the store: lists everything once, then collects what changed at
 // intervals, one call at a time. A waiting watch would be answered by each
 // heartbeat of each server, so none waits. Lists anew when the store has
-// dropped its history, and backs off while it refuses or is away. What other
-// instances pass on counts as well: revisions are the store's everywhere. Holds
-// no clock and does no I/O. Not thread safe.
+// dropped its history or came back from an older copy, and backs off while it
+// refuses or is away. What other instances pass on counts as well: positions
+// are the store's everywhere. An answer of an earlier era than one that was
+// seen changes nothing. Holds no clock and does no I/O. Not thread safe.
 class StoreFollower {
  public:
   // Without an answer for this long, servers' entries may have lapsed.
@@ -51,8 +54,19 @@
   // new in it.
   std::optional<FeedBatch> OnPassedOn(FeedReply reply, Time now);
 
-  // Up to which revision everything is known; 0: nothing is.
-  std::uint64_t revision() const { return revision_; }
+  // Whether `reply` is of an earlier era of the store than is known here.
+  bool IsOutdated(const FeedReply& reply) const {
+    return reply.era.value_or(era_) < era_;
+  }
+
+  // Whether OnPassedOn(reply) returns what is new in it.
+  bool IsNews(const FeedReply& reply) const;
+
+  // Up to where everything is known; zero: nothing is.
+  StorePosition position() const { return position_; }
+
+  // The store's latest era that was seen; its listing may still be on its way.
+  std::uint64_t era() const { return era_; }
 
   // Whether the store answered the last call.
   bool in_contact() const { return failures_ == 0; }
@@ -62,20 +76,33 @@
 
  private:
   void OnFailure(FeedStatus status, Time now);
+  StorePosition PositionOf(const FeedReply& reply) const {
+    return {reply.era.value_or(era_), reply.revision};
+  }
+  // Notes the era of an answer. Returns whether it is later than the one of
+  // which anything is known, so that this has to be read again.
+  bool AdoptEra(std::uint64_t era);
   std::optional<FeedBatch> OnPage(FeedReply reply, Time now);
+  std::optional<FeedBatch> OnChanges(FeedReply reply,
+                                     StorePosition after,
+                                     Time now);
+  FeedBatch MakeBatch(std::vector<RawItem> items, bool whole);
   void ListAnew(Time now);
   void NoteHeard(Time at);
   Duration Jittered(Duration duration);
 
   StoreFollowerSettings settings_;
   Random random_;
-  bool calling_ = false;
+  std::optional<FeedCall> asked_;
   bool listing_ = true;
   bool first_list_ = true;
   std::string after_key_;
-  std::uint64_t list_revision_ = 0;  // Of the first page.
+  StorePosition list_position_;  // Of the first page.
   std::vector<RawItem> pages_;
-  std::uint64_t revision_ = 0;
+  Time list_began_ = Time::min();  // The last one but the first.
+  std::uint64_t era_ = 0;
+  StorePosition position_;
+  std::optional<StorePosition> restored_from_;
   Time due_ = Time::min();
   Time heard_ = Time::min();
   bool away_ = false;
--- a/src/discovery/tests/feed_test.cc
+++ b/src/discovery/tests/feed_test.cc
@@ -13,10 +13,10 @@
 
 TEST_CASE("A log of what the store says") {
   FeedLog log;
-  log.Reset({{"a", "1", 5}, {"b", "1", 6}}, 10);
+  log.Reset({{"a", "1", 5}, {"b", "1", 6}}, {2, 10});
 
   SUBCASE("passes on everything to whoever knows less than it began with") {
-    const FeedReply reply = log.Since(0);
+    const FeedReply reply = log.Since({});
     CHECK(reply.whole);
     CHECK(reply.items.size() == 2);
     CHECK(reply.revision == 10);
@@ -24,10 +24,10 @@
   SUBCASE("passes on changes, but no heartbeats") {
     log.Add({"a", "2", 11}, true);
     log.Add({"b", "2", 12}, false);
-    log.Advance(12);
-    CHECK(log.HasNewsSince(10));
-    CHECK_FALSE(log.HasNewsSince(11));
-    const FeedReply reply = log.Since(10);
+    log.Advance({2, 12});
+    CHECK(log.HasNewsSince({2, 10}));
+    CHECK_FALSE(log.HasNewsSince({2, 11}));
+    const FeedReply reply = log.Since({2, 10});
     CHECK_FALSE(reply.whole);
     REQUIRE(reply.items.size() == 1);
     CHECK(reply.items[0].key == "a");
@@ -35,17 +35,28 @@
   }
   SUBCASE("passes on that an item is gone") {
     log.Add({"a", std::nullopt, 11}, true);
-    CHECK_FALSE(log.Since(10).items[0].value);
+    CHECK_FALSE(log.Since({2, 10}).items[0].value);
     CHECK(log.Find("a") == nullptr);
   }
   SUBCASE("keeps a bounded history") {
     for (std::uint64_t i = 0; i <= FeedLog::kMostChanges; ++i)
       log.Add({"a", "x", 11 + i}, true);
-    CHECK(log.Since(10).whole);
-    CHECK_FALSE(log.Since(11).whole);
+    CHECK(log.Since({2, 10}).whole);
+    CHECK_FALSE(log.Since({2, 11}).whole);
   }
   SUBCASE("has no news for whoever is ahead of it") {
-    CHECK_FALSE(log.HasNewsSince(20));
+    CHECK_FALSE(log.HasNewsSince({2, 20}));
+    CHECK_FALSE(log.HasNewsSince({3, 1}));
+    CHECK(log.Since({3, 1}).items.empty());
+  }
+  SUBCASE("passes on everything to whoever knows an earlier era") {
+    log.Add({"a", "2", 11}, true);
+    log.Advance({2, 11});
+    CHECK(log.HasNewsSince({1, 500}));
+    const FeedReply reply = log.Since({1, 500});
+    CHECK(reply.whole);
+    CHECK(reply.era == 2);
+    CHECK(reply.items.size() == 2);
   }
 }
 
--- a/src/discovery/tests/store_follower_test.cc
+++ b/src/discovery/tests/store_follower_test.cc
@@ -12,6 +12,7 @@
 FeedReply Reply(std::uint64_t revision, std::vector<RawItem> items = {}) {
   FeedReply reply;
   reply.status = FeedStatus::kOk;
+  reply.era = 1;
   reply.revision = revision;
   reply.items = std::move(items);
   return reply;
@@ -49,7 +50,7 @@
     CHECK(batch->items.size() == 3);
     const auto changes = follower.Turn(kStart, &next);
     REQUIRE(changes);
-    CHECK(std::get<ReadChanges>(*changes).after_revision == 40);
+    CHECK(std::get<ReadChanges>(*changes).after == StorePosition{1, 40});
   }
   SUBCASE("once listed") {
     follower.OnReply(Reply(40, {Item("a", 1)}), kStart);
@@ -93,14 +94,81 @@
     }
     SUBCASE("takes what another instance passes on, and isn't set back by it") {
       CHECK(follower.OnPassedOn(Reply(50, {Item("b", 50)}), kStart));
-      CHECK(follower.revision() == 50);
+      CHECK(follower.position() == StorePosition{1, 50});
       CHECK_FALSE(follower.OnPassedOn(Reply(45, {Item("c", 45)}), kStart));
-      CHECK(follower.revision() == 50);
+      CHECK(follower.position() == StorePosition{1, 50});
 
       SUBCASE("nor by the store's own answer to an earlier question") {
         follower.Turn(kStart + Seconds(2), &next);
         CHECK_FALSE(follower.OnReply(Reply(44), kStart + Seconds(2)));
-        CHECK(follower.revision() == 50);
+        CHECK(follower.position() == StorePosition{1, 50});
+      }
+    }
+    SUBCASE("whose store comes back from an older copy") {
+      const auto in_era = [](std::uint64_t era, FeedReply reply) {
+        reply.era = era;
+        return reply;
+      };
+      Time now = kStart + Seconds(2);
+      REQUIRE(follower.Turn(now, &next));
+
+      SUBCASE("lists anew, and then goes on from the lower revision") {
+        // NOTE Changes since a revision of the other era mean nothing.
+        CHECK_FALSE(
+            follower.OnReply(in_era(2, Reply(70, {Item("z", 60)})), now));
+        const auto again = follower.Turn(now, &next);
+        REQUIRE(again);
+        CHECK_FALSE(std::get<ListPage>(*again).may_be_old);
+        const auto batch =
+            follower.OnReply(in_era(2, Reply(30, {Item("a", 1)})), now);
+        REQUIRE(batch);
+        CHECK(batch->whole);
+        CHECK(batch->store_back);
+        REQUIRE(batch->restored_from);
+        CHECK(*batch->restored_from == StorePosition{1, 42});
+        CHECK(follower.position() == StorePosition{2, 30});
+
+        SUBCASE("and believes no answer of before") {
+          follower.Turn(now + Seconds(2), &next);
+          CHECK_FALSE(follower.OnReply(Reply(90), now + Seconds(2)));
+          CHECK_FALSE(follower.OnPassedOn(Reply(95), now + Seconds(2)));
+          CHECK(follower.position() == StorePosition{2, 30});
+        }
+      }
+      SUBCASE("hears of it from another instance") {
+        FeedReply whole = in_era(2, Reply(30, {Item("a", 1)}));
+        whole.whole = true;
+        const auto batch = follower.OnPassedOn(std::move(whole), now);
+        REQUIRE(batch);
+        CHECK(batch->restored_from);
+
+        SUBCASE("and doesn't take the answer to what it had asked before") {
+          CHECK_FALSE(follower.OnReply(in_era(2, Reply(50)), now));
+          CHECK(follower.position() == StorePosition{2, 30});
+        }
+      }
+      SUBCASE("takes no difference to a time that it doesn't know") {
+        CHECK_FALSE(follower.OnPassedOn(in_era(2, Reply(30)), now));
+        CHECK(follower.position() == StorePosition{1, 42});
+      }
+      SUBCASE("without telling its era, is asked at a pace") {
+        int calls = 0;
+        int listings = 0;
+        follower.OnReply(Failed(FeedStatus::kHistoryLost), now);
+        for (const Time end = now + Seconds(15); now < end; now += Millis(4)) {
+          const auto asked = follower.Turn(now, &next);
+          if (!asked)
+            continue;
+          ++calls;
+          const bool lists = std::holds_alternative<ListPage>(*asked);
+          listings += lists ? 1 : 0;
+          FeedReply reply =
+              lists ? Reply(30) : Failed(FeedStatus::kHistoryLost);
+          reply.era.reset();
+          follower.OnReply(std::move(reply), now);
+        }
+        CHECK(listings <= 16);
+        CHECK(calls <= 32);
       }
     }
     SUBCASE("knows how old the news of another instance is") {
@@ -131,7 +199,7 @@
     CHECK(batch->whole);
     const auto changes = follower.Turn(kStart + Seconds(3), &next);
     REQUIRE(changes);
-    CHECK(std::get<ReadChanges>(*changes).after_revision == 30);
+    CHECK(std::get<ReadChanges>(*changes).after == StorePosition{1, 30});
   }
 }
 
--- a/src/framework/result_code.cc
+++ b/src/framework/result_code.cc
@@ -83,6 +83,8 @@
     {kAnswerMalformed, "answer_malformed", "A server's answer can't be read."},
     {kServerBackoff, "server_backoff",
      "All servers of the shard asked to be left alone for a while; not run."},
+    {kAnswerTooLarge, "answer_too_large",
+     "An answer went on beyond its limit; its connection was closed."},
     {kNoHome, "no_home", "No instance can run the collection."},
     {kPeerUnreachable, "peer_unreachable",
      "Another instance can't be reached."},
--- a/src/framework/result_code.h
+++ b/src/framework/result_code.h
@@ -67,6 +67,7 @@
   kConnectFailed = 5009,
   kAnswerMalformed = 5010,
   kServerBackoff = 5011,
+  kAnswerTooLarge = 5012,
 
   // membership: 6000 to 6999.
   kNoHome = 6001,
--- a/src/net/feed_client.cc
+++ b/src/net/feed_client.cc
@@ -9,6 +9,7 @@
 #include "framework/http_status.h"
 #include "framework/json_schema.h"
 #include "framework/logger.h"
+#include "net/http_text.h"
 
 namespace limpetrudder {
 namespace {
@@ -18,8 +19,12 @@
 // What an answer takes beyond its wait before the other instance is given up.
 constexpr Duration kAnswerTime = Millis(500);
 
-constexpr std::string_view kAfter = "after=";
-constexpr std::string_view kReadsPacked = "&packed=1";
+// The fields of a question.
+constexpr std::string_view kRevision = "after";
+constexpr std::string_view kEra = "era";
+constexpr std::string_view kRoutes = "routes";
+constexpr std::string_view kAtOnce = "now";
+constexpr std::string_view kReadsPacked = "packed";
 
 // The store holds values of one megabyte at most.
 constexpr std::size_t kMostValueBytes = 8 << 20;
@@ -53,6 +58,8 @@
   try {
     const Json& body = json.assume_value();
     reply.revision = body.at("revision");
+    if (body.contains("era"))
+      reply.era = body.at("era").get<std::uint64_t>();
     reply.whole = body.at("whole");
     reply.age = Millis(body.at("age_ms").get<std::int64_t>());
     for (const auto& row : body.at("items")) {
@@ -72,29 +79,59 @@
   return reply;
 }
 
+// Returns the number of a field, or nothing if it isn't there.
+std::optional<std::uint64_t> NumberIn(const std::string& query,
+                                      std::string_view field) {
+  const auto text = QueryField(query, field);
+  std::uint64_t number = 0;
+  if (!text ||
+      std::from_chars(text->data(), text->data() + text->size(), number).ec !=
+          std::errc()) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+std::string EncodeQuestion(const FeedQuestion& question) {
+  std::string path = kFeedPath;
+  const auto append = [&path](char sign, std::string_view field,
+                              std::uint64_t number) {
+    path += sign;
+    path.append(field).append("=").append(std::to_string(number));
+  };
+  append('?', kRevision, question.after.revision);
+  append('&', kEra, question.after.era);
+  if (question.routes_version)
+    append('&', kRoutes, *question.routes_version);
+  append('&', kAtOnce, question.at_once ? 1 : 0);
+  append('&', kReadsPacked, 1);
+  return path;
+}
+
 }  // namespace
 
 FeedRequest ReadFeedRequest(const ServerRequest& request) {
+  const auto number = [&request](std::string_view field) {
+    return NumberIn(request.query, field);
+  };
   FeedRequest feed;
-  std::string_view query = request.query;
-  feed.reads_packed = query.ends_with(kReadsPacked);
-  if (query.starts_with(kAfter)) {
-    std::from_chars(query.data() + kAfter.size(), query.data() + query.size(),
-                    feed.after);
-  }
+  feed.question.after = {number(kEra).value_or(0),
+                         number(kRevision).value_or(0)};
+  feed.question.routes_version = number(kRoutes);
+  feed.question.at_once = number(kAtOnce).value_or(0) != 0;
+  feed.reads_packed = number(kReadsPacked).value_or(0) != 0;
   return feed;
 }
 
 FeedClient::FeedClient(HttpClient* http) : http_(http), next_tag_(kFeedTags) {}
 
 void FeedClient::Ask(const std::string& address,
-                     std::uint64_t after,
+                     const FeedQuestion& question,
                      Handler handler) {
   HttpRequest request;
   request.tag = next_tag_++;
   request.address = address;
-  request.path = std::string(kFeedPath) + "?" + std::string(kAfter) +
-                 std::to_string(after) + std::string(kReadsPacked);
+  request.path = EncodeQuestion(question);
   request.timeout = kFeedWait + kAnswerTime;
   const bool queued =
       http_->Send(std::move(request), [handler](const HttpResponse& response) {
--- a/src/net/feed_client.h
+++ b/src/net/feed_client.h
@@ -12,17 +12,16 @@
 namespace limpetrudder {
 
 // The protocol by which instances pass on what the store says: a question for
-// what changed since a revision waits at the other instance until something
+// what changed since a position waits at the other instance until something
 // has, or kFeedWait is over.
 inline constexpr char kFeedPath[] = "/feed";
-inline constexpr Duration kFeedWait = Millis(900);
 
 struct FeedRequest {
-  std::uint64_t after = 0;    // The revision that the other instance knows.
+  FeedQuestion question;
   bool reads_packed = false;  // It can read compressed values.
 };
 
-// Reads a question; one that names no revision knows nothing. Thread safe.
+// Reads a question; one that names no position knows nothing. Thread safe.
 FeedRequest ReadFeedRequest(const ServerRequest& request);
 
 // Asks other instances. Handlers are called on the HTTP client's thread. All
@@ -34,7 +33,9 @@
   // `http` must outlive this object.
   explicit FeedClient(HttpClient* http);
 
-  void Ask(const std::string& address, std::uint64_t after, Handler handler);
+  void Ask(const std::string& address,
+           const FeedQuestion& question,
+           Handler handler);
 
  private:
   HttpClient* const http_;
--- a/src/net/feed_encoder.cc
+++ b/src/net/feed_encoder.cc
@@ -4,6 +4,7 @@
 
 #include "framework/base64.h"
 #include "framework/deflate.h"
+#include "framework/hash.h"
 #include "framework/json_schema.h"
 
 namespace limpetrudder {
@@ -26,7 +27,8 @@
     items.push_back(std::move(row));
   }
   ServerResponse response;
-  response.body = Json({{"revision", reply.revision},
+  response.body = Json({{"era", reply.era.value_or(0)},
+                        {"revision", reply.revision},
                         {"whole", reply.whole},
                         {"age_ms", WholeMillis(reply.age)},
                         {"items", std::move(items)}})
@@ -35,9 +37,12 @@
 }
 
 const std::string& FeedEncoder::Packed(const RawItem& item) {
-  if (item.key != key_ || item.revision != revision_) {
+  // NOTE A revision doesn't name a value: after the store came back from an
+  // older copy it is given out again.
+  const std::uint64_t hash = Hash64(*item.value);
+  if (item.key != key_ || hash != value_hash_) {
     key_ = item.key;
-    revision_ = item.revision;
+    value_hash_ = hash;
     packed_ = EncodeBase64(Deflate(*item.value));
     ++compressions_;
   }
--- a/src/net/feed_encoder.h
+++ b/src/net/feed_encoder.h
@@ -26,7 +26,7 @@
 
   // The large value that was asked for last.
   std::string key_;
-  std::uint64_t revision_ = 0;
+  std::uint64_t value_hash_ = 0;
   std::string packed_;
   int compressions_ = 0;
 };
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -9,6 +9,8 @@
 
 #include "framework/bounded_ring.h"
 #include "framework/clock.h"
+#include "framework/logger.h"
+#include "framework/result_code.h"
 
 namespace limpetrudder {
 namespace {
@@ -28,6 +30,8 @@
   HttpResponse response;
   CURL* easy = nullptr;
   curl_slist* headers = nullptr;
+  std::size_t head_bytes = 0;  // Of informational answers too.
+  bool too_large = false;
 };
 
 std::size_t OnBody(char* data,
@@ -35,10 +39,22 @@
                    std::size_t count,
                    void* user) {
   auto* transfer = static_cast<Transfer*>(user);
-  transfer->response.body.append(data, size * count);
+  std::string& body = transfer->response.body;
+  transfer->too_large =
+      size * count > transfer->request.max_body_bytes - body.size();
+  if (transfer->too_large)
+    return 0;
+  body.append(data, size * count);
   return size * count;
 }
 
+std::size_t OnHead(char*, std::size_t size, std::size_t count, void* user) {
+  auto* transfer = static_cast<Transfer*>(user);
+  transfer->head_bytes += size * count;
+  transfer->too_large = transfer->head_bytes > kMostHeadBytes;
+  return transfer->too_large ? 0 : size * count;
+}
+
 int OnConnected(void* user, char*, char*, int, int) {
   const auto* transfer = static_cast<Transfer*>(user);
   const auto& may_send = transfer->request.may_send;
@@ -184,6 +200,8 @@
     curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
     curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHead);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer);
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, OnConnected);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer);
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
@@ -248,11 +266,34 @@
     long http_status = 0;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &http_status);
     transfer->response.http_status = static_cast<int>(http_status);
-    transfer->response.status = StatusOf(easy, code);
+    transfer->response.status =
+        transfer->too_large ? TransferStatus::kTooLarge : StatusOf(easy, code);
+    ReadWantedHeader(transfer.get());
+    if (transfer->too_large)
+      GiveUpBody(transfer.get());
     Release(transfer.get());
     transfer->handler(std::move(transfer->response));
   }
 
+  static void ReadWantedHeader(Transfer* transfer) {
+    const std::string& name = transfer->request.wanted_header;
+    curl_header* header = nullptr;
+    if (!name.empty() &&
+        curl_easy_header(transfer->easy, name.c_str(), 0, CURLH_HEADER, -1,
+                         &header) == CURLHE_OK) {
+      transfer->response.header = header->value;
+    }
+  }
+
+  static void GiveUpBody(Transfer* transfer) {
+    Log(LogLevel::kWarning, "answer_too_large",
+        {{"code", NumberOf(ResultCode::kAnswerTooLarge)},
+         {"address", transfer->request.address},
+         {"head_bytes", transfer->head_bytes},
+         {"body_bytes", transfer->response.body.size()}});
+    transfer->response.body = std::string();
+  }
+
   void Release(Transfer* transfer) {
     curl_multi_remove_handle(multi_, transfer->easy);
     curl_slist_free_all(transfer->headers);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,11 @@
 
 namespace limpetrudder {
 
+// The longest answers that are taken: the store's values and pages have one
+// megabyte; what an instance passes on of a large fleet has a few.
+inline constexpr std::size_t kMostBodyBytes = 16 << 20;
+inline constexpr std::size_t kMostHeadBytes = 64 << 10;
+
 struct HttpRequest {
   std::uint64_t tag = 0;  // Names the request for Abort(); must be unique.
   std::string method = "GET";
@@ -19,6 +25,10 @@
   std::vector<std::string> headers;
   std::string body;
   Duration timeout{0};
+  // The header whose value is wanted with the answer, if any.
+  std::string wanted_header;
+  // An answer with a longer body or head is given up and its connection closed.
+  std::size_t max_body_bytes = kMostBodyBytes;
   // Open a connection for this request, and close it afterwards. libcurl sends
   // a request again if a reused connection turns out dead, so work that must
   // run once needs this.
@@ -33,12 +43,15 @@
   kNotSent,        // may_send() said no.
   kFailed,         // The connection broke after something may have been sent.
   kTimedOut,       // No whole answer in time, though something was sent.
+  kTooLarge,       // The answer went on beyond its limit.
 };
 
 struct HttpResponse {
   std::uint64_t tag = 0;
   TransferStatus status = TransferStatus::kFailed;
   int http_status = 0;  // For kAnswered.
+  // Of the header that was wanted; nothing: the answer doesn't have it.
+  std::optional<std::string> header;
   std::string body;
 };
 
--- a/src/net/http_text.cc
+++ b/src/net/http_text.cc
@@ -55,6 +55,18 @@
     AppendHeader(head, header.name, header.value);
 }
 
+std::optional<std::string> QueryField(std::string_view query,
+                                      std::string_view name) {
+  while (!query.empty()) {
+    const std::string_view field = query.substr(0, query.find('&'));
+    const std::size_t sign = field.find('=');
+    if (sign != std::string_view::npos && field.substr(0, sign) == name)
+      return std::string(field.substr(sign + 1));
+    query.remove_prefix(std::min(query.size(), field.size() + 1));
+  }
+  return std::nullopt;
+}
+
 void AppendRequestLine(std::string* head,
                        std::string_view method,
                        std::string_view target) {
--- a/src/net/http_text.h
+++ b/src/net/http_text.h
@@ -1,6 +1,7 @@
 #ifndef NET_HTTP_TEXT_H_
 #define NET_HTTP_TEXT_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,6 +26,11 @@
 std::string_view HeaderValue(const std::vector<HeaderField>& headers,
                              std::string_view name);
 
+// Returns the value of the first field called `name` in a query such as
+// "a=1&b=2", undecoded, or nothing if there is none. Thread safe.
+std::optional<std::string> QueryField(std::string_view query,
+                                      std::string_view name);
+
 // Appends the first line of a request. Thread safe.
 void AppendRequestLine(std::string* head,
                        std::string_view method,
--- a/src/net/internal/target_codec.cc
+++ b/src/net/internal/target_codec.cc
@@ -50,6 +50,7 @@
       return ResultCode::kConnectFailed;
     case TransferStatus::kFailed:
     case TransferStatus::kTimedOut:
+    case TransferStatus::kTooLarge:
       return ResultCode::kTransportFailed;
   }
   return ResultCode::kTransportFailed;
--- a/src/net/platform_client.cc
+++ b/src/net/platform_client.cc
@@ -19,6 +19,7 @@
       return KvStatus::kUnavailable;
     case TransferStatus::kFailed:
     case TransferStatus::kTimedOut:
+    case TransferStatus::kTooLarge:
       return KvStatus::kUnknown;
     case TransferStatus::kAnswered:
       break;
--- a/src/net/target_client.cc
+++ b/src/net/target_client.cc
@@ -32,6 +32,7 @@
       return RunResult::kNeverSent;
     case TransferStatus::kFailed:
     case TransferStatus::kTimedOut:
+    case TransferStatus::kTooLarge:
       return RunResult::kLost;
   }
   return RunResult::kLost;
--- a/src/net/tests/peer_feed_test.cc
+++ b/src/net/tests/peer_feed_test.cc
@@ -191,16 +191,18 @@
       {"127.0.0.1", 47931},
       [&](const ServerRequest& request, const Responder& respond) {
         const FeedRequest feed = ReadFeedRequest(request);
-        if (feed.after == 7 || feed.after == 8) {
+        if (feed.question.after.revision == 7 ||
+            feed.question.after.revision == 8) {
           FeedReply reply;
+          reply.era = feed.question.after.era;
           reply.revision = 9;
           reply.age = Millis(120);
           reply.items = {{"a", "{\"x\":1}", 8}, {"b", std::nullopt, 9}};
-          if (feed.after == 8)
+          if (feed.question.after.revision == 8)
             reply.items = {{"large", large, 9}};
           return respond(encoder.Encode(reply, feed.reads_packed));
         }
-        if (feed.after == 6) {
+        if (feed.question.after.revision == 6) {
           ServerResponse damaged;
           damaged.body =
               R"({"revision":9,"whole":false,"age_ms":0,"items":[)"
@@ -216,7 +218,7 @@
   FeedClient client(&http);
   const auto ask = [&client](std::uint64_t after) {
     std::promise<FeedReply> answer;
-    client.Ask("127.0.0.1:47931", after,
+    client.Ask("127.0.0.1:47931", {{4, after}, 12, false},
                [&answer](FeedReply reply) { answer.set_value(reply); });
     return answer.get_future().get();
   };
@@ -225,6 +227,7 @@
     const FeedReply reply = ask(7);
     CHECK(reply.status == FeedStatus::kOk);
     CHECK(reply.revision == 9);
+    CHECK(reply.era == 4);
     CHECK(reply.age == Millis(120));
     REQUIRE(reply.items.size() == 2);
     CHECK(*reply.items[0].value == "{\"x\":1}");
@@ -241,6 +244,11 @@
     whole.items = {{"large", large, 9}};
     CHECK(encoder.Encode(whole, true).body.size() < large.size() / 2);
 
+    SUBCASE("and anew if the store gave its revision out again") {
+      whole.items.front().value = large + "!";
+      CHECK(encoder.Encode(whole, true).body != encoder.Encode({}, true).body);
+      CHECK(encoder.compressions() == 2);
+    }
     SUBCASE("and plain for one that can't read that") {
       CHECK(encoder.Encode(whole, false).body.size() > large.size());
     }
@@ -254,5 +262,30 @@
   http.Stop();
 }
 
+TEST_CASE("A question for another instance") {
+  ServerRequest request;
+
+  SUBCASE("names position, routes and whether it waits") {
+    request.query = "after=940&era=5&routes=7&now=1&packed=1";
+    const FeedRequest feed = ReadFeedRequest(request);
+    CHECK(feed.question.after == StorePosition{5, 940});
+    CHECK(feed.question.routes_version == 7);
+    CHECK(feed.question.at_once);
+    CHECK(feed.reads_packed);
+  }
+  SUBCASE("of an instance that doesn't tell its routes") {
+    request.query = "after=940&packed=1";
+    const FeedRequest feed = ReadFeedRequest(request);
+    CHECK(feed.question.after == StorePosition{0, 940});
+    CHECK_FALSE(feed.question.routes_version);
+  }
+  SUBCASE("that can't be read comes from one that knows nothing") {
+    request.query = "after=x&era=&routes";
+    const FeedRequest feed = ReadFeedRequest(request);
+    CHECK(feed.question.after == StorePosition{});
+    CHECK_FALSE(feed.question.routes_version);
+  }
+}
+
 }  // namespace
 }  // namespace limpetrudder
--- a/testing/soak/store_stand_in.cc
+++ b/testing/soak/store_stand_in.cc
@@ -7,6 +7,7 @@
 
 #include "framework/base64.h"
 #include "framework/clock.h"
+#include "net/http_text.h"
 
 namespace limpetrudder::testbed {
 namespace {
@@ -19,18 +20,6 @@
 constexpr char kRenewPath[] = "/limpetrudder/kv-keep/";
 constexpr char kEndPath[] = "/limpetrudder/kv-lease-end/";
 
-std::string ParameterOf(const ServerRequest& request, std::string_view name) {
-  const std::string wanted = std::string(name) + "=";
-  std::string_view query = request.query;
-  while (!query.empty()) {
-    const std::string_view field = query.substr(0, query.find('&'));
-    if (field.starts_with(wanted))
-      return std::string(field.substr(wanted.size()));
-    query.remove_prefix(std::min(query.size(), field.size() + 1));
-  }
-  return {};
-}
-
 std::uint64_t NumberOf(std::string_view text) {
   std::uint64_t number = 0;
   std::from_chars(text.data(), text.data() + text.size(), number);
@@ -98,7 +87,7 @@
 
 ServerResponse StoreStandIn::List(const ServerRequest& request) const {
   Json items = Json::array();
-  const std::string after = ParameterOf(request, "after");
+  const std::string after = QueryField(request.query, "after").value_or("");
   auto item = after.empty() ? items_.begin() : items_.upper_bound(after);
   for (; item != items_.end() && items.size() < kPageItems; ++item) {
     items.push_back({{"Key", item->first},
@@ -112,7 +101,8 @@
 }
 
 ServerResponse StoreStandIn::Changes(const ServerRequest& request) const {
-  const std::uint64_t after = NumberOf(ParameterOf(request, "after"));
+  const std::uint64_t after =
+      NumberOf(QueryField(request.query, "after").value_or(""));
   if (after < floor_)
     return Reply(410, Json::object());
   Json events = Json::array();
