--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -28,8 +28,8 @@
 constexpr Duration kProbeTimeout = Millis(400);
 
 // Until a configuration gives limits.
-constexpr std::size_t kMostBodyBytes = 8 << 20;
-constexpr std::size_t kMostHeaderBytes = 64 << 10;
+constexpr std::size_t kMostRequestBytes = 8 << 20;
+constexpr std::size_t kMostRequestHeadBytes = 64 << 10;
 constexpr auto kReadTimeout = std::chrono::seconds(120);
 
 Json FailedLegs(const CallRecord& record) {
@@ -45,8 +45,13 @@
 
 }  // namespace
 
-DispatchDuty::DispatchDuty(DispatchSettings settings, EntryState* state)
-    : state_(state), engine_(std::move(settings)), next_probe_(kProbeIds) {}
+DispatchDuty::DispatchDuty(DispatchSettings settings,
+                           std::size_t max_buffered_bytes,
+                           EntryState* state)
+    : max_buffered_bytes_(max_buffered_bytes),
+      state_(state),
+      engine_(std::move(settings)),
+      next_probe_(kProbeIds) {}
 
 DispatchDuty::~DispatchDuty() = default;
 
@@ -55,12 +60,12 @@
   asio::io_context* context = mailbox->context();
   timer_ = std::make_unique<asio::steady_timer>(*context);
   pool_ = std::make_unique<TargetPool>(
-      context, PoolSettings(),
+      context, PoolSettings(max_buffered_bytes_),
       [this](PoolResponse response) { OnResponse(std::move(response)); });
   const Endpoint endpoint = SplitAddress(caller_address);
   callers_ = std::make_unique<HttpServer>(
-      HttpServerSettings{endpoint.ip, endpoint.port, kMostBodyBytes,
-                         kMostHeaderBytes, kReadTimeout, context},
+      HttpServerSettings{endpoint.ip, endpoint.port, kMostRequestBytes,
+                         kMostRequestHeadBytes, kReadTimeout, context},
       [this](ServerRequest request, Responder respond) {
         OnRequest(std::move(request), std::move(respond));
       },
--- a/src/app/dispatch_duty.h
+++ b/src/app/dispatch_duty.h
@@ -45,7 +45,10 @@
   using Mailbox = DutyThread<DispatchEvent, DispatchDuty>;
 
   // `state` must outlive this object.
-  DispatchDuty(DispatchSettings settings, EntryState* state);
+  // `max_buffered_bytes`: what answers that are being read may take together.
+  DispatchDuty(DispatchSettings settings,
+               std::size_t max_buffered_bytes,
+               EntryState* state);
   ~DispatchDuty();
 
   // Opens the callers' port on the mailbox's thread. Call once, before the
@@ -115,6 +118,7 @@
   void Carry(const PaceBelief& action);
   void Count(const CallRecord& record);
 
+  const std::size_t max_buffered_bytes_;
   EntryState* const state_;
   NewerRoutesHandler on_newer_routes_;
   DispatchEngine engine_;
--- a/src/app/entry_app.cc
+++ b/src/app/entry_app.cc
@@ -56,6 +56,12 @@
   return settings;
 }
 
+// Answers that are being read may take a quarter of the memory; a sound day
+// takes a few megabytes of it.
+std::size_t MostBufferedBytes(const EntrySettings& settings) {
+  return static_cast<std::size_t>(settings.memory_mb * 0x1p20 / 4);
+}
+
 InstanceEntry OwnEntry(const EntrySettings& settings) {
   InstanceEntry own;
   own.name = settings.instance;
@@ -93,6 +99,7 @@
           {OwnEntry(settings_), settings_.regions, settings_.retry_budget,
            Hash64(settings_.instance,
                   static_cast<std::uint64_t>(UnixMillis()))},
+          MostBufferedBytes(settings_),
           &state_),
       discovery_duty_({{kReadInterval, Hash64(settings_.instance)},
                        OwnEntry(settings_),
--- a/src/app/entry_settings.cc
+++ b/src/app/entry_settings.cc
@@ -26,6 +26,7 @@
       "pattern": "^[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}$"},
     "cores": {"type": "number", "exclusiveMinimum": 0},
     "link_mbps": {"type": "number", "exclusiveMinimum": 0},
+    "memory_mb": {"type": "number", "minimum": 32, "maximum": 1048576},
     "retry_budget": {
       "type": "object", "additionalProperties": false,
       "required": ["ratio", "slack"],
@@ -50,6 +51,7 @@
   settings.store_address = json.at("store_address");
   settings.cores = json.value("cores", settings.cores);
   settings.link_mbps = json.value("link_mbps", settings.link_mbps);
+  settings.memory_mb = json.value("memory_mb", settings.memory_mb);
   const auto& budget = json.at("retry_budget");
   settings.retry_budget = {budget.at("ratio"), budget.at("slack")};
   settings.stop_bound = Millis(json.at("stop_bound_ms").get<std::int64_t>());
--- a/src/app/entry_settings.h
+++ b/src/app/entry_settings.h
@@ -1,6 +1,7 @@
 #ifndef APP_ENTRY_SETTINGS_H_
 #define APP_ENTRY_SETTINGS_H_
 
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -25,6 +26,8 @@
   std::string store_address;
   double cores = 1;        // This instance's share of a processor.
   double link_mbps = 100;  // Of its link, in Mbit/s.
+  // What the process may take; beyond it the platform ends it.
+  double memory_mb = 256;
   RetryBudgetTerms retry_budget;
   Duration stop_bound{0};  // From the stop signal to the exit.
   LogLevel log_level = LogLevel::kInfo;
--- a/src/dispatch/dispatch_engine_legs.cc
+++ b/src/dispatch/dispatch_engine_legs.cc
@@ -26,6 +26,8 @@
 ResultCode CodeOf(const TargetReply& reply) {
   if (reply.outcome == SendOutcome::kNotSent)
     return ResultCode::kConnectFailed;
+  if (reply.outcome == SendOutcome::kTooLarge)
+    return ResultCode::kAnswerTooLarge;
   if (reply.outcome != SendOutcome::kAnswered)
     return ResultCode::kTransportFailed;
   if (reply.misdirected)
@@ -184,9 +186,9 @@
                 .route = call->route,
                 .sent = now,
                 .started_ms = entry.started_ms};
-  actions_.emplace_back(SendToServer{id, entry.id, entry.address,
-                                     call->call.message, call->deadline - now,
-                                     !call->may_repeat()});
+  actions_.emplace_back(SendToServer{
+      id, entry.id, entry.address, call->call.message, call->deadline - now,
+      !call->may_repeat(), detail::MostBodyBytes(*call->route)});
   if (leg.open_sends.size() == 1)
     PlanHedge(call, &leg, *choice.server, now);
 }
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -72,6 +72,7 @@
   kBroken,      // It may have run; there is no whole answer.
   kTurnedAway,  // As kBroken, by a reset of the connection just opened for it:
                 // a server takes so many connections, and no more.
+  kTooLarge,    // As kBroken, by an answer that went on beyond its limit.
 };
 
 struct TargetReply {
@@ -165,7 +166,8 @@
   std::string address;
   std::shared_ptr<const RequestMessage> message;
   Duration time_left{0};
-  bool fresh_connection = false;  // Or one that was used a moment ago.
+  bool fresh_connection = false;   // Or one that was used a moment ago.
+  std::size_t max_body_bytes = 0;  // Of the answer.
 };
 
 // Has another instance gather the parts of a query, or only those of `shards`.
--- a/src/dispatch/internal/answer_policy.cc
+++ b/src/dispatch/internal/answer_policy.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "dispatch/internal/record_merge.h"
+
 namespace limpetrudder::detail {
 namespace {
 
@@ -43,6 +45,16 @@
   return route.latency_target - way;
 }
 
+std::size_t MostBodyBytes(const Route& route) {
+  constexpr std::size_t kMostSingleBytes = 8 << 20;
+  constexpr std::size_t kLeastPartBytes = 256 << 10;
+  constexpr std::size_t kRecordsPerTopRecord = 64;
+  if (!route.is_scatter())
+    return kMostSingleBytes;
+  return std::max(kLeastPartBytes,
+                  kRecordsPerTopRecord * route.top_records * kRecordBytes);
+}
+
 std::uint32_t FewestParts(const Route& route) {
   const double wanted =
       route.coverage_floor * static_cast<double>(route.shards.size());
--- a/src/dispatch/internal/answer_policy.h
+++ b/src/dispatch/internal/answer_policy.h
@@ -24,6 +24,10 @@
 // caller gets within the latency target. Thread safe.
 Duration TargetHere(const Route& route, bool new_connection);
 
+// The longest body of a server's answer: a part has no use for more records
+// than the merged answer, but servers send some more. Thread safe.
+std::size_t MostBodyBytes(const Route& route);
+
 // The fewest shards that an answer must hold: its share is not below the floor.
 std::uint32_t FewestParts(const Route& route);
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -9,14 +9,10 @@
 #include <vector>
 
 #include "framework/time.h"
+#include "net/answer_limits.h"
 
 namespace limpetrudder {
 
-// The longest answers that are taken: the store's values and pages have one
-// megabyte; what an instance passes on of a large fleet has a few.
-inline constexpr std::size_t kMostBodyBytes = 16 << 20;
-inline constexpr std::size_t kMostHeadBytes = 64 << 10;
-
 struct HttpRequest {
   std::uint64_t tag = 0;  // Names the request for Abort(); must be unique.
   std::string method = "GET";
--- a/src/net/internal/response_reader.cc
+++ b/src/net/internal/response_reader.cc
@@ -1,8 +1,10 @@
 #include "net/internal/response_reader.h"
 
 #include <charconv>
+#include <limits>
 #include <string_view>
 
+#include "net/answer_limits.h"
 #include "net/http_text.h"
 
 namespace limpetrudder::detail {
@@ -17,10 +19,10 @@
 }  // namespace
 
 ResponseReader::ResponseReader() {
-  Begin(false);
+  Begin(false, kMostBodyBytes);
 }
 
-void ResponseReader::Begin(bool head_only) {
+void ResponseReader::Begin(bool head_only, std::size_t max_body_bytes) {
   http_parser_init(&parser_, HTTP_RESPONSE);
   parser_.data = this;
   state_ = State::kReading;
@@ -29,6 +31,9 @@
   in_value_ = false;
   keep_alive_ = false;
   status_ = 0;
+  max_body_bytes_ = max_body_bytes;
+  head_bytes_ = 0;
+  informational_ = 0;
   headers_.clear();
   body_.clear();
 }
@@ -38,9 +43,12 @@
   const std::size_t used =
       http_parser_execute(&parser_, &Callbacks(), data, size);
   const auto error = HTTP_PARSER_ERRNO(&parser_);
-  if (state_ == State::kComplete)
+  if (state_ != State::kReading)
     return used;
-  if (error != HPE_OK || parser_.upgrade != 0)
+  // NOTE The parser bounds what it doesn't hand over, such as the first line.
+  if (error == HPE_HEADER_OVERFLOW)
+    state_ = State::kTooLarge;
+  else if (error != HPE_OK || parser_.upgrade != 0)
     state_ = State::kMalformed;
   return used;
 }
@@ -68,6 +76,20 @@
   return Duration(0);
 }
 
+int ResponseReader::StopAsTooLarge() {
+  state_ = State::kTooLarge;
+  headers_.clear();
+  body_ = std::string();
+  return -1;
+}
+
+int ResponseReader::CountHead(std::size_t size) {
+  head_bytes_ += size;
+  if (head_bytes_ > kMostHeadBytes || headers_.size() > kMostHeadFields)
+    return StopAsTooLarge();
+  return 0;
+}
+
 int ResponseReader::OnField(http_parser* parser,
                             const char* data,
                             std::size_t size) {
@@ -76,7 +98,7 @@
     reader->headers_.emplace_back();
   reader->in_value_ = false;
   reader->headers_.back().name.append(data, size);
-  return 0;
+  return reader->CountHead(size);
 }
 
 int ResponseReader::OnValue(http_parser* parser,
@@ -85,19 +107,27 @@
   ResponseReader* reader = ReaderOf(parser);
   reader->in_value_ = true;
   reader->headers_.back().value.append(data, size);
-  return 0;
+  return reader->CountHead(size);
 }
 
 int ResponseReader::OnHeadersComplete(http_parser* parser) {
   ResponseReader* reader = ReaderOf(parser);
   reader->status_ = static_cast<int>(parser->status_code);
-  return reader->head_only_ ? 1 : 0;
+  if (reader->head_only_)
+    return 1;
+  constexpr auto kNoLength = std::numeric_limits<std::uint64_t>::max();
+  const bool too_long = parser->content_length != kNoLength &&
+                        parser->content_length > reader->max_body_bytes_;
+  return too_long ? reader->StopAsTooLarge() : 0;
 }
 
 int ResponseReader::OnBody(http_parser* parser,
                            const char* data,
                            std::size_t size) {
-  ReaderOf(parser)->body_.append(data, size);
+  ResponseReader* reader = ReaderOf(parser);
+  if (size > reader->max_body_bytes_ - reader->body_.size())
+    return reader->StopAsTooLarge();
+  reader->body_.append(data, size);
   return 0;
 }
 
@@ -106,7 +136,9 @@
   if (parser->status_code < kFirstFinalStatus) {
     reader->headers_.clear();
     reader->in_value_ = false;
-    return 0;
+    return ++reader->informational_ > kMostInformational
+               ? reader->StopAsTooLarge()
+               : 0;
   }
   reader->keep_alive_ = http_should_keep_alive(parser) != 0;
   reader->state_ = State::kComplete;
--- a/src/net/internal/response_reader.h
+++ b/src/net/internal/response_reader.h
@@ -13,13 +13,15 @@
 namespace limpetrudder::detail {
 
 // Reads one HTTP/1.1 answer at a time from the bytes of a connection.
-// Informational answers are skipped. Not thread safe.
+// Informational answers are skipped. An answer that goes on without end is
+// given up at the limits of net/answer_limits.h. Not thread safe.
 class ResponseReader {
  public:
   enum class State {
     kReading,
     kComplete,
     kMalformed,
+    kTooLarge,  // It went on beyond a limit.
   };
 
   ResponseReader();
@@ -28,7 +30,7 @@
   ResponseReader& operator=(const ResponseReader&) = delete;
 
   // Expects the next answer; `head_only` ones have no body.
-  void Begin(bool head_only);
+  void Begin(bool head_only, std::size_t max_body_bytes);
 
   // Reads bytes; returns how many belong to the answer. Those behind it don't.
   std::size_t Read(const char* data, std::size_t size);
@@ -37,6 +39,8 @@
   void ReadEnd();
 
   State state() const { return state_; }
+  // The memory that the answer takes so far.
+  std::size_t held_bytes() const { return head_bytes_ + body_.capacity(); }
   bool started() const { return started_; }
   int status() const { return status_; }
   bool keep_alive() const { return keep_alive_; }
@@ -54,6 +58,9 @@
   static int OnBody(http_parser* parser, const char* data, std::size_t size);
   static int OnComplete(http_parser* parser);
   static const http_parser_settings& Callbacks();
+  // Counts bytes of the head. Returns what a callback has to: 0 to go on.
+  int CountHead(std::size_t size);
+  int StopAsTooLarge();
 
   http_parser parser_{};
   State state_ = State::kReading;
@@ -62,6 +69,9 @@
   bool in_value_ = false;
   bool keep_alive_ = false;
   int status_ = 0;
+  std::size_t max_body_bytes_ = 0;
+  std::size_t head_bytes_ = 0;  // With informational answers before it.
+  int informational_ = 0;
   std::vector<HeaderField> headers_;
   std::string body_;
 };
--- a/src/net/target_pool.cc
+++ b/src/net/target_pool.cc
@@ -1,5 +1,6 @@
 #include "net/target_pool.h"
 
+#include <algorithm>
 #include <array>
 #include <unordered_map>
 #include <utility>
@@ -9,6 +10,8 @@
 #include <asio.hpp>
 
 #include "framework/clock.h"
+#include "framework/logger.h"
+#include "framework/result_code.h"
 #include "net/http_text.h"
 #include "net/internal/response_reader.h"
 
@@ -81,7 +84,8 @@
     }
     busy_[request.id] = connection;
     connection->request = std::move(request);
-    connection->reader.Begin(connection->request.head_only);
+    BeginAnswer(connection);
+    connection->foreign_answers = 0;
     connection->began = SteadyNow();
     connection->written = false;
     connection->sent = false;
@@ -98,6 +102,7 @@
       return;
     const auto connection = std::move(found->second);
     busy_.erase(found);
+    Uncount(connection);
     const bool silent = !connection->reader.started() &&
                         SteadyNow() - connection->began > kSilence;
     connection->Shut();
@@ -114,6 +119,8 @@
     idle_.erase(found);
   }
 
+  std::size_t buffered_bytes() const { return buffered_bytes_; }
+
  private:
   struct Connection {
     explicit Connection(asio::io_context* context)
@@ -136,6 +143,8 @@
     Time idle_since{};
     Time idle_until{};
     Duration connect_time{0};
+    std::size_t counted_bytes = 0;  // Of buffered_bytes_.
+    int foreign_answers = 0;
     bool sent = false;     // Some byte of the request may have left.
     bool written = false;  // All of them have.
     bool idle = false;
@@ -143,6 +152,33 @@
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
 
+  void BeginAnswer(const ConnectionPtr& connection) {
+    connection->reader.Begin(connection->request.head_only,
+                             connection->request.max_body_bytes);
+  }
+
+  void Count(const ConnectionPtr& connection) {
+    const std::size_t held = connection->reader.held_bytes();
+    buffered_bytes_ += held - connection->counted_bytes;
+    connection->counted_bytes = held;
+  }
+
+  void Uncount(const ConnectionPtr& connection) {
+    buffered_bytes_ -= std::exchange(connection->counted_bytes, 0);
+  }
+
+  // Gives up the largest answers until the others fit.
+  void KeepWithinBuffers() {
+    while (buffered_bytes_ > settings_.max_buffered_bytes) {
+      const auto largest = std::max_element(
+          busy_.begin(), busy_.end(), [](const auto& a, const auto& b) {
+            return a.second->counted_bytes < b.second->counted_bytes;
+          });
+      const ConnectionPtr connection = largest->second;
+      Fail(connection, SendOutcome::kTooLarge);
+    }
+  }
+
   ConnectionPtr TakeIdle(const std::string& server, bool fresh) {
     const auto found = idle_.find(server);
     if (found == idle_.end())
@@ -259,7 +295,13 @@
                                       size - used);
       switch (connection->reader.state()) {
         case detail::ResponseReader::State::kReading:
-          return Read(connection);
+          Count(connection);
+          KeepWithinBuffers();
+          if (!connection->closed)
+            Read(connection);
+          return;
+        case detail::ResponseReader::State::kTooLarge:
+          return Fail(connection, SendOutcome::kTooLarge);
         case detail::ResponseReader::State::kMalformed:
           return Fail(connection, SendOutcome::kBroken);
         case detail::ResponseReader::State::kComplete:
@@ -270,7 +312,9 @@
       if (!connection->reader.keep_alive())
         return Fail(connection, SendOutcome::kBroken);
       // A late answer to an earlier request; the right one comes behind it.
-      connection->reader.Begin(connection->request.head_only);
+      if (++connection->foreign_answers > kMostForeignAnswers)
+        return Fail(connection, SendOutcome::kTooLarge);
+      BeginAnswer(connection);
       if (used == size)
         return Read(connection);
     }
@@ -295,6 +339,7 @@
     response.headers = connection->reader.TakeHeaders();
     response.body = connection->reader.TakeBody();
     busy_.erase(response.id);
+    Uncount(connection);
     if (reusable)
       Keep(connection, announced);
     else
@@ -333,7 +378,15 @@
     response.id = connection->request.id;
     response.outcome = outcome;
     response.connect_time = connection->connect_time;
+    if (outcome == SendOutcome::kTooLarge) {
+      Log(LogLevel::kWarning, "answer_too_large",
+          {{"code", NumberOf(ResultCode::kAnswerTooLarge)},
+           {"server", connection->server},
+           {"buffered_bytes", connection->counted_bytes},
+           {"foreign_answers", connection->foreign_answers}});
+    }
     busy_.erase(response.id);
+    Uncount(connection);
     connection->Shut();
     handler_(std::move(response));
   }
@@ -341,6 +394,7 @@
   asio::io_context* const context_;
   const TargetPoolSettings settings_;
   const Handler handler_;
+  std::size_t buffered_bytes_ = 0;
   std::unordered_map<std::uint64_t, ConnectionPtr> busy_;
   std::unordered_map<std::string, std::vector<ConnectionPtr>> idle_;
 };
@@ -366,4 +420,8 @@
   impl_->Drop(server);
 }
 
+std::size_t TargetPool::buffered_bytes() const {
+  return impl_->buffered_bytes();
+}
+
 }  // namespace limpetrudder
--- a/src/net/target_pool.h
+++ b/src/net/target_pool.h
@@ -10,6 +10,7 @@
 #include <asio/io_context.hpp>
 
 #include "dispatch/dispatch_types.h"
+#include "net/answer_limits.h"
 
 namespace limpetrudder {
 
@@ -22,6 +23,8 @@
   std::string echo;        // What the server echoes to tell whose answer it is.
   bool head_only = false;  // The answer has no body, as to HEAD.
   bool fresh_connection = false;  // Or one that was used a moment ago.
+  // An answer with a longer body is given up.
+  std::size_t max_body_bytes = kMostBodyBytes;
 };
 
 struct PoolResponse {
@@ -37,12 +40,17 @@
   // The header in which servers echo a request's id. An answer that echoes
   // another one's is dropped.
   std::string echo_header;
+  // What answers that are still being read may take together. Beyond it the
+  // largest one is given up.
+  std::size_t max_buffered_bytes = std::size_t{64} << 20;
 };
 
 // Makes requests over connections that are kept for each server. A request is
 // sent once: nothing is sent again on a connection that turns out dead. A
-// connection on which a byte comes that belongs to no request is closed. Runs
-// on the thread of its io_context; not thread safe.
+// connection on which a byte comes that belongs to no request is closed. A peer
+// may send without end: head, body, and what comes before the answer are
+// bounded for each request. Runs on the thread of its io_context; not thread
+// safe.
 class TargetPool {
  public:
   // Called once for each request that wasn't cancelled, never from Send().
@@ -65,6 +73,9 @@
   // Closes the idle connections of a server that is gone.
   void Drop(const std::string& server);
 
+  // What answers that are still being read take.
+  std::size_t buffered_bytes() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/testing/soak/entry_process.cc
+++ b/testing/soak/entry_process.cc
@@ -90,4 +90,15 @@
   return true;
 }
 
+std::size_t EntryProcess::ResidentBytes() const {
+  if (!running())
+    return 0;
+  // Pages in all, and those that are resident.
+  std::ifstream pages("/proc/" + std::to_string(pid_) + "/statm");
+  std::size_t all = 0;
+  std::size_t resident = 0;
+  pages >> all >> resident;
+  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
 }  // namespace limpetrudder::testbed
--- a/testing/soak/entry_process.h
+++ b/testing/soak/entry_process.h
@@ -34,6 +34,9 @@
   // Whether the process has ended; then it can be started again.
   bool Ended();
 
+  // The memory that the process has now; 0 if it doesn't run.
+  std::size_t ResidentBytes() const;
+
   bool running() const { return pid_ > 0; }
   bool paused() const { return paused_; }
   bool stopping() const { return stopping_; }
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -32,6 +32,9 @@
 constexpr int kBehindProxy = 500;
 constexpr int kEntryPorts = 1200;
 
+// Of an entry instance: the smallest machines of the platform.
+constexpr std::size_t kMostResident = std::size_t{160} << 20;
+
 constexpr Duration kBeat = Millis(400);
 constexpr Duration kWarmUp = Millis(3500);
 constexpr Duration kLastCalm = Millis(6000);
@@ -198,6 +201,11 @@
   ++sequence_;
   for (const auto& server : servers_)
     store_.Put("servers/" + server->id(), server->Entry(sequence_));
+  store_.KeepCopy();
+  for (const auto& entry : entries_) {
+    if (entry->ResidentBytes() > kMostResident)
+      Break(entry->place().name + " takes more memory than it has");
+  }
 }
 
 void Soak::AskNext() {
@@ -432,10 +440,14 @@
     return Undo(Millis(10), [] {});
   }
   if (draw == 9) {
-    Say(server->id() + " proxy refuse");
-    proxy->SetMode(ProxyMode::kRefuse);
+    const auto mode = index % 2 == 0 ? ProxyMode::kRefuse : ProxyMode::kEndless;
+    Say(server->id() + " proxy " + std::string(NameOf(kProxyModeNames, mode)));
+    proxy->SetMode(mode);
     proxy->ResetAll();
-    return Undo(lasts, [proxy] { proxy->SetMode(ProxyMode::kPass); });
+    return Undo(lasts, [proxy] {
+      proxy->SetMode(ProxyMode::kPass);
+      proxy->ResetAll();
+    });
   }
   Say(server->id() + " drains");
   server->SetDraining(true);
@@ -460,6 +472,9 @@
       store_.SetLosing(true);
       return Undo(lasts, [this] { store_.SetLosing(false); });
     case 2:
+      // NOTE Not a draw of its own, so that old seeds play as they did.
+      if (faults_ % 2 == 0)
+        return Drill(lasts);
       Say("store forgets its history");
       store_.ForgetHistory();
       return Undo(Millis(10), [] {});
@@ -477,6 +492,14 @@
   }
 }
 
+// The operator writes again what the copy lacks; servers do so by themselves.
+void Soak::Drill(Duration age) {
+  Say("store comes back from a copy, " + std::to_string(WholeMillis(age)) +
+      " ms old");
+  store_.Restore(age);
+  Undo(Millis(300), [this] { store_.Put("op/config", Config(version_)); });
+}
+
 void Soak::ChangeConfig() {
   version_ += 1 + random_.Below(3);
   Say("configuration " + std::to_string(version_));
--- a/testing/soak/soak.h
+++ b/testing/soak/soak.h
@@ -80,6 +80,7 @@
   void HarmEntry(EntryProcess* entry);
   void HarmServer();
   void HarmStore();
+  void Drill(Duration age);
   void ChangeConfig();
   void EndFaults(Time now);
   void Undo(Duration after, std::function<void()> undo);
--- a/testing/soak/store_stand_in.cc
+++ b/testing/soak/store_stand_in.cc
@@ -15,6 +15,7 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t kMostHistory = 2000;
+constexpr std::size_t kMostCopies = 30;
 constexpr int kPageItems = 40;  // Small, so that pages are tested.
 
 constexpr char kRenewPath[] = "/limpetrudder/kv-keep/";
@@ -55,9 +56,9 @@
 void StoreStandIn::OnRequest(const ServerRequest& request,
                              const Responder& respond) {
   ++calls_;
-  if (refusing_)
-    return respond(Reply(503, Json::object()));
-  ServerResponse response = Answer(request);
+  ServerResponse response =
+      refusing_ ? Reply(503, Json::object()) : Answer(request);
+  response.headers.push_back({"Store-Era", std::to_string(era_)});
   // NOTE RESTinio closes a connection whose request is never answered.
   if (!losing_)
     respond(std::move(response));
@@ -88,69 +89,71 @@
 ServerResponse StoreStandIn::List(const ServerRequest& request) const {
   Json items = Json::array();
   const std::string after = QueryField(request.query, "after").value_or("");
-  auto item = after.empty() ? items_.begin() : items_.upper_bound(after);
-  for (; item != items_.end() && items.size() < kPageItems; ++item) {
+  auto item =
+      after.empty() ? state_.items.begin() : state_.items.upper_bound(after);
+  for (; item != state_.items.end() && items.size() < kPageItems; ++item) {
     items.push_back({{"Key", item->first},
                      {"Value", EncodeBase64(item->second.value)},
                      {"Revision", item->second.revision},
                      {"Lease", item->second.lease}});
   }
   return Reply(200, {{"items", items},
-                     {"HasMore", item != items_.end()},
-                     {"StoreRevision", revision_}});
+                     {"HasMore", item != state_.items.end()},
+                     {"StoreRevision", state_.revision}});
 }
 
 ServerResponse StoreStandIn::Changes(const ServerRequest& request) const {
   const std::uint64_t after =
       NumberOf(QueryField(request.query, "after").value_or(""));
-  if (after < floor_)
+  if (after < floor_ || after > state_.revision)
     return Reply(410, Json::object());
   Json events = Json::array();
   for (const auto& event : history_) {
     if (event["Revision"].get<std::uint64_t>() > after)
       events.push_back(event);
   }
-  return Reply(200, {{"events", events}, {"StoreRevision", revision_}});
+  return Reply(200, {{"events", events}, {"StoreRevision", state_.revision}});
 }
 
 ServerResponse StoreStandIn::Commit(const Json& body) {
   for (const auto& row : body["ExpectRev"]) {
-    const auto found = items_.find(row["Key"]);
+    const auto found = state_.items.find(row["Key"]);
     const std::uint64_t current =
-        found == items_.end() ? 0 : found->second.revision;
+        found == state_.items.end() ? 0 : found->second.revision;
     if (current != row["Revision"].get<std::uint64_t>())
       return Reply(412, {{"items", Json::array()}});
   }
   for (const auto& row : body["Writes"]) {
     const std::uint64_t lease = row.value("Lease", std::uint64_t{0});
-    if (lease != 0 && leases_.count(lease) == 0)
+    if (lease != 0 && state_.leases.count(lease) == 0)
       return Reply(404, Json::object());
     Write(row["Key"], DecodeBase64(row["Value"].get<std::string>()).value(),
           lease);
   }
   for (const auto& key : body["Deletes"])
     Erase(key);
-  return Reply(200, {{"Revision", revision_}});
+  return Reply(200, {{"Revision", state_.revision}});
 }
 
 ServerResponse StoreStandIn::Grant(const Json& body) {
   const Duration ttl = Millis(body["TtlMs"].get<std::int64_t>());
-  leases_[next_lease_] = {ttl, SteadyNow() + ttl};
-  return Reply(200, {{"Lease", next_lease_++}, {"TtlMs", WholeMillis(ttl)}});
+  state_.leases[state_.next_lease] = {ttl, SteadyNow() + ttl};
+  return Reply(200,
+               {{"Lease", state_.next_lease++}, {"TtlMs", WholeMillis(ttl)}});
 }
 
 ServerResponse StoreStandIn::Renew(std::uint64_t lease) {
-  const auto found = leases_.find(lease);
-  if (found == leases_.end())
+  const auto found = state_.leases.find(lease);
+  if (found == state_.leases.end())
     return Reply(404, Json::object());
   found->second.until = SteadyNow() + found->second.ttl;
   return Reply(200, {{"TtlMs", WholeMillis(found->second.ttl)}});
 }
 
 void StoreStandIn::EndLease(std::uint64_t lease) {
-  leases_.erase(lease);
+  state_.leases.erase(lease);
   std::vector<std::string> keys;
-  for (const auto& [key, item] : items_) {
+  for (const auto& [key, item] : state_.items) {
     if (item.lease == lease)
       keys.push_back(key);
   }
@@ -161,7 +164,7 @@
 void StoreStandIn::ExpireLeases() {
   const Time now = SteadyNow();
   std::vector<std::uint64_t> ended;
-  for (const auto& [id, lease] : leases_) {
+  for (const auto& [id, lease] : state_.leases) {
     if (lease.until <= now)
       ended.push_back(id);
   }
@@ -176,12 +179,12 @@
 void StoreStandIn::Write(const std::string& key,
                          std::string value,
                          std::uint64_t lease) {
-  ++revision_;
+  ++state_.revision;
   history_.push_back({{"Key", key},
                       {"Value", EncodeBase64(value)},
-                      {"Revision", revision_},
+                      {"Revision", state_.revision},
                       {"Lease", lease}});
-  items_[key] = {std::move(value), revision_, lease};
+  state_.items[key] = {std::move(value), state_.revision, lease};
   if (history_.size() > kMostHistory) {
     floor_ = history_.front()["Revision"];
     history_.pop_front();
@@ -189,16 +192,34 @@
 }
 
 void StoreStandIn::Erase(const std::string& key) {
-  if (items_.erase(key) == 0)
+  if (state_.items.erase(key) == 0)
     return;
-  ++revision_;
+  ++state_.revision;
   history_.push_back(
-      {{"Key", key}, {"Revision", revision_}, {"Deleted", true}});
+      {{"Key", key}, {"Revision", state_.revision}, {"Deleted", true}});
 }
 
 void StoreStandIn::ForgetHistory() {
   history_.clear();
-  floor_ = revision_;
+  floor_ = state_.revision;
+}
+
+void StoreStandIn::KeepCopy() {
+  copies_.push_back(state_);
+  copies_.back().at = SteadyNow();
+  if (copies_.size() > kMostCopies)
+    copies_.pop_front();
+}
+
+void StoreStandIn::Restore(Duration age) {
+  const Time wanted = SteadyNow() - age;
+  while (copies_.size() > 1 && copies_.back().at > wanted)
+    copies_.pop_back();
+  if (copies_.empty())
+    return;
+  state_ = copies_.back();
+  ForgetHistory();
+  ++era_;
 }
 
 }  // namespace limpetrudder::testbed
--- a/testing/soak/store_stand_in.h
+++ b/testing/soak/store_stand_in.h
@@ -29,6 +29,11 @@
   // Does as it is told, but the answer is lost.
   void SetLosing(bool losing) { losing_ = losing; }
   void ForgetHistory();
+  // Comes back from a copy that is at least `age` old, if there is one; its era
+  // rises, and what was written since, leases too, is gone.
+  void Restore(Duration age);
+  // Keeps a copy, and the last ones before it.
+  void KeepCopy();
 
   std::uint64_t calls() const { return calls_; }
 
@@ -57,13 +62,21 @@
     Time until{};
   };
 
+  // What a copy holds.
+  struct State {
+    Time at{};
+    std::map<std::string, Item> items;
+    std::uint64_t revision = 1;
+    std::map<std::uint64_t, Lease> leases;
+    std::uint64_t next_lease = 1;
+  };
+
   HttpServer http_;
-  std::map<std::string, Item> items_;
+  State state_;
+  std::deque<State> copies_;
   std::deque<Json> history_;
   std::uint64_t floor_ = 1;
-  std::uint64_t revision_ = 1;
-  std::map<std::uint64_t, Lease> leases_;
-  std::uint64_t next_lease_ = 1;
+  std::uint64_t era_ = 1;
   std::uint64_t calls_ = 0;
   bool refusing_ = false;
   bool losing_ = false;
--- a/testing/soak/tcp_proxy.cc
+++ b/testing/soak/tcp_proxy.cc
@@ -47,6 +47,8 @@
         mode_ == ProxyMode::kSilent || (mode_ == ProxyMode::kOneWay && !up);
     if (dropped)
       return Pump(link, up);
+    if (mode_ == ProxyMode::kEndless && up)
+      return AnswerEndlessly(link);
     if (mode_ != ProxyMode::kDelay)
       return Pass(link, up, size);
     auto timer = std::make_shared<asio::steady_timer>(*context_);
@@ -65,10 +67,27 @@
       [this, link, up](const asio::error_code& error, std::size_t) {
         if (error)
           return Close(link, /*reset=*/true);
+        if (link->endless && !up)
+          return Pass(link, up, link->down.size());
         Pump(link, up);
       });
 }
 
+void TcpProxy::AnswerEndlessly(const LinkPtr& link) {
+  // One answer in two never ends its head, the other its body.
+  static const std::string kHead = "HTTP/1.1 200 OK\r\nServer-Stamp: ";
+  static const std::string kWholeHead = kHead + "s\r\n\r\n";
+  link->endless = true;
+  link->down.fill('x');
+  asio::async_write(link->near,
+                    asio::buffer(++endless_ % 2 == 0 ? kHead : kWholeHead),
+                    [this, link](const asio::error_code& error, std::size_t) {
+                      if (error)
+                        return Close(link, /*reset=*/true);
+                      Pass(link, /*up=*/false, link->down.size());
+                    });
+}
+
 void TcpProxy::Close(const LinkPtr& link, bool reset) {
   asio::error_code ignored;
   for (Tcp::socket* socket : {&link->near, &link->far}) {
