Far parts go in as few batches as their data centres allow

Change: PlanBatches, greedy by the data centre that serves most of what is left, turns among equals, from two parts on; only data centres with a fit instance.

--- a/src/dispatch/dispatch_engine_homes.cc
+++ b/src/dispatch/dispatch_engine_homes.cc
@@ -2,11 +2,13 @@
 // and parts that an instance nearer to their servers gathers.
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <utility>
 
 #include "dispatch/dispatch_engine.h"
 #include "dispatch/internal/answer_policy.h"
+#include "dispatch/internal/batch_plan.h"
 #include "dispatch/internal/leg_selection.h"
 #include "framework/http_status.h"
 
@@ -21,9 +23,6 @@
 // servers are asked directly for about as long as they stay slow or crowded.
 constexpr Duration kDirectTime = Millis(2500);
 
-// Fewer far parts than this are asked for directly.
-constexpr std::size_t kFewestDelegated = 4;
-
 // Whether the other instance refused the call itself, as when its routes are
 // newer and lack the one asked for: no server got it.
 bool IsRefused(const TargetReply& reply) {
@@ -90,21 +89,26 @@
 }
 
 void DispatchEngine::DelegateFarLegs(ActiveCall* call, Time now) {
-  std::map<std::string, std::vector<std::size_t>> far;  // By data centre.
+  std::map<std::string, bool> fit;  // By data centre.
+  const auto is_fit = [&](const std::string& data_centre) {
+    const auto [row, is_new] = fit.try_emplace(data_centre, false);
+    if (is_new)
+      row->second = homes_.HasFit(data_centre, now);
+    return row->second;
+  };
+  std::vector<detail::FarLeg> far;
   for (std::size_t i = 0; i < call->legs.size(); ++i) {
     const Leg& leg = call->legs[i];
     if (leg.state != detail::LegState::kOpen || now < leg.group->direct_until ||
         detail::IsLate(*leg.group, now)) {
       continue;
     }
-    std::string data_centre = homes_.NearestElsewhere(*leg.group);
-    if (!data_centre.empty())
-      far[std::move(data_centre)].push_back(i);
-  }
-  for (auto& [data_centre, legs] : far) {
-    if (legs.size() >= kFewestDelegated)
-      Delegate(call, data_centre, std::move(legs), now);
+    auto data_centres = homes_.NearestElsewhere(*leg.group);
+    std::erase_if(data_centres, std::not_fn(is_fit));
+    far.push_back({i, std::move(data_centres)});
   }
+  for (auto& batch : detail::PlanBatches(std::move(far), &random_))
+    Delegate(call, batch.data_centre, std::move(batch.legs), now);
 }
 
 bool DispatchEngine::Delegate(ActiveCall* call,
--- a/src/dispatch/internal/home_set.cc
+++ b/src/dispatch/internal/home_set.cc
@@ -181,22 +181,33 @@
   return best;
 }
 
-std::string HomeSet::NearestElsewhere(const ServerGroup& group) const {
-  const ServerLoad* nearest = nullptr;
+bool HomeSet::HasFit(const std::string& data_centre, Time now) const {
+  return std::any_of(homes_.begin(), homes_.end(), [&](const auto& entry) {
+    const Home& home = entry.second;
+    return home.instance.data_centre == data_centre && IsFit(*home.load, now);
+  });
+}
+
+std::vector<std::string> HomeSet::NearestElsewhere(
+    const ServerGroup& group) const {
+  std::vector<std::string> nearest;
   Distance least = Distance::kOtherRegion;
   for (const auto& server : group.servers) {
     if (!server->usable())
       continue;
-    const Distance distance =
-        topology_->Between(own_.data_centre, server->entry().data_centre);
+    const std::string& data_centre = server->entry().data_centre;
+    const Distance distance = topology_->Between(own_.data_centre, data_centre);
     if (distance == Distance::kHere)
       return {};
-    if (nearest == nullptr || distance < least) {
-      nearest = server.get();
-      least = distance;
-    }
+    if (distance < least)
+      nearest.clear();
+    least = std::min(least, distance);
+    const bool is_known =
+        std::find(nearest.begin(), nearest.end(), data_centre) != nearest.end();
+    if (distance == least && !is_known)
+      nearest.push_back(data_centre);
   }
-  return nearest == nullptr ? std::string() : nearest->entry().data_centre;
+  return nearest;
 }
 
 HomeSet::Due HomeSet::Watch(Time now, Time* next) {
--- a/src/dispatch/internal/home_set.h
+++ b/src/dispatch/internal/home_set.h
@@ -46,9 +46,12 @@
                                        const PartSizes& sizes,
                                        Time now);
 
-  // Returns the data centre of the nearest server of `group` that takes work;
-  // empty: it is this one, or there is none.
-  std::string NearestElsewhere(const ServerGroup& group) const;
+  // Whether some instance of `data_centre` is fit to gather parts.
+  bool HasFit(const std::string& data_centre, Time now) const;
+
+  // Returns the data centres of the nearest servers of `group`; none if one is
+  // in this data centre.
+  std::vector<std::string> NearestElsewhere(const ServerGroup& group) const;
 
   std::shared_ptr<ServerLoad> Find(const std::string& name) const;
 
--- /dev/null
+++ b/src/dispatch/tests/batch_plan_test.cc
@@ -0,0 +1,80 @@
+#include <set>
+
+#include <doctest/doctest.h>
+
+#include "dispatch/internal/batch_plan.h"
+#include "dispatch/tests/fleet_session.h"
+
+namespace limpetrudder {
+namespace {
+
+using detail::FarLeg;
+using detail::PlanBatches;
+
+TEST_CASE("Far parts of a query") {
+  Random random(5);
+
+  SUBCASE("go together where one data centre has them all") {
+    const auto batches = PlanBatches(
+        {{3, {"a", "b"}}, {4, {"b", "c"}}, {7, {"a", "b"}}}, &random);
+    REQUIRE(batches.size() == 1);
+    CHECK(batches[0].data_centre == "b");
+    CHECK(batches[0].legs == std::vector<std::size_t>{3, 4, 7});
+  }
+  SUBCASE("go in two batches where none has") {
+    const auto batches = PlanBatches(
+        {{0, {"a"}}, {1, {"a"}}, {2, {"b"}}, {3, {"b"}}, {4, {"b"}}}, &random);
+    REQUIRE(batches.size() == 2);
+    CHECK(batches[0].legs.size() == 3);
+    CHECK(batches[1].legs.size() == 2);
+  }
+  SUBCASE("are asked for alone where a batch would hold one only") {
+    const auto batches =
+        PlanBatches({{0, {"a"}}, {1, {"a"}}, {2, {"b"}}}, &random);
+    REQUIRE(batches.size() == 1);
+    CHECK(batches[0].data_centre == "a");
+  }
+  SUBCASE("that no other data centre serves are in none") {
+    CHECK(PlanBatches({{0, {}}, {1, {}}}, &random).empty());
+  }
+  SUBCASE("take turns where two data centres serve them all") {
+    std::set<std::string> chosen;
+    for (int i = 0; i < 50; ++i) {
+      const auto batches =
+          PlanBatches({{0, {"a", "b"}}, {1, {"a", "b"}}}, &random);
+      chosen.insert(batches.at(0).data_centre);
+    }
+    CHECK(chosen.size() == 2);
+  }
+}
+
+// Each shard has its servers in two of three data centres in turn.
+TEST_CASE("A query of shards with servers in two of three data centres") {
+  FleetSession::Options options;
+  options.instances = {"kgn-a", "mbj-a", "mdv-a"};
+  for (int i = 0; i < 6; ++i) {
+    options.shards.push_back({"kgn-a", "mbj-a"});
+    options.shards.push_back({"mbj-a", "mdv-a"});
+    options.shards.push_back({"mdv-a", "kgn-a"});
+  }
+  FleetSession session(options);
+  const SessionAnswer& answer = session.SearchNow(0);
+  CHECK(answer.reply.missing_parts == 0);
+  CHECK(answer.record.delegated == 6);
+  CHECK(answer.record.sends == 12);
+  CHECK(session.forwards() == 1);
+
+  SUBCASE("goes to the other data centre if nobody is left in one") {
+    session.Freeze(1);
+    for (int i = 0; i < 6; ++i)
+      session.SearchNow(0);
+    const int before = session.forwards();
+    const SessionAnswer& next = session.SearchNow(0);
+    CHECK(next.reply.missing_parts == 0);
+    CHECK(next.record.delegated == 6);
+    CHECK(session.forwards() == before + 1);
+  }
+}
+
+}  // namespace
+}  // namespace limpetrudder
