Catch up after a start during an outage, not after a drill

Change: a first answer after failed calls counts as the store's return; a return from a copy doesn't read faster.

--- a/src/discovery/discovery_engine.cc
+++ b/src/discovery/discovery_engine.cc
@@ -139,7 +139,10 @@
       OnChange(item, now);
     log_.Advance(follower_.position());
   }
-  if (batch.store_back || (is_first && LacksServers()))
+  // NOTE After a return from an older copy servers are kept until they are
+  // back.
+  const bool lapsed = batch.store_back && !batch.restored_from;
+  if (lapsed || (is_first && LacksServers()))
     follower_.CatchUp(now + ServerDirectory::kReturnGrace, now);
   registrar_.OnListed(instances_.IsListed(settings_.own.name),
                       follower_.position(), now);
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -53,6 +53,8 @@
     OnFailure(reply.status, now);
     return std::nullopt;
   }
+  // NOTE A store that was away at this instance's start may have lost entries.
+  away_ = away_ || (failures_ > 0 && heard_ == Time::min());
   failures_ = 0;
   NoteHeard(now);
   if (restored)
