--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -332,6 +332,8 @@
   metrics.Add("calls");
   metrics.Add("sends", record.sends);
   metrics.Add("hedges", record.hedges);
+  metrics.Add("far_sends", record.far_sends);
+  metrics.Add("far_hedges", record.far_hedges);
   metrics.Add("rejections", record.rejections);
   metrics.Add("budget_refusals", record.budget_refusals);
   metrics.Record("call", record.took);
@@ -358,6 +360,10 @@
     line["delegated"] = record.delegated;
   if (record.hedges > 0)
     line["hedges"] = record.hedges;
+  if (record.far_sends > 0)
+    line["far_sends"] = record.far_sends;
+  if (record.far_hedges > 0)
+    line["far_hedges"] = record.far_hedges;
   Log(LogLevel::kInfo, "call_ended", line);
 }
 
--- a/src/dispatch/dispatch_engine_legs.cc
+++ b/src/dispatch/dispatch_engine_legs.cc
@@ -177,6 +177,9 @@
   ++leg.runs;
   ++leg.arrivals;
   ++call->record.sends;
+  const bool far = topology_.DistanceTo(entry.data_centre) ==
+                   detail::Distance::kOtherRegion;
+  call->record.far_sends += far ? 1 : 0;
   choice.server->OnSent(now);
   sends_[id] = {.call = call->call.id,
                 .leg = leg_index,
@@ -238,7 +241,9 @@
     return;
   }
   ++call->record.hedges;
+  const std::uint32_t far_before = call->record.far_sends;
   Send(call, leg_index, choice, now);
+  call->record.far_hedges += call->record.far_sends - far_before;
 }
 
 void DispatchEngine::Wait(ActiveCall* call, std::size_t leg_index, Time now) {
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -153,6 +153,8 @@
   std::uint32_t delegated = 0;  // Parts asked of instances nearer to them.
   std::uint32_t sends = 0;
   std::uint32_t hedges = 0;
+  std::uint32_t far_sends = 0;   // Sends to servers of other regions.
+  std::uint32_t far_hedges = 0;  // Hedges among them.
   std::uint32_t rejections = 0;
   std::uint32_t budget_refusals = 0;  // Sends left out for want of budget.
   std::vector<LegRecord> failed_legs;
