A near server without room is waited for where that is less than the way to a far one

Hypothesis: most parts that cross regions at first do so because the near server has the two requests that an instance may have there; it has room again after some 10 ms, the way takes 40. Change: servers without room are weighed too, with the time until they have room.

--- a/src/dispatch/internal/server_placer.cc
+++ b/src/dispatch/internal/server_placer.cc
@@ -82,6 +82,17 @@
   return ToMillis(expected) * jitter + parts * target;
 }
 
+Duration ServerPlacer::WaitForRoom(const ServerGroup& group,
+                                   const ServerLoad& server,
+                                   Duration expected,
+                                   Time now) {
+  if (HasRoom(group, server, now))
+    return Duration(0);
+  // NOTE Those in flight end evenly spread over the time that one takes.
+  const double ahead = 1.0 + static_cast<double>(group.waiting.size());
+  return Scaled(expected, ahead / server.in_flight());
+}
+
 Placement ServerPlacer::Choose(const ServerGroup& group,
                                const PlacingRequest& request,
                                Time now) const {
@@ -95,19 +106,23 @@
         choice.status = PlacementStatus::kBackoff;
       continue;
     }
-    if (!HasRoom(group, *server, now)) {
+    const bool has_room = HasRoom(group, *server, now);
+    if (!has_room && server->in_flight() == 0) {
       if (choice.status != PlacementStatus::kFound)
         choice.status = PlacementStatus::kFull;
       continue;
     }
-    const Duration expected =
+    const Duration latency =
         ExpectedLatency(*server, request.work.median, now);
+    const Duration expected =
+        latency + WaitForRoom(group, *server, latency, now);
     const double cost =
         CostMillis(*server, group.budget, request, expected, now);
     if (cost >= least)
       continue;
     least = cost;
-    choice = {PlacementStatus::kFound, server};
+    choice = has_room ? Placement{PlacementStatus::kFound, server}
+                      : Placement{PlacementStatus::kFull, nullptr};
   }
   return choice;
 }
--- a/src/dispatch/internal/server_placer.h
+++ b/src/dispatch/internal/server_placer.h
@@ -14,7 +14,7 @@
 // Where a request may go next.
 enum class PlacementStatus {
   kFound,
-  kFull,      // Servers could take it, but none has room now.
+  kFull,      // It is best to wait until a server has room.
   kBackoff,   // All that are left asked to be left alone for a while.
   kNoServer,  // No server of the service takes work, or all were asked.
 };
@@ -33,9 +33,10 @@
 
 // Places one request on a server of a service: the nearest one unless it is
 // busy, slow, paused, failing or refusing, weighed as time against the route's
-// latency target. Answers the load of days on which some of the servers are
-// much slower than others, and keeps bytes inside a region otherwise. Not
-// thread safe.
+// latency target. A near server without room is waited for where that takes
+// less than the way to a far one. Answers the load of days on which some of the
+// servers are much slower than others, and keeps bytes inside a region
+// otherwise. Not thread safe.
 class ServerPlacer {
  public:
   ServerPlacer(const Topology* topology, Random* random)
@@ -55,6 +56,11 @@
   bool IsQuiet(const ServerLoad& server, Duration work, Time now) const;
 
  private:
+  // How long until `server` has room for another request.
+  static Duration WaitForRoom(const ServerGroup& group,
+                              const ServerLoad& server,
+                              Duration expected,
+                              Time now);
   double CostMillis(const ServerLoad& server,
                     const RetryBudget& budget,
                     const PlacingRequest& request,
