Codecs of the store and of the feed are apart from their clients

store_codec and feed_codec decode bytes without a client, so that odd answers can be tested and fuzzed.

--- a/src/net/feed_client.h
+++ b/src/net/feed_client.h
@@ -6,24 +6,11 @@
 #include <string>
 
 #include "discovery/discovery_types.h"
+#include "net/feed_codec.h"
 #include "net/http_client.h"
-#include "net/http_server.h"
 
 namespace limpetrudder {
 
-// The protocol by which instances pass on what the store says: a question for
-// what changed since a position waits at the other instance until something
-// has, or kFeedWait is over.
-inline constexpr char kFeedPath[] = "/feed";
-
-struct FeedRequest {
-  FeedQuestion question;
-  bool reads_packed = false;  // It can read compressed values.
-};
-
-// Reads a question; one that names no position knows nothing. Thread safe.
-FeedRequest ReadFeedRequest(const ServerRequest& request);
-
 // Asks other instances. Handlers are called on the HTTP client's thread. All
 // methods are thread safe.
 class FeedClient {
