--- a/scripts/install_deps.sh
+++ b/scripts/install_deps.sh
@@ -2,7 +2,7 @@
 # Installs the declared libraries and tools on a fresh Debian 12 machine.
 set -euo pipefail
 packages=(
-  ca-certificates curl jq g++ cmake ninja-build ccache clang-format clang-tidy
+  ca-certificates curl jq g++ cmake ninja-build ccache clang clang-format clang-tidy
   libasio-dev librestinio-dev libhttp-parser-dev libfmt-dev
   libcurl4-openssl-dev liblog4cplus-dev libssl-dev zlib1g-dev doctest-dev libboost-dev
   libgrpc++-dev protobuf-compiler-grpc libprotobuf-dev protobuf-compiler
--- a/src/discovery/registrar.cc
+++ b/src/discovery/registrar.cc
@@ -60,6 +60,9 @@
   }
   if (reply.status != LeaseStatus::kOk)
     return RetryLater(now);
+  // NOTE An entry that is written without a lease would never lapse.
+  if (state_ == State::kNoLease && reply.lease == 0)
+    return RetryLater(now);
   failures_ = 0;
   due_ = now;
   switch (state_) {
--- a/src/discovery/tests/registrar_test.cc
+++ b/src/discovery/tests/registrar_test.cc
@@ -28,6 +28,13 @@
   SUBCASE("has nothing to end before it has a lease") {
     CHECK_FALSE(registrar.Leave());
   }
+  SUBCASE("never writes an entry without a lease") {
+    registrar.OnReply(Reply(LeaseStatus::kOk, 0), kStart);
+    CHECK_FALSE(registrar.Turn(kStart, &next));
+    call = registrar.Turn(next, &next);
+    REQUIRE(call);
+    CHECK(std::holds_alternative<GrantLease>(*call));
+  }
   SUBCASE("with a lease") {
     registrar.OnReply(Reply(LeaseStatus::kOk, 77), kStart);
     call = registrar.Turn(kStart, &next);
