limpetrudder report: what callers got in each second, from logs

Sums up the logs of any number of instances, streaming: served, in part, late, refused, failed by second and by route, reasons of calls and of parts, beliefs beside them, lines that it couldn't read. call_ended says whether another instance forwarded the call and whether it ended behind its target.

--- a/src/app/command_line.cc
+++ b/src/app/command_line.cc
@@ -32,6 +32,10 @@
      "entry --settings FILE\n"
      "  Runs one entry instance on the users' platform until SIGTERM; SIGHUP\n"
      "  reads the settings again.\n"},
+    {"", "report", Report,
+     "report LOG... [--json]\n"
+     "  Sums up the logs of entry instances: what callers got in each second,\n"
+     "  why, and which beliefs changed meanwhile. - reads standard input.\n"},
     {"", "query", Query,
      "query --address IP:PORT --collection NAME --terms TEXT\n"
      "      [--token TOKEN | --token-file FILE] [--deadline-ms N] [--limit N]\n"
--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -354,6 +354,10 @@
     line["budget_refusals"] = record.budget_refusals;
     line["failed"] = FailedLegs(record);
   }
+  if (record.forwarded)
+    line["forwarded"] = true;
+  if (record.late)
+    line["late"] = true;
   if (!record.home.empty())
     line["home"] = record.home;
   if (record.delegated > 0)
--- a/src/app/internal/commands.cc
+++ b/src/app/internal/commands.cc
@@ -20,6 +20,7 @@
 #include "framework/http_status.h"
 #include "framework/json_schema.h"
 #include "framework/logger.h"
+#include "report/log_report.h"
 
 namespace limpetrudder {
 namespace {
@@ -217,6 +218,28 @@
   return RunUntilStopped<EntryApp>(settings.assume_value(), reload, poll);
 }
 
+ExitCode Report(const CommandOptions& options) {
+  if (options.arguments.empty()) {
+    PrintFaults({{ResultCode::kUsage, "", "report needs the names of logs"}});
+    return ExitCode::kUsage;
+  }
+  LogReport report;
+  for (const auto& name : options.arguments) {
+    std::ifstream file;
+    if (name != "-")
+      file.open(name);
+    if (!file) {
+      PrintFaults({{ResultCode::kFileUnreadable, name, "can't be read"}});
+      return ExitCode::kFailed;
+    }
+    std::istream& lines = name == "-" ? std::cin : file;
+    for (std::string line; std::getline(lines, line);)
+      report.Add(name, line);
+  }
+  std::cout << (options.json ? report.Summary().dump() + "\n" : report.Text());
+  return ExitCode::kDone;
+}
+
 ExitCode Query(const CommandOptions& options) {
   if (options.address.empty() || options.collection.empty())
     return UsageError("query needs --address and --collection");
--- a/src/app/internal/commands.h
+++ b/src/app/internal/commands.h
@@ -37,6 +37,7 @@
 
 ExitCode Serve(const CommandOptions& options);
 ExitCode Entry(const CommandOptions& options);
+ExitCode Report(const CommandOptions& options);
 ExitCode Query(const CommandOptions& options);
 ExitCode ConfigCheck(const CommandOptions& options);
 ExitCode ConfigSubmit(const CommandOptions& options);
--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -110,6 +110,7 @@
   action.record.routes_version = routes_version();
   action.record.status = status;
   action.record.code = code;
+  action.record.forwarded = call.forwarded;
   actions_.emplace_back(std::move(action));
 }
 
--- a/src/dispatch/dispatch_engine_answers.cc
+++ b/src/dispatch/dispatch_engine_answers.cc
@@ -127,6 +127,8 @@
   CallRecord& record = call->record;
   record.status = reply.status;
   record.took = now - call->received;
+  record.forwarded = call->call.forwarded;
+  record.late = now > call->answer_by;
   record.parts = call->answered;
   for (const Leg& leg : call->legs) {
     if (leg.state == detail::LegState::kAnswered || leg.is_untouched())
--- a/src/dispatch/dispatch_engine_legs.cc
+++ b/src/dispatch/dispatch_engine_legs.cc
@@ -177,8 +177,8 @@
   ++leg.runs;
   ++leg.arrivals;
   ++call->record.sends;
-  const bool far = topology_.DistanceTo(entry.data_centre) ==
-                   detail::Distance::kOtherRegion;
+  const bool far =
+      topology_.DistanceTo(entry.data_centre) == detail::Distance::kOtherRegion;
   call->record.far_sends += far ? 1 : 0;
   choice.server->OnSent(now);
   sends_[id] = {.call = call->call.id,
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -147,6 +147,8 @@
   int status = 0;
   ResultCode code = ResultCode::kOk;
   Duration took{0};
+  bool forwarded = false;  // By another instance, whose caller it is.
+  bool late = false;       // Behind its latency target.
   std::uint32_t parts = 0;
   std::uint32_t parts_wanted = 0;
   std::string home;  // That gathered the parts; empty: this instance.
--- /dev/null
+++ b/src/report/log_report.cc
@@ -0,0 +1,207 @@
+#include "report/log_report.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <vector>
+
+#include "framework/http_status.h"
+#include "framework/result_code.h"
+
+namespace limpetrudder {
+namespace {
+
+using Json = nlohmann::json;
+
+// "2026-03-29T06:44:48": a time cut to its second.
+constexpr std::size_t kSecondLength = 19;
+
+constexpr char kCallEnded[] = "call_ended";
+
+// Returns a field's text, or an empty one.
+std::string TextOf(const Json& line, const char* name) {
+  const auto found = line.find(name);
+  return found != line.end() && found->is_string() ? found->get<std::string>()
+                                                   : std::string();
+}
+
+int NumberIn(const Json& line, const char* name) {
+  const auto found = line.find(name);
+  return found != line.end() && found->is_number_integer() ? found->get<int>()
+                                                           : 0;
+}
+
+bool IsSet(const Json& line, const char* name) {
+  const auto found = line.find(name);
+  return found != line.end() && found->is_boolean() && found->get<bool>();
+}
+
+std::string NameOfCode(int number) {
+  for (const auto& row : ResultCodeTable()) {
+    if (NumberOf(row.code) == number)
+      return std::string(row.name);
+  }
+  return "unknown";
+}
+
+void Count(const Json& line, CallCounts* counts) {
+  const int status = NumberIn(line, "status");
+  ++counts->calls;
+  if (status == http_status::kUnavailable ||
+      status == http_status::kTooManyRequests) {
+    ++counts->refused;
+  } else if (status >= http_status::kInternalError) {
+    ++counts->failed;
+  } else if (IsSet(line, "late")) {
+    ++counts->late;
+  } else {
+    ++counts->served;
+    counts->in_part += line.contains("parts") ? 1 : 0;
+  }
+}
+
+template <typename... Values>
+std::string Format(const char* format, Values... values) {
+  std::vector<char> text(256);
+  const int size = std::snprintf(text.data(), text.size(), format, values...);
+  return {text.data(), std::min(static_cast<std::size_t>(std::max(0, size)),
+                                text.size() - 1)};
+}
+
+std::string Row(const std::string& name, const CallCounts& counts) {
+  return Format("%-20s %7llu %7llu %7llu %7llu %7llu %7llu", name.c_str(),
+                static_cast<unsigned long long>(counts.calls),
+                static_cast<unsigned long long>(counts.served),
+                static_cast<unsigned long long>(counts.in_part),
+                static_cast<unsigned long long>(counts.late),
+                static_cast<unsigned long long>(counts.refused),
+                static_cast<unsigned long long>(counts.failed));
+}
+
+std::string Head(const char* first) {
+  return Format("%-20s %7s %7s %7s %7s %7s %7s", first, "calls", "served",
+                "in part", "late", "refused", "failed");
+}
+
+std::string Reasons(const char* title,
+                    const std::map<int, std::uint64_t>& reasons) {
+  std::string text = std::string("\n") + title + "\n";
+  for (const auto& [code, count] : reasons) {
+    text += Format("%7llu  %d %s\n", static_cast<unsigned long long>(count),
+                   code, NameOfCode(code).c_str());
+  }
+  return text;
+}
+
+Json ToJson(const CallCounts& counts) {
+  return {{"calls", counts.calls},     {"served", counts.served},
+          {"in_part", counts.in_part}, {"late", counts.late},
+          {"refused", counts.refused}, {"failed", counts.failed}};
+}
+
+Json ToJson(const std::map<int, std::uint64_t>& reasons) {
+  Json json = Json::object();
+  for (const auto& [code, count] : reasons)
+    json[std::to_string(code)] = count;
+  return json;
+}
+
+}  // namespace
+
+void LogReport::NoteUnreadable(const std::string& file) {
+  ++unreadable_;
+  if (first_unreadable_.empty())
+    first_unreadable_ = file + ":" + std::to_string(lines_of_[file]);
+}
+
+void LogReport::Add(const std::string& file, std::string_view line) {
+  ++lines_;
+  ++lines_of_[file];
+  const std::size_t begin = line.find('{');
+  if (begin == std::string_view::npos)
+    return NoteUnreadable(file);
+  const Json json =
+      Json::parse(line.substr(begin), nullptr, /*allow_exceptions=*/false);
+  const std::string time =
+      json.is_object() ? TextOf(json, "time") : std::string();
+  const std::string event =
+      json.is_object() ? TextOf(json, "event") : std::string();
+  if (time.size() < kSecondLength || event.empty())
+    return NoteUnreadable(file);
+  instances_.insert(TextOf(json, "instance"));
+  Second& second = seconds_[time.substr(0, kSecondLength)];
+  if (event == kCallEnded)
+    return AddCall(json, &second);
+  ++second.beliefs[event];
+  ++by_event_[event];
+}
+
+void LogReport::AddCall(const Json& line, Second* second) {
+  const auto failed = line.find("failed");
+  if (failed != line.end() && failed->is_array()) {
+    for (const auto& part : *failed) {
+      if (part.is_object())
+        ++part_reasons_[NumberIn(part, "code")];
+    }
+  }
+  if (IsSet(line, "forwarded"))
+    return;
+  Count(line, &second->counts);
+  Count(line, &by_route_[TextOf(line, "route")]);
+  const int code = NumberIn(line, "code");
+  if (code != 0)
+    ++reasons_[code];
+}
+
+std::string LogReport::Text() const {
+  std::string text = Head("second") + "  beliefs that changed\n";
+  for (const auto& [time, second] : seconds_) {
+    text += Row(time, second.counts);
+    const char* separator = "  ";
+    for (const auto& [event, count] : second.beliefs) {
+      text += separator + event +
+              (count > 1 ? " x" + std::to_string(count) : std::string());
+      separator = ", ";
+    }
+    text += "\n";
+  }
+  text += "\n" + Head("route") + "\n";
+  for (const auto& [route, counts] : by_route_)
+    text += Row(route.empty() ? "(none)" : route, counts) + "\n";
+  text += Reasons("why calls weren't answered whole", reasons_);
+  text += Reasons("why parts are missing", part_reasons_);
+  text += "\nbeliefs and life\n";
+  for (const auto& [event, count] : by_event_) {
+    text += Format("%7llu  %s\n", static_cast<unsigned long long>(count),
+                   event.c_str());
+  }
+  text += Format("\n%zu instances, %llu lines, %llu unreadable",
+                 instances_.size(), static_cast<unsigned long long>(lines_),
+                 static_cast<unsigned long long>(unreadable_));
+  if (unreadable_ > 0)
+    text += ", the first at " + first_unreadable_;
+  return text + "\n";
+}
+
+Json LogReport::Summary() const {
+  Json seconds = Json::array();
+  for (const auto& [time, second] : seconds_) {
+    Json row = ToJson(second.counts);
+    row["time"] = time;
+    row["beliefs"] = second.beliefs;
+    seconds.push_back(std::move(row));
+  }
+  Json routes = Json::object();
+  for (const auto& [route, counts] : by_route_)
+    routes[route] = ToJson(counts);
+  return {{"seconds", std::move(seconds)},
+          {"routes", std::move(routes)},
+          {"reasons", ToJson(reasons_)},
+          {"part_reasons", ToJson(part_reasons_)},
+          {"beliefs", by_event_},
+          {"instances", instances_.size()},
+          {"lines", lines_},
+          {"unreadable", unreadable_},
+          {"first_unreadable", first_unreadable_}};
+}
+
+}  // namespace limpetrudder
--- /dev/null
+++ b/src/report/tests/log_report_test.cc
@@ -0,0 +1,70 @@
+#include <doctest/doctest.h>
+
+#include "report/log_report.h"
+
+namespace limpetrudder {
+namespace {
+
+std::string Line(const std::string& second, const std::string& fields) {
+  return R"({"time":"2026-03-29T06:44:)" + second +
+         R"(.047Z","instance":"a",)" + fields + "}";
+}
+
+std::string Call(const std::string& second, const std::string& fields) {
+  return Line(second, R"("event":"call_ended","route":"r",)" + fields);
+}
+
+TEST_CASE("A report of logs") {
+  LogReport report;
+  report.Add("a.log", Call("01", R"("status":200,"ms":12.5)"));
+  report.Add("a.log", Call("01", R"("status":200,"parts":19,"code":0,)"
+                                 R"("failed":[{"service":"s","code":3010}])"));
+  report.Add("a.log", Call("01", R"("status":200,"late":true)"));
+  report.Add("a.log", Call("02", R"("status":503,"code":4001,"parts":0)"));
+  report.Add("a.log", Call("02", R"("status":504,"code":3010,"parts":0)"));
+  report.Add("b.log", Call("02", R"("status":200,"forwarded":true)"));
+  report.Add("b.log", Line("02", R"("event":"server_down","server":"i")"));
+
+  SUBCASE("counts what callers got in each second") {
+    const auto seconds = report.Summary()["seconds"];
+    REQUIRE(seconds.size() == 2);
+    CHECK(seconds[0]["calls"] == 3);
+    CHECK(seconds[0]["served"] == 2);
+    CHECK(seconds[0]["in_part"] == 1);
+    CHECK(seconds[0]["late"] == 1);
+    CHECK(seconds[1]["refused"] == 1);
+    CHECK(seconds[1]["failed"] == 1);
+
+    SUBCASE("and not what instances asked each other") {
+      CHECK(seconds[1]["calls"] == 2);
+    }
+    SUBCASE("with the beliefs that changed beside it") {
+      CHECK(seconds[1]["beliefs"]["server_down"] == 1);
+      CHECK(report.Text().find("server_down") != std::string::npos);
+    }
+  }
+  SUBCASE("names reasons by their numbers") {
+    CHECK(report.Summary()["reasons"]["4001"] == 1);
+    CHECK(report.Summary()["part_reasons"]["3010"] == 1);
+    CHECK(report.Text().find("4001 overloaded") != std::string::npos);
+  }
+  SUBCASE("reads lines behind what a collector puts before them") {
+    report.Add("c.log", "  34.776 entry-3 " + Call("03", R"("status":200)"));
+    CHECK(report.unreadable() == 0);
+    CHECK(report.Summary()["seconds"].size() == 3);
+  }
+  SUBCASE("says which lines it couldn't read, and goes on") {
+    for (const char* odd : {"", "text", "{", "[1]", "{}", R"({"time":5})",
+                            R"({"time":"2026","event":"x"})"}) {
+      report.Add("c.log", odd);
+    }
+    report.Add("c.log", Call("03", R"("status":"200","code":{},"failed":[5])"));
+    CHECK(report.unreadable() == 7);
+    CHECK(report.Summary()["first_unreadable"] == "c.log:1");
+    CHECK(report.Text().find("7 unreadable, the first at c.log:1") !=
+          std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace limpetrudder
