--- a/src/dispatch/dispatch_engine_answers.cc
+++ b/src/dispatch/dispatch_engine_answers.cc
@@ -128,7 +128,7 @@
   record.status = reply.status;
   record.took = now - call->received;
   record.forwarded = call->call.forwarded;
-  record.late = now > call->answer_by;
+  record.late = record.took > call->route->latency_target;
   record.parts = call->answered;
   for (const Leg& leg : call->legs) {
     if (leg.state == detail::LegState::kAnswered || leg.is_untouched())
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -148,7 +148,7 @@
   ResultCode code = ResultCode::kOk;
   Duration took{0};
   bool forwarded = false;  // By another instance, whose caller it is.
-  bool late = false;       // Behind its latency target.
+  bool late = false;       // It took longer than its latency target here.
   std::uint32_t parts = 0;
   std::uint32_t parts_wanted = 0;
   std::string home;  // That gathered the parts; empty: this instance.
--- a/src/dispatch/tests/homes_test.cc
+++ b/src/dispatch/tests/homes_test.cc
@@ -107,6 +107,7 @@
     CHECK(answer.reply.missing_parts == 1);
     // The way to the caller takes the rest.
     CHECK(answer.record.took <= Millis(250 - 11));
+    CHECK_FALSE(answer.record.late);
   }
 }
 
