--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -306,18 +306,19 @@
     ++probes_;
     const ProbeReply reply{!server.silent && !server.says_leaving,
                            server.says_leaving, server.asks_backoff};
-    At(now_ + 2 * options_.far_way, [this, instance, reply, id = probe->server] {
-      engines_[instance]->OnProbe(id, reply, now_);
-      Pump(instance);
-    });
+    At(now_ + 2 * options_.far_way,
+       [this, instance, reply, id = probe->server] {
+         engines_[instance]->OnProbe(id, reply, now_);
+         Pump(instance);
+       });
   }
 }
 
 Duration FleetSession::Way(const std::string& from,
                            const std::string& to) const {
-  return from == to ? kNear
-                    : (RegionOf(from) == RegionOf(to) ? Millis(1)
-                                                    : options_.far_way);
+  return from == to
+             ? kNear
+             : (RegionOf(from) == RegionOf(to) ? Millis(1) : options_.far_way);
 }
 
 std::size_t FleetSession::IndexOf(const std::string& name) const {
--- a/testing/soak/tcp_proxy.cc
+++ b/testing/soak/tcp_proxy.cc
@@ -1,8 +1,17 @@
 #include "testing/soak/tcp_proxy.h"
 
+#include <cstring>
 #include <utility>
 
 namespace limpetrudder::testbed {
+namespace {
+
+// Of answers that never end: one in two never ends its head, the other its
+// body.
+constexpr char kOpenHead[] = "HTTP/1.1 200 OK\r\nServer-Stamp: ";
+constexpr char kClosedHead[] = "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n\r\n";
+
+}  // namespace
 
 TcpProxy::TcpProxy(asio::io_context* context,
                    std::uint16_t port,
@@ -74,13 +83,10 @@
 }
 
 void TcpProxy::AnswerEndlessly(const LinkPtr& link) {
-  // One answer in two never ends its head, the other its body.
-  static const std::string kHead = "HTTP/1.1 200 OK\r\nServer-Stamp: ";
-  static const std::string kWholeHead = kHead + "s\r\n\r\n";
+  const char* head = ++endless_ % 2 == 0 ? kOpenHead : kClosedHead;
   link->endless = true;
   link->down.fill('x');
-  asio::async_write(link->near,
-                    asio::buffer(++endless_ % 2 == 0 ? kHead : kWholeHead),
+  asio::async_write(link->near, asio::buffer(head, std::strlen(head)),
                     [this, link](const asio::error_code& error, std::size_t) {
                       if (error)
                         return Close(link, /*reset=*/true);
