--- a/src/discovery/tests/store_session.cc
+++ b/src/discovery/tests/store_session.cc
@@ -14,11 +14,6 @@
 constexpr Duration kHeartbeat = Millis(1200);
 constexpr Duration kDrainTime = Millis(4000);
 constexpr Duration kCopyInterval = Millis(250);
-constexpr std::size_t kCopies = 60;
-constexpr std::size_t kPageItems = 100;
-constexpr char kRoutesKey[] = "routes";
-constexpr char kServers[] = "servers/";
-constexpr char kInstances[] = "instances/";
 
 const std::map<std::string, std::string> kRegions = {{"west-a", "west"},
                                                      {"mid-a", "mid"},
@@ -32,22 +27,17 @@
          (draining ? "1" : "0");
 }
 
-std::string EncodeEntry(const InstanceEntry& entry) {
-  return entry.data_centre + " " + std::to_string(entry.store_era) + " " +
-         std::to_string(entry.routes_version);
-}
-
 std::optional<FeedItem> Decode(const RawItem& item) {
-  if (item.key == kRoutesKey) {
+  if (item.key == kSessionRoutes) {
     if (!item.value)
       return std::nullopt;
     return std::make_shared<const RouteTable>(
         std::stoull(*item.value), std::vector<Route>(),
         std::vector<TargetService>(), RequestLimits());
   }
-  if (item.key.starts_with(kServers)) {
+  if (item.key.starts_with(kSessionServers)) {
     ServerEntry entry;
-    entry.id = item.key.substr(sizeof(kServers) - 1);
+    entry.id = item.key.substr(sizeof(kSessionServers) - 1);
     if (!item.value)
       return ServerGone{entry.id};
     long long born = 0;
@@ -62,7 +52,7 @@
     return entry;
   }
   InstanceEntry entry;
-  entry.name = item.key.substr(sizeof(kInstances) - 1);
+  entry.name = item.key.substr(sizeof(kSessionInstances) - 1);
   if (!item.value)
     return InstanceGone{entry.name};
   char data_centre[32] = {};
@@ -78,120 +68,6 @@
 
 }  // namespace
 
-void SessionStore::Put(const std::string& key,
-                       const std::string& value,
-                       std::uint64_t lease) {
-  ++state_.revision;
-  state_.items[key] = {value, state_.revision, lease};
-  history_.push_back({key, value, state_.revision});
-}
-
-void SessionStore::Erase(const std::string& key) {
-  if (state_.items.erase(key) == 0)
-    return;
-  ++state_.revision;
-  history_.push_back({key, std::nullopt, state_.revision});
-}
-
-FeedReply SessionStore::Answer(const FeedCall& call) const {
-  FeedReply reply;
-  if (const auto* page = std::get_if<ListPage>(&call))
-    reply = List(*page);
-  else
-    reply = Changes(std::get<ReadChanges>(call).after.revision);
-  if (tells_era)
-    reply.era = era_;
-  return reply;
-}
-
-FeedReply SessionStore::List(const ListPage& page) const {
-  FeedReply reply;
-  reply.status = FeedStatus::kOk;
-  reply.revision = state_.revision;
-  auto item = state_.items.upper_bound(page.after_key);
-  for (; item != state_.items.end() && reply.items.size() < kPageItems; ++item)
-    reply.items.push_back(
-        {item->first, item->second.value, item->second.revision});
-  reply.has_more = item != state_.items.end();
-  return reply;
-}
-
-FeedReply SessionStore::Changes(std::uint64_t after) const {
-  FeedReply reply;
-  if (after < floor_ || after > state_.revision) {
-    reply.status = FeedStatus::kHistoryLost;
-    return reply;
-  }
-  reply.status = FeedStatus::kOk;
-  reply.revision = state_.revision;
-  for (const auto& change : history_) {
-    if (change.revision > after)
-      reply.items.push_back({change.key, change.value, change.revision});
-  }
-  return reply;
-}
-
-LeaseReply SessionStore::Answer(const LeaseCall& call, Time now) {
-  LeaseReply reply;
-  reply.status = LeaseStatus::kOk;
-  if (const auto* grant = std::get_if<GrantLease>(&call)) {
-    reply.lease = state_.next_lease++;
-    state_.leases[reply.lease] = now + grant->lease;
-  } else if (const auto* write = std::get_if<WriteInstance>(&call)) {
-    if (state_.leases.count(write->lease) == 0)
-      reply.status = LeaseStatus::kNoLease;
-    else
-      Put(kInstances + write->entry.name, EncodeEntry(write->entry),
-          write->lease);
-    reply.revision = state_.revision;
-  } else if (const auto* renew = std::get_if<RenewLease>(&call)) {
-    const auto found = state_.leases.find(renew->lease);
-    if (found == state_.leases.end())
-      reply.status = LeaseStatus::kNoLease;
-    else
-      found->second = now + Registrar::kLease;
-  } else {
-    const auto& remove = std::get<RemoveInstance>(call);
-    const auto found = state_.items.find(kInstances + remove.name);
-    if (found != state_.items.end() &&
-        found->second.revision == remove.revision) {
-      Erase(kInstances + remove.name);
-    }
-  }
-  if (tells_era)
-    reply.era = era_;
-  return reply;
-}
-
-void SessionStore::ExpireLeases(Time now) {
-  std::vector<std::string> ended;
-  for (const auto& [key, item] : state_.items) {
-    if (item.lease != 0 && state_.leases.count(item.lease) > 0 &&
-        state_.leases[item.lease] <= now) {
-      ended.push_back(key);
-    }
-  }
-  for (const auto& key : ended)
-    Erase(key);
-  std::erase_if(state_.leases,
-                [now](const auto& lease) { return lease.second <= now; });
-}
-
-void SessionStore::KeepCopy(Time now) {
-  copies_.push_back({now, state_});
-  if (copies_.size() > kCopies)
-    copies_.pop_front();
-}
-
-void SessionStore::Restore(Duration age, Time now) {
-  while (copies_.size() > 1 && copies_.back().at > now - age)
-    copies_.pop_back();
-  state_ = copies_.back().state;
-  history_.clear();
-  floor_ = state_.revision;
-  ++era_;
-}
-
 StoreSession::StoreSession(StoreSessionSettings settings)
     : settings_(settings), random_(settings.seed) {
   for (int i = 0; i < settings_.instances; ++i) {
@@ -414,7 +290,7 @@
   if (server.HasLeft(now_))
     return;
   if (!store_down_) {
-    store_.Put(kServers + server.id,
+    store_.Put(kSessionServers + server.id,
                EncodeServer(server.born, ++server.sequence, server.draining));
   }
   After(kHeartbeat, [this, index] { Beat(index); });
@@ -423,11 +299,11 @@
 void StoreSession::Leave(int index) {
   Server& server = servers_[index];
   server.draining = true;
-  store_.Put(kServers + server.id,
+  store_.Put(kSessionServers + server.id,
              EncodeServer(server.born, ++server.sequence, true));
   After(kDrainTime, [this, index] {
     servers_[index].gone = now_;
-    store_.Erase(kServers + servers_[index].id);
+    store_.Erase(kSessionServers + servers_[index].id);
   });
 }
 
@@ -435,7 +311,7 @@
   Server& server = servers_[index];
   server.gone = now_;
   After(3 * kHeartbeat,
-        [this, id = server.id] { store_.Erase(kServers + id); });
+        [this, id = server.id] { store_.Erase(kSessionServers + id); });
 }
 
 // Entries of servers that are silent for three heartbeats lapse.
@@ -443,10 +319,10 @@
   store_.ExpireLeases(now_);
   store_.KeepCopy(now_);
   for (const auto& server : servers_) {
-    const auto found = store_.items().find(kServers + server.id);
+    const auto found = store_.items().find(kSessionServers + server.id);
     if (server.HasLeft(now_) && found != store_.items().end()) {
       After(3 * kHeartbeat,
-            [this, id = server.id] { store_.Erase(kServers + id); });
+            [this, id = server.id] { store_.Erase(kSessionServers + id); });
     }
   }
   After(kCopyInterval, [this] { Housekeep(); });
@@ -454,11 +330,11 @@
 
 void StoreSession::LapseServers() {
   for (const auto& server : servers_)
-    store_.Erase(kServers + server.id);
+    store_.Erase(kSessionServers + server.id);
 }
 
 void StoreSession::WriteRoutes(std::uint64_t version) {
-  store_.Put(kRoutesKey, std::to_string(version));
+  store_.Put(kSessionRoutes, std::to_string(version));
 }
 
 void StoreSession::Drill(Duration age, Duration away) {
@@ -483,11 +359,11 @@
 int StoreSession::Registered() const {
   int count = 0;
   for (const auto& node : nodes_) {
-    const auto found = store_.items().find(kInstances + node.entry.name);
+    const auto found = store_.items().find(kSessionInstances + node.entry.name);
     if (found == store_.items().end())
       continue;
     const auto entry =
-        Decode({kInstances + node.entry.name, found->second.value, 0});
+        Decode({kSessionInstances + node.entry.name, found->second.value, 0});
     if (std::get<InstanceEntry>(*entry).store_era == store_.era())
       ++count;
   }
--- a/src/discovery/tests/store_session.h
+++ b/src/discovery/tests/store_session.h
@@ -5,74 +5,17 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <queue>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "discovery/discovery_engine.h"
+#include "discovery/tests/session_store.h"
 #include "framework/random.h"
 
 namespace limpetrudder {
 
-// A store in virtual time that keeps copies of itself and can be brought back
-// from one: its era rises, its revision falls, and what was written since the
-// copy, leases too, is gone.
-class SessionStore {
- public:
-  struct Item {
-    std::string value;
-    std::uint64_t revision = 0;
-    std::uint64_t lease = 0;
-  };
-
-  void Put(const std::string& key,
-           const std::string& value,
-           std::uint64_t lease = 0);
-  void Erase(const std::string& key);
-
-  FeedReply Answer(const FeedCall& call) const;
-  LeaseReply Answer(const LeaseCall& call, Time now);
-
-  void ExpireLeases(Time now);
-  void KeepCopy(Time now);
-  // Comes back from the latest copy that is at least `age` old.
-  void Restore(Duration age, Time now);
-
-  const std::map<std::string, Item>& items() const { return state_.items; }
-  std::uint64_t era() const { return era_; }
-  std::uint64_t revision() const { return state_.revision; }
-  // Whether answers tell the era.
-  bool tells_era = true;
-
- private:
-  struct Change {
-    std::string key;
-    std::optional<std::string> value;
-    std::uint64_t revision = 0;
-  };
-  struct State {
-    std::map<std::string, Item> items;
-    std::map<std::uint64_t, Time> leases;
-    std::uint64_t revision = 1000;
-    std::uint64_t next_lease = 1;
-  };
-  struct Copy {
-    Time at{};
-    State state;
-  };
-
-  FeedReply List(const ListPage& page) const;
-  FeedReply Changes(std::uint64_t after) const;
-
-  State state_;
-  std::uint64_t era_ = 3;
-  std::deque<Change> history_;
-  std::uint64_t floor_ = 1000;
-  std::deque<Copy> copies_;
-};
-
 struct StoreSessionSettings {
   int instances = 9;
   int servers = 40;
