--- a/src/app/discovery_duty.cc
+++ b/src/app/discovery_duty.cc
@@ -42,7 +42,9 @@
 
 void DiscoveryDuty::On(PassedOn event, Time now) {
   if (event.reply.status != FeedStatus::kOk)
-    Log(LogLevel::kWarning, "feed_failed", {{"from", event.from}});
+    Log(LogLevel::kWarning, "feed_failed",
+        {{"from", event.from},
+         {"reason", NameOf(kAskReasonNames, event.reason)}});
   engine_.OnPassedOn(event.from, event.reason, std::move(event.reply), now);
 }
 
--- a/src/discovery/discovery_engine.h
+++ b/src/discovery/discovery_engine.h
@@ -17,6 +17,7 @@
 #include "discovery/registrar.h"
 #include "discovery/server_directory.h"
 #include "discovery/store_follower.h"
+#include "framework/enum_names.h"
 
 namespace limpetrudder {
 
@@ -33,9 +34,15 @@
 enum class AskReason {
   kFollow,       // This instance doesn't read the store itself.
   kAhead,        // It was seen with newer routes.
-  kFirstRoutes,  // It may have newer routes than the store, see OfferRoutes().
+  kFirstRoutes,  // It may have newer routes than the store's copy.
 };
 
+inline constexpr EnumNames<AskReason, 3> kAskReasonNames{{
+    {AskReason::kFollow, "follow"},
+    {AskReason::kAhead, "ahead"},
+    {AskReason::kFirstRoutes, "first_routes"},
+}};
+
 // Actions of the discovery engine.
 
 struct AskStore {
