Answers to instances that ask are made one at a time

Since DiscoveryEngine hands out actions, all answers to waiting instances, each with a whole listing or configuration, stood in memory at once. Change: the action names the question; the duty asks for the answer when it sends it.

--- a/src/app/discovery_duty.cc
+++ b/src/app/discovery_duty.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "framework/clock.h"
 #include "framework/logger.h"
 
 namespace limpetrudder {
@@ -91,8 +92,8 @@
 }
 
 void DiscoveryDuty::Do(const AnswerQuestion& action) {
-  const auto respond = asking_.extract(action.question);
-  respond.mapped()(action.reply);
+  const auto respond = asking_.extract(action.id);
+  respond.mapped()(engine_.AnswerTo(action.question, SteadyNow()));
 }
 
 void DiscoveryDuty::Do(RoutesLearnt action) {
--- a/src/discovery/discovery_engine.cc
+++ b/src/discovery/discovery_engine.cc
@@ -99,7 +99,7 @@
                                  Time now) {
   if (question.at_once || HasNewsFor(question) ||
       waiting_.size() >= kMostWaiting) {
-    actions_.push_back(AnswerQuestion{id, AnswerTo(question, now)});
+    actions_.push_back(AnswerQuestion{id, question});
     return;
   }
   waiting_.push_back({id, question, now + kFeedWait});
@@ -322,8 +322,7 @@
       *next = std::min(*next, waiting.until);
       return false;
     }
-    actions_.push_back(
-        AnswerQuestion{waiting.id, AnswerTo(waiting.question, now)});
+    actions_.push_back(AnswerQuestion{waiting.id, waiting.question});
     return true;
   });
 }
--- a/src/discovery/discovery_engine.h
+++ b/src/discovery/discovery_engine.h
@@ -56,9 +56,11 @@
   FeedQuestion question;
   AskReason reason = AskReason::kFollow;
 };
+// Its owner gets the answer from AnswerTo(), one at a time: after a change
+// twenty instances wait for the same megabyte.
 struct AnswerQuestion {
-  std::uint64_t question = 0;
-  FeedReply reply;
+  std::uint64_t id = 0;
+  FeedQuestion question;
 };
 struct RoutesLearnt {
   std::shared_ptr<const RouteTable> routes;
@@ -139,6 +141,9 @@
   // AnswerQuestion, perhaps later.
   void OnQuestion(std::uint64_t id, FeedQuestion question, Time now);
 
+  // Returns what is known beyond what a question names.
+  FeedReply AnswerTo(const FeedQuestion& question, Time now) const;
+
   // This instance is about to stop.
   void Leave();
 
@@ -195,7 +200,6 @@
   void Ask(const InstanceEntry& instance, AskReason reason);
   bool HasRoutesFor(const FeedQuestion& question) const;
   bool HasNewsFor(const FeedQuestion& question) const;
-  FeedReply AnswerTo(const FeedQuestion& question, Time now) const;
   void AnswerQuestions(Time now, Time* next);
 
   const DiscoverySettings settings_;
--- a/src/discovery/tests/store_session.cc
+++ b/src/discovery/tests/store_session.cc
@@ -230,7 +230,7 @@
 }
 
 void StoreSession::Do(int node, const AnswerQuestion& action) {
-  const auto found = askers_.find(action.question);
+  const auto found = askers_.find(action.id);
   if (found == askers_.end())
     return;
   const Asker asker = found->second;
@@ -239,13 +239,14 @@
     return;
   const Duration delay =
       DelayBetween(nodes_[node].entry, nodes_[asker.node].entry);
-  AfterAt(asker.node, delay,
-          [this, reply = action.reply, reason = asker.reason,
-           from = nodes_[node].entry.name, delay](Node& at) {
-            FeedReply passed_on = reply;
-            passed_on.age += delay;
-            at.engine->OnPassedOn(from, reason, std::move(passed_on), now_);
-          });
+  AfterAt(
+      asker.node, delay,
+      [this, reply = nodes_[node].engine->AnswerTo(action.question, now_),
+       reason = asker.reason, from = nodes_[node].entry.name, delay](Node& at) {
+        FeedReply passed_on = reply;
+        passed_on.age += delay;
+        at.engine->OnPassedOn(from, reason, std::move(passed_on), now_);
+      });
 }
 
 void StoreSession::Do(int node, const RoutesLearnt& action) {
