--- a/src/net/feed_codec.cc
+++ b/src/net/feed_codec.cc
@@ -1,6 +1,5 @@
 #include "net/feed_codec.h"
 
-#include <charconv>
 #include <string_view>
 #include <utility>
 
@@ -9,6 +8,7 @@
 #include "framework/http_status.h"
 #include "framework/json_schema.h"
 #include "framework/logger.h"
+#include "framework/read_number.h"
 #include "net/http_text.h"
 
 namespace limpetrudder {
@@ -43,11 +43,8 @@
                                       std::string_view field) {
   const auto text = QueryField(query, field);
   std::uint64_t number = 0;
-  if (!text ||
-      std::from_chars(text->data(), text->data() + text->size(), number).ec !=
-          std::errc()) {
+  if (!text || !ReadNumber(*text, &number))
     return std::nullopt;
-  }
   return number;
 }
 
--- a/src/net/forward_codec.cc
+++ b/src/net/forward_codec.cc
@@ -1,12 +1,12 @@
 #include "net/forward_codec.h"
 
 #include <algorithm>
-#include <charconv>
 #include <string>
 #include <string_view>
 #include <utility>
 
 #include "framework/logger.h"
+#include "framework/read_number.h"
 #include "net/http_text.h"
 
 namespace limpetrudder {
@@ -35,12 +35,6 @@
                std::to_string(std::max<std::int64_t>(0, WholeMillis(value))));
 }
 
-bool ReadNumber(std::string_view text, std::uint64_t* number) {
-  const auto read =
-      std::from_chars(text.data(), text.data() + text.size(), *number);
-  return read.ec == std::errc() && read.ptr == text.data() + text.size();
-}
-
 // Joins what `text_of` gives for each item.
 template <typename Item, typename TextOf>
 std::string JoinList(const std::vector<Item>& items, TextOf text_of) {
--- a/src/once/idempotency_key.cc
+++ b/src/once/idempotency_key.cc
@@ -1,8 +1,9 @@
 #include "once/idempotency_key.h"
 
-#include <charconv>
 #include <vector>
 
+#include "framework/read_number.h"
+
 namespace limpetrudder {
 namespace {
 
@@ -21,13 +22,6 @@
   }
 }
 
-template <typename T>
-bool ReadNumber(std::string_view text, T* number) {
-  const auto result =
-      std::from_chars(text.data(), text.data() + text.size(), *number);
-  return result.ec == std::errc() && result.ptr == text.data() + text.size();
-}
-
 }  // namespace
 
 std::string WriteKey(const IdempotencyKey& key) {
