--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -140,7 +140,7 @@
                 bool repeated,
                 Time now);
   void DelegateFarLegs(ActiveCall* call, Time now);
-  bool Delegate(ActiveCall* call,
+  void Delegate(ActiveCall* call,
                 const std::string& data_centre,
                 std::vector<std::size_t> legs,
                 Time now);
@@ -168,6 +168,8 @@
             std::size_t leg_index,
             const detail::Placement& choice,
             Time now);
+  // Whether the server is in another region.
+  bool IsFar(const ServerLoad& server) const;
   void PlanHedge(ActiveCall* call, Leg* leg, const ServerLoad& first, Time now);
   void TryHedge(ActiveCall* call, std::size_t leg_index, Time now);
   void Wait(ActiveCall* call, std::size_t leg_index, Time now);
--- a/src/dispatch/dispatch_engine_homes.cc
+++ b/src/dispatch/dispatch_engine_homes.cc
@@ -111,14 +111,14 @@
     Delegate(call, batch.data_centre, std::move(batch.legs), now);
 }
 
-bool DispatchEngine::Delegate(ActiveCall* call,
+void DispatchEngine::Delegate(ActiveCall* call,
                               const std::string& data_centre,
                               std::vector<std::size_t> legs,
                               Time now) {
   const auto home = homes_.ChooseIn(data_centre, legs.size(),
                                     profiles_.SizesOf(*call->route), now);
   if (!home)
-    return false;
+    return;
   std::vector<std::string> shards;
   for (const std::size_t leg : legs) {
     call->legs[leg].delegated = true;
@@ -130,7 +130,6 @@
   const std::size_t batch = call->batches.size();
   call->batches.push_back({id, std::move(legs)});
   ForwardTo(home, call, batch, id, std::move(shards), now);
-  return true;
 }
 
 void DispatchEngine::OnHomeReply(const OpenSend& send,
--- a/src/dispatch/dispatch_engine_legs.cc
+++ b/src/dispatch/dispatch_engine_legs.cc
@@ -177,9 +177,7 @@
   ++leg.runs;
   ++leg.arrivals;
   ++call->record.sends;
-  const bool far =
-      topology_.DistanceTo(entry.data_centre) == detail::Distance::kOtherRegion;
-  call->record.far_sends += far ? 1 : 0;
+  call->record.far_sends += IsFar(*choice.server) ? 1 : 0;
   choice.server->OnSent(now);
   sends_[id] = {.call = call->call.id,
                 .leg = leg_index,
@@ -196,6 +194,11 @@
     PlanHedge(call, &leg, *choice.server, now);
 }
 
+bool DispatchEngine::IsFar(const ServerLoad& server) const {
+  return topology_.DistanceTo(server.entry().data_centre) ==
+         detail::Distance::kOtherRegion;
+}
+
 void DispatchEngine::PlanHedge(ActiveCall* call,
                                Leg* leg,
                                const ServerLoad& first,
@@ -241,9 +244,8 @@
     return;
   }
   ++call->record.hedges;
-  const std::uint32_t far_before = call->record.far_sends;
+  call->record.far_hedges += IsFar(*choice.server) ? 1 : 0;
   Send(call, leg_index, choice, now);
-  call->record.far_hedges += call->record.far_sends - far_before;
 }
 
 void DispatchEngine::Wait(ActiveCall* call, std::size_t leg_index, Time now) {
--- a/src/report/log_report.cc
+++ b/src/report/log_report.cc
@@ -1,8 +1,6 @@
 #include "report/log_report.h"
 
-#include <algorithm>
-#include <cstdio>
-#include <vector>
+#include <fmt/format.h>
 
 #include "framework/http_status.h"
 #include "framework/result_code.h"
@@ -59,35 +57,22 @@
   }
 }
 
-template <typename... Values>
-std::string Format(const char* format, Values... values) {
-  std::vector<char> text(256);
-  const int size = std::snprintf(text.data(), text.size(), format, values...);
-  return {text.data(), std::min(static_cast<std::size_t>(std::max(0, size)),
-                                text.size() - 1)};
-}
-
 std::string Row(const std::string& name, const CallCounts& counts) {
-  return Format("%-20s %7llu %7llu %7llu %7llu %7llu %7llu", name.c_str(),
-                static_cast<unsigned long long>(counts.calls),
-                static_cast<unsigned long long>(counts.served),
-                static_cast<unsigned long long>(counts.in_part),
-                static_cast<unsigned long long>(counts.late),
-                static_cast<unsigned long long>(counts.refused),
-                static_cast<unsigned long long>(counts.failed));
+  return fmt::format("{:<20} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7}", name,
+                     counts.calls, counts.served, counts.in_part, counts.late,
+                     counts.refused, counts.failed);
 }
 
 std::string Head(const char* first) {
-  return Format("%-20s %7s %7s %7s %7s %7s %7s", first, "calls", "served",
-                "in part", "late", "refused", "failed");
+  return fmt::format("{:<20} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7}", first,
+                     "calls", "served", "in part", "late", "refused", "failed");
 }
 
 std::string Reasons(const char* title,
                     const std::map<int, std::uint64_t>& reasons) {
   std::string text = std::string("\n") + title + "\n";
   for (const auto& [code, count] : reasons) {
-    text += Format("%7llu  %d %s\n", static_cast<unsigned long long>(count),
-                   code, NameOfCode(code).c_str());
+    text += fmt::format("{:>7}  {} {}\n", count, code, NameOfCode(code));
   }
   return text;
 }
@@ -171,12 +156,10 @@
   text += Reasons("why parts are missing", part_reasons_);
   text += "\nbeliefs and life\n";
   for (const auto& [event, count] : by_event_) {
-    text += Format("%7llu  %s\n", static_cast<unsigned long long>(count),
-                   event.c_str());
+    text += fmt::format("{:>7}  {}\n", count, event);
   }
-  text += Format("\n%zu instances, %llu lines, %llu unreadable",
-                 instances_.size(), static_cast<unsigned long long>(lines_),
-                 static_cast<unsigned long long>(unreadable_));
+  text += fmt::format("\n{} instances, {} lines, {} unreadable",
+                      instances_.size(), lines_, unreadable_);
   if (unreadable_ > 0)
     text += ", the first at " + first_unreadable_;
   return text + "\n";
