A rate limit that a server names is decoded and logged

Answers are searched for the limit now, and its changes are logged with the number of requests sent meanwhile. Nothing acts on it yet.

--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -325,6 +325,15 @@
                {"ms", WholeMillis(action.backoff)}});
 }
 
+void DispatchDuty::Execute(const RateLimitChange& action) {
+  CountAndLog(LogLevel::kInfo,
+              action.limit ? "server_limited" : "server_unlimited",
+              {{"server", action.server},
+               {"service", action.service},
+               {"limit", action.limit ? Json(*action.limit) : Json()},
+               {"sent", action.sent}});
+}
+
 void DispatchDuty::Execute(const AdmissionChange& action) {
   CountAndLog(LogLevel::kWarning,
               action.limited ? "admission_limited" : "admission_free",
--- a/src/app/dispatch_duty.h
+++ b/src/app/dispatch_duty.h
@@ -129,6 +129,7 @@
                    const nlohmann::json& fields);
   void Execute(const ServerStateChange& action);
   void Execute(const BackoffChange& action);
+  void Execute(const RateLimitChange& action);
   void Execute(const AdmissionChange& action);
   void Execute(const PacingChange& action);
   void Execute(const ServerCold& action);
--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -218,6 +218,9 @@
                              bool leaving,
                              std::optional<Duration> backoff,
                              Time now);
+  void ApplyRateLimit(const PendingAttempt& attempt,
+                      const RateLimitNotice& notice,
+                      Time now);
   void OnLeaving(const LeavingServer& leaving, Time now);
   std::vector<LeavingServer> RecentLeavingServers(Time now);
   void EndBackoffs(Time now, Time* next);
--- a/src/dispatch/dispatch_engine_servers.cc
+++ b/src/dispatch/dispatch_engine_servers.cc
@@ -70,6 +70,17 @@
   actions_.emplace_back(BackoffChange{entry.id, entry.service, true, *backoff});
 }
 
+void DispatchEngine::ApplyRateLimit(const PendingAttempt& attempt,
+                                    const RateLimitNotice& notice,
+                                    Time now) {
+  detail::RateLimiter& limiter = attempt.server->rate_limiter();
+  if (!limiter.OnAnswer(notice, attempt.sent, now))
+    return;
+  const ServerEntry& entry = attempt.server->entry();
+  actions_.emplace_back(RateLimitChange{
+      entry.id, entry.service, limiter.limit(), limiter.TakeSentCount()});
+}
+
 void DispatchEngine::OnLeaving(const LeavingServer& leaving, Time now) {
   if (!servers_.OnLeaving(leaving))
     return;
@@ -191,8 +202,11 @@
     server.OnLoad(*reply.load, now);
   // NOTE If another server has the address now, what it asks for concerns only
   // itself.
-  if (!reply.misdirected)
+  if (!reply.misdirected) {
     ApplyServerDirectives(server, reply.leaving, reply.backoff, now);
+    if (reply.outcome == AttemptOutcome::kAnswered)
+      ApplyRateLimit(attempt, reply.rate_limit, now);
+  }
   switch (reply_class) {
     case ReplyClass::kUsable: {
       UpdatePacing(attempt, now);
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -63,6 +63,14 @@
   double slowness = 1;  // Current work time divided by the usual one.
 };
 
+// What an answer says of the server's rate limit.
+struct RateLimitNotice {
+  bool named = false;  // Whether it says anything.
+  // Requests per second that the server accepts from all instances together;
+  // not set if the value can't be read. Not negative.
+  std::optional<double> per_second;
+};
+
 // A server process that announced in an answer that it is leaving.
 struct LeavingServer {
   std::string id;
@@ -89,6 +97,7 @@
   bool misdirected = false;         // Another server has the address now.
   bool leaving = false;             // The server announces that it is leaving.
   std::optional<Duration> backoff;  // How long to send the server nothing.
+  RateLimitNotice rate_limit;
   std::string signature;  // Identifies the run; empty if the server sent none.
 
   // The fields below are set in replies of coordinators only.
@@ -254,6 +263,15 @@
   Duration backoff{0};
 };
 
+// A server named a rate limit or changed it, or lifted it.
+struct RateLimitChange {
+  std::string server;
+  std::string service;
+  std::optional<double> limit;  // Requests per second; not set: none.
+  // Requests that this instance sent to the server since the last change.
+  std::uint64_t sent = 0;
+};
+
 // Admission control began to refuse queries of a shard set, or stopped.
 struct AdmissionChange {
   std::string shard;  // The first one of the set.
@@ -295,6 +313,7 @@
                                     CompleteCall,
                                     ServerStateChange,
                                     BackoffChange,
+                                    RateLimitChange,
                                     AdmissionChange,
                                     PacingChange,
                                     ServerCold,
--- a/src/dispatch/internal/server_load.h
+++ b/src/dispatch/internal/server_load.h
@@ -9,6 +9,7 @@
 
 #include "discovery/server_directory.h"
 #include "dispatch/dispatch_types.h"
+#include "dispatch/internal/rate_limiter.h"
 #include "dispatch/internal/server_directives.h"
 #include "dispatch/internal/server_pacer.h"
 #include "dispatch/internal/warmup_limiter.h"
@@ -113,6 +114,8 @@
   const ServerEntry& entry() const { return entry_; }
   ServerPacer& pacer() { return pacer_; }
   ServerDirectives& directives() { return directives_; }
+  RateLimiter& rate_limiter() { return rate_limiter_; }
+  const RateLimiter& rate_limiter() const { return rate_limiter_; }
   WarmupLimiter& warmup() { return warmup_; }
   const WarmupLimiter& warmup() const { return warmup_; }
   std::uint32_t in_flight() const { return in_flight_; }
@@ -167,6 +170,7 @@
   DecayingAverage failures_;
   ServerPacer pacer_;
   ServerDirectives directives_;
+  RateLimiter rate_limiter_;
   WarmupLimiter warmup_;
   LoadReport load_report_;
   Time load_reported_at_{};
