--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -31,8 +31,6 @@
     : options_(std::move(options)), random_(options_.seed) {
   if (options_.shards.empty())
     options_.shards.assign(4, {"kgn-a", "mbj-a"});
-  std::map<std::string, std::string> regions;
-  DirectoryChange change;
   const auto add = [&](const std::string& id, const std::string& service,
                        const std::string& data_centre) {
     SessionServer& server = servers_[id];
@@ -43,8 +41,7 @@
     server.entry.slots = 2;
     server.max_queued = options_.max_queued;
     server.entry.started_ms = 1;
-    change.updated.push_back(server.entry);
-    regions[data_centre] = RegionOf(data_centre);
+    regions_[data_centre] = RegionOf(data_centre);
   };
   for (std::size_t shard = 0; shard < options_.shards.size(); ++shard) {
     for (std::size_t i = 0; i < options_.shards[shard].size(); ++i)
@@ -61,20 +58,61 @@
         options_.cores_of.empty() ? options_.cores : options_.cores_of[i];
     instances_.push_back(
         {name, options_.instances[i], name + ":70", cores, 1000});
-    regions[options_.instances[i]] = RegionOf(options_.instances[i]);
-  }
-  for (std::size_t i = 0; i < instances_.size(); ++i) {
-    engines_.push_back(std::make_unique<DispatchEngine>(
-        DispatchSettings{instances_[i], regions, options_.budget, {}, 17 + i}));
-    next_ticks_.push_back(kNever);
-    engines_[i]->OnInstances(instances_, now_);
-    engines_[i]->OnServers(change, now_);
+    regions_[options_.instances[i]] = RegionOf(options_.instances[i]);
   }
+  engines_.resize(instances_.size());
+  next_ticks_.resize(instances_.size(), kNever);
+  for (std::size_t i = 0; i < instances_.size(); ++i)
+    StartEngine(i);
   Announce(MakeRoutes(1));
   // NOTE Skips the start-up phase, in which engines open few connections.
   Run(Seconds(11));
 }
 
+void FleetSession::StartEngine(std::size_t instance) {
+  DirectoryChange change;
+  for (const auto& [id, server] : servers_)
+    change.updated.push_back(server.entry);
+  engines_[instance] = std::make_unique<DispatchEngine>(DispatchSettings{
+      instances_[instance], regions_, options_.budget, {}, 17 + instance});
+  engines_[instance]->OnInstances(instances_, now_);
+  engines_[instance]->OnServers(change, now_);
+}
+
+void FleetSession::Restart(std::size_t instance) {
+  for (auto& [name, server] : servers_) {
+    std::erase_if(server.queue, [instance](const SessionServer::Job& job) {
+      return job.instance == instance;
+    });
+    std::erase_if(server.running, [instance](const auto& running) {
+      return running.first == instance;
+    });
+  }
+  for (const auto& [attempt, call] : forwarded_) {
+    if (calls_.at(call).instance != instance)
+      continue;
+    TargetReply lost;
+    lost.attempt = attempt.second;
+    lost.outcome = AttemptOutcome::kBroken;
+    Reply(attempt.first, std::move(lost), kLocalTime);
+  }
+  ++restarts_[instance];
+  StartEngine(instance);
+  engines_[instance]->OnRoutes(routes_, now_);
+  RunEngine(instance);
+}
+
+void FleetSession::AddNotices(const SessionServer& server,
+                              TargetReply* reply) const {
+  reply->leaving = server.reports_leaving;
+  reply->rate_limit = {server.rate_limit.has_value(), server.rate_limit};
+  if (options_.servers_report_load) {
+    reply->load = LoadReport{static_cast<std::uint32_t>(server.running.size()),
+                             static_cast<std::uint32_t>(server.queue.size()),
+                             server.entry.slots, 1};
+  }
+}
+
 std::shared_ptr<RouteTable> FleetSession::MakeRoutes(std::uint64_t version,
                                                      std::size_t first,
                                                      std::size_t count) const {
@@ -156,6 +194,7 @@
 }
 
 void FleetSession::Announce(const std::shared_ptr<const RouteTable>& routes) {
+  routes_ = routes;
   for (std::size_t i = 0; i < engines_.size(); ++i) {
     engines_[i]->OnRoutes(routes, now_);
     RunEngine(i);
@@ -379,14 +418,8 @@
     server.reject_next -= server.reject_next > 0 ? 1 : 0;
     ++server.rejections;
     TargetReply rejected;
-    rejected.leaving = server.reports_leaving;
+    AddNotices(server, &rejected);
     rejected.backoff = server.requests_backoff;
-    if (options_.servers_report_load) {
-      rejected.load =
-          LoadReport{static_cast<std::uint32_t>(server.running.size()),
-                     static_cast<std::uint32_t>(server.queue.size()),
-                     server.entry.slots, 1};
-    }
     rejected.attempt = request.attempt;
     rejected.outcome = AttemptOutcome::kAnswered;
     rejected.status = 503;
@@ -425,15 +458,10 @@
   reply.outcome = server->resets_connections ? AttemptOutcome::kBroken
                                              : AttemptOutcome::kAnswered;
   reply.status = server->failing ? 500 : 200;
-  reply.leaving = server->reports_leaving;
+  AddNotices(*server, &reply);
   if (!server->omits_signature)
     reply.signature = server->entry.id + "/" + job.request_id;
   reply.body = std::string(15, 'x') + server->entry.id.back();
-  if (options_.servers_report_load) {
-    reply.load = LoadReport{static_cast<std::uint32_t>(server->running.size()),
-                            static_cast<std::uint32_t>(server->queue.size()),
-                            server->entry.slots, 1};
-  }
   Reply(
       job.instance, std::move(reply),
       NetworkTime(options_.instances[job.instance], server->entry.data_centre));
@@ -447,8 +475,9 @@
 void FleetSession::Reply(std::size_t instance,
                          TargetReply reply,
                          Duration network_time) {
-  At(now_ + network_time, [this, instance, reply = std::move(reply)]() mutable {
-    if (frozen_.count(instance) > 0)
+  At(now_ + network_time, [this, instance, process = restarts_[instance],
+                           reply = std::move(reply)]() mutable {
+    if (frozen_.count(instance) > 0 || restarts_[instance] != process)
       return;
     engines_[instance]->OnReply(std::move(reply), now_);
     RunEngine(instance);
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -30,6 +30,7 @@
   bool reports_leaving = false;     // In all its answers.
   // If set, refuses all requests and asks for this backoff.
   std::optional<Duration> requests_backoff;
+  std::optional<double> rate_limit;  // Named in all its answers.
   Time paused_until{};
 
   int arrivals = 0;
@@ -151,6 +152,9 @@
   // Stops an instance: it no longer answers anything, pings included.
   void Freeze(std::size_t instance) { frozen_.insert(instance); }
   void Thaw(std::size_t instance) { frozen_.erase(instance); }
+  // Replaces an instance by a new process, which knows the routes, servers and
+  // instances only. Its calls are lost.
+  void Restart(std::size_t instance);
 
   // Returns routes over `count` shards from `first` on; 0: as many as the first
   // routes have.
@@ -198,11 +202,16 @@
   void OnCallerAnswered(const CallState& call, const CallReply& reply);
   Duration NetworkTime(const std::string& from, const std::string& to) const;
   std::size_t IndexOf(const std::string& instance_name) const;
+  void StartEngine(std::size_t instance);
+  // Sets what all answers of the server say besides their result.
+  void AddNotices(const SessionServer& server, TargetReply* reply) const;
 
   Options options_;
   Random random_;
   Time now_ = Time(Seconds(1000));
   std::multimap<Time, std::function<void()>> events_;
+  std::map<std::string, std::string> regions_;  // By data centre.
+  std::shared_ptr<const RouteTable> routes_;    // Announced last.
   std::vector<InstanceEntry> instances_;
   std::vector<std::unique_ptr<DispatchEngine>> engines_;
   std::vector<Time> next_ticks_;
@@ -211,6 +220,7 @@
   std::map<CallId, SessionAnswer> answers_;
   std::vector<CallerOutcome> callers_;
   std::set<std::size_t> frozen_;
+  std::map<std::size_t, int> restarts_;  // By instance.
   // Pairs of instances with an open connection.
   std::set<std::pair<std::size_t, std::size_t>> connected_;
   std::map<std::pair<std::size_t, AttemptId>, CallId> forwarded_;
