Instances share the rate that a server names, and keep it together

Cause: no instance read the limit. Class: an instruction in an answer that no code reads, and none has to fail for it. Change: RateLimiter keeps what a server process names in its answers; ShareRateLimit divides it without messages between instances. A few instances send, as many as the limit bears if each is a whole request ahead; the others make trials, less often the larger the fleet, by which they find out that the limit has ended. Requests wait for their turn within the latency target, else they use another server, and are refused at once (5016) if there is none, with the time at which there is room again.

--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -331,6 +331,7 @@
               {{"server", action.server},
                {"service", action.service},
                {"limit", action.limit ? Json(*action.limit) : Json()},
+               {"rate", action.rate},
                {"sent", action.sent}});
 }
 
--- a/src/dispatch/dispatch_engine_servers.cc
+++ b/src/dispatch/dispatch_engine_servers.cc
@@ -73,12 +73,13 @@
 void DispatchEngine::ApplyRateLimit(const PendingAttempt& attempt,
                                     const RateLimitNotice& notice,
                                     Time now) {
-  detail::RateLimiter& limiter = attempt.server->rate_limiter();
-  if (!limiter.OnAnswer(notice, attempt.sent, now))
+  if (!servers_.OnRateLimit(*attempt.server, notice, attempt.sent, now))
     return;
+  detail::RateLimiter& limiter = attempt.server->rate_limiter();
   const ServerEntry& entry = attempt.server->entry();
-  actions_.emplace_back(RateLimitChange{
-      entry.id, entry.service, limiter.limit(), limiter.TakeSentCount()});
+  actions_.emplace_back(RateLimitChange{entry.id, entry.service,
+                                        limiter.limit(), limiter.rate(),
+                                        limiter.TakeSentCount()});
 }
 
 void DispatchEngine::OnLeaving(const LeavingServer& leaving, Time now) {
--- a/src/dispatch/dispatch_engine_sub_queries.cc
+++ b/src/dispatch/dispatch_engine_sub_queries.cc
@@ -154,7 +154,8 @@
     case detail::PlacementStatus::kUnavailable: {
       // NOTE Why the last attempt failed says more than that no server is left.
       const bool has_cause = sub_query.code != ResultCode::kOk &&
-                             placement.reason != ResultCode::kServerBackoff;
+                             placement.reason != ResultCode::kServerBackoff &&
+                             placement.reason != ResultCode::kServerLimited;
       return FailSubQuery(call, index,
                           has_cause ? sub_query.code : placement.reason);
     }
@@ -275,7 +276,7 @@
     SubQuery& sub_query = call->sub_queries[first.sub_query];
     const detail::PlacementRequest request{
         call->route, profiles_.TimesOf(*call->route), &call->region_filter,
-        &sub_query.tried_servers};
+        &sub_query.tried_servers, /*first_in_queue=*/true};
     const detail::Placement placement = placer_.Choose(*group, request, now);
     if (placement.status == detail::PlacementStatus::kFull)
       return;
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -268,6 +268,7 @@
   std::string server;
   std::string service;
   std::optional<double> limit;  // Requests per second; not set: none.
+  double rate = 0;  // Requests per second of this instance, besides trials.
   // Requests that this instance sent to the server since the last change.
   std::uint64_t sent = 0;
 };
--- a/src/dispatch/internal/retry_after.cc
+++ b/src/dispatch/internal/retry_after.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "dispatch/internal/answer_policy.h"
+#include "dispatch/internal/server_eligibility.h"
 
 namespace limpetrudder::detail {
 namespace {
@@ -19,27 +20,39 @@
 // Retries after a backoff are spread over this fraction of it.
 constexpr double kSpread = 0.25;
 
+// Returns when a request that comes after those in the queue keeps to the
+// server's rate limit.
+Time FreeOfLimit(const ServerGroup& group, const ServerLoad& server, Time now) {
+  const RateLimiter& limiter = server.rate_limiter();
+  if (!limiter.limit())
+    return now;
+  const Duration wait = WaitForLimit(group, server, group.queue.size(), now);
+  return wait == Duration::max() ? limiter.NextSend(now) : now + wait;
+}
+
 // Returns when the first of the group's usable servers may get a request, as
-// far as backoffs and warm-ups decide it.
+// far as backoffs, warm-ups and rate limits decide it.
 Time FirstFree(const ServerGroup& group, const RegionFilter& filter, Time now) {
   Time first = kNever;
   for (const auto& server : group.servers) {
     if (server->usable() && filter.Allows(server->entry().data_centre)) {
-      first = std::min(first, std::max(server->directives().backoff_until(),
-                                       server->warmup().NextSend(now)));
+      first = std::min(first, std::max({server->directives().backoff_until(),
+                                        server->warmup().NextSend(now),
+                                        FreeOfLimit(group, *server, now)}));
     }
   }
   return first;
 }
 
 // Returns when enough sub-queries for an answer can be sent again; `now` if
-// that doesn't depend on the backoff or warm-up of servers.
+// that doesn't depend on the backoff, warm-up or rate limit of servers.
 Time EarliestRetry(const ActiveCall& call, Time now) {
   std::vector<Time> retry_times;
   for (const SubQuery& sub_query : call.sub_queries) {
     if (sub_query.state == SubQueryState::kFailed &&
         (sub_query.code == ResultCode::kServerBackoff ||
-         sub_query.code == ResultCode::kServerCold)) {
+         sub_query.code == ResultCode::kServerCold ||
+         sub_query.code == ResultCode::kServerLimited)) {
       retry_times.push_back(
           FirstFree(*sub_query.group, call.region_filter, now));
     }
--- a/src/dispatch/internal/server_eligibility.cc
+++ b/src/dispatch/internal/server_eligibility.cc
@@ -2,12 +2,14 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace limpetrudder::detail {
 namespace {
 
 // The soonest to end comes first.
 constexpr std::array kByExpectedEnd = {ResultCode::kOk,
+                                       ResultCode::kServerLimited,
                                        ResultCode::kServerBackoff,
                                        ResultCode::kServerCold,
                                        ResultCode::kDataCentreEvacuated,
@@ -27,8 +29,30 @@
     return ResultCode::kDataCentreEvacuated;
   if (server.IsBackingOff(now))
     return ResultCode::kServerBackoff;
-  return server.warmup().Allows(now) ? ResultCode::kOk
-                                     : ResultCode::kServerCold;
+  if (!server.warmup().Allows(now))
+    return ResultCode::kServerCold;
+  return server.rate_limiter().Allows(now) ? ResultCode::kOk
+                                           : ResultCode::kServerLimited;
+}
+
+Duration WaitForLimit(const ServerGroup& group,
+                      const ServerLoad& server,
+                      std::size_t queued,
+                      Time now) {
+  const RateLimiter& limiter = server.rate_limiter();
+  if (limiter.rate() <= 0)
+    return Duration::max();
+  // NOTE The servers of a service that have named a limit named similar ones,
+  // and share the queue.
+  const auto limited = std::count_if(
+      group.servers.begin(), group.servers.end(), [](const auto& other) {
+        return other->rate_limiter().limit().has_value();
+      });
+  const double turns =
+      std::floor(static_cast<double>(queued) /
+                 static_cast<double>(std::max<std::ptrdiff_t>(1, limited)));
+  return limiter.NextSend(now) - now +
+         Scaled(Seconds(1), turns / limiter.rate());
 }
 
 ResultCode SoonerEnding(ResultCode a, ResultCode b) {
--- a/src/dispatch/internal/server_eligibility.h
+++ b/src/dispatch/internal/server_eligibility.h
@@ -3,6 +3,7 @@
 
 #include "dispatch/internal/region_filter.h"
 #include "dispatch/internal/server_load.h"
+#include "dispatch/internal/server_table.h"
 #include "framework/result_code.h"
 #include "framework/time.h"
 
@@ -10,12 +11,19 @@
 
 // Returns why a call with `filter` may not be sent to `server` at `now`, or kOk
 // if it may: kNoServer, kNoServerInRegions, kDataCentreEvacuated,
-// kServerBackoff or kServerCold. Applies to all attempts, hedges and retries
-// included. Not thread safe.
+// kServerBackoff, kServerCold or kServerLimited. Applies to all attempts,
+// hedges and retries included. Not thread safe.
 ResultCode CheckEligibility(const ServerLoad& server,
                             const RegionFilter& filter,
                             Time now);
 
+// Returns how long a request would wait for this instance's share of the
+// server's rate limit, behind `queued` others of the group. Not thread safe.
+Duration WaitForLimit(const ServerGroup& group,
+                      const ServerLoad& server,
+                      std::size_t queued,
+                      Time now);
+
 // Returns the one of two reasons that is expected to end sooner. A call for
 // which all servers of a service are ineligible is refused for that reason.
 ResultCode SoonerEnding(ResultCode a, ResultCode b);
--- a/src/dispatch/internal/server_load.cc
+++ b/src/dispatch/internal/server_load.cc
@@ -125,7 +125,7 @@
   if (in_flight_++ == 0)
     silent_since_ = now;
   warmup_.OnSent(now);
-  rate_limiter_.OnSent();
+  rate_limiter_.OnSent(now);
 }
 
 void ServerLoad::OnAnswer(double ratio, Time now) {
--- a/src/dispatch/internal/server_load.h
+++ b/src/dispatch/internal/server_load.h
@@ -35,7 +35,8 @@
   bool usable() const { return !gone() && !down_ && !evacuated_; }
   // Whether a new request may be sent now.
   bool AcceptsRequests(Time now) const {
-    return usable() && !IsBackingOff(now) && warmup_.Allows(now);
+    return usable() && !IsBackingOff(now) && warmup_.Allows(now) &&
+           rate_limiter_.Allows(now);
   }
   bool IsBackingOff(Time now) const { return directives_.IsBackingOff(now); }
   // Whether the process gets no more requests: it was removed, or is draining
--- a/src/dispatch/internal/server_placer.cc
+++ b/src/dispatch/internal/server_placer.cc
@@ -104,32 +104,41 @@
                                Time now) const {
   ResultCode reason = ResultCode::kNoServer;
   Candidate ready;  // The cheapest server that has room.
-  Candidate full;   // The cheapest server that has none.
+  Candidate full;   // The cheapest server that has none yet.
   for (const auto& server : group.servers) {
     if (WasTried(request, *server))
       continue;
     const ResultCode eligibility =
         CheckEligibility(*server, *request.region_filter, now);
     reason = SoonerEnding(reason, eligibility);
-    if (eligibility != ResultCode::kOk)
+    const bool limited = eligibility == ResultCode::kServerLimited;
+    if (eligibility != ResultCode::kOk && !limited)
       continue;
-    const bool has_room = HasRoom(group, *server, now);
+    const bool has_room = !limited && HasRoom(group, *server, now);
     // NOTE Without a request in flight there is no estimate of when the server
     // will accept a connection.
-    if (!has_room && server->in_flight() == 0)
+    if (!has_room && !limited && server->in_flight() == 0)
       continue;
     const Duration latency = ExpectedLatency(*server, request.work.median, now);
+    const std::size_t queued_before =
+        request.first_in_queue ? 0 : group.queue.size();
+    Duration wait{0};
+    if (limited)
+      wait = WaitForLimit(group, *server, queued_before, now);
+    else if (!has_room)
+      wait = WaitForRoom(group, *server, latency, now);
+    if (limited && wait > request.route->latency_target - latency)
+      continue;
     const double millis =
-        has_room
-            ? ToMillis(latency) * (1 + kJitter * random_->Unit())
-            : ToMillis(latency + WaitForRoom(group, *server, latency, now));
+        has_room ? ToMillis(latency) * (1 + kJitter * random_->Unit())
+                 : ToMillis(latency + wait);
     Candidate& best = has_room ? ready : full;
     const double cost =
         millis + PenaltyMillis(*server, group.budget, request, now);
     if (cost < best.cost)
       best = {cost, server};
   }
-  if (reason != ResultCode::kOk)
+  if (reason != ResultCode::kOk && full.server == nullptr)
     return {PlacementStatus::kUnavailable, nullptr, reason};
   if (ready.server == nullptr || ShouldWaitForNearer(full, ready))
     return {PlacementStatus::kFull, nullptr, ResultCode::kOk};
--- a/src/dispatch/internal/server_placer.h
+++ b/src/dispatch/internal/server_placer.h
@@ -34,6 +34,7 @@
   const RegionFilter* region_filter = nullptr;
   // Servers that have had the request already; they are not chosen again.
   const std::vector<const ServerLoad*>* tried = nullptr;
+  bool first_in_queue = false;  // It is queued, before all others.
 };
 
 // Selects the server of a service for one request: the nearest one, unless it
--- a/src/dispatch/internal/server_table.cc
+++ b/src/dispatch/internal/server_table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "dispatch/internal/rate_limit_share.h"
 #include "dispatch/internal/warmup_share.h"
 
 namespace limpetrudder::detail {
@@ -120,6 +121,8 @@
                                Time now) {
   instances_ = instances;
   UpdateWarmupRates(now);
+  for (const auto& [id, server] : servers_)
+    UpdateRateLimitShare(*server, now);
 }
 
 void ServerTable::UpdateWarmupRates(Time now) {
@@ -138,6 +141,27 @@
                                       instances_, *topology_));
 }
 
+bool ServerTable::OnRateLimit(ServerLoad& server,
+                              const RateLimitNotice& notice,
+                              Time sent,
+                              Time now) {
+  if (!server.rate_limiter().OnAnswer(notice, sent, now))
+    return false;
+  UpdateRateLimitShare(server, now);
+  return true;
+}
+
+void ServerTable::UpdateRateLimitShare(ServerLoad& server, Time now) {
+  const std::optional<double> limit = server.rate_limiter().limit();
+  if (!limit)
+    return;
+  const ServerEntry& entry = server.entry();
+  server.rate_limiter().SetShare(
+      ShareRateLimit(entry, Group(entry.service)->is_shard, *limit, own_name_,
+                     instances_, *topology_),
+      now);
+}
+
 bool ServerTable::OnLeaving(const LeavingServer& leaving) {
   const auto [recorded, is_new] =
       leaving_.try_emplace(leaving.id, leaving.started_ms);
--- a/src/dispatch/internal/server_table.h
+++ b/src/dispatch/internal/server_table.h
@@ -103,6 +103,13 @@
   // whether this wasn't suspected yet.
   bool OnColdDoubt(ServerLoad& server, Time now);
 
+  // Applies what a server's answer to a request sent at `sent` says of its rate
+  // limit. Returns whether the limit changed.
+  bool OnRateLimit(ServerLoad& server,
+                   const RateLimitNotice& notice,
+                   Time sent,
+                   Time now);
+
   // Returns the servers that came to be treated as cold since the last call.
   std::vector<ServerCold> TakeColdServers() {
     return std::exchange(new_cold_servers_, {});
@@ -136,6 +143,7 @@
   // Sets how much this instance may send to each server that is cold.
   void UpdateWarmupRates(Time now);
   void UpdateWarmupRate(ServerLoad& server);
+  void UpdateRateLimitShare(ServerLoad& server, Time now);
   // Sets the rate of a server that has become cold, and reports it if its
   // service has a rate.
   void OnWarmupChanged(ServerLoad& server, bool was_cold, Time now);
--- a/src/dispatch/internal/sub_query_selection.cc
+++ b/src/dispatch/internal/sub_query_selection.cc
@@ -20,13 +20,30 @@
   double tokens = 0;
 };
 
-// Returns why no server of the shard accepts requests, or kOk if one does.
+// Whether the wait for a server's rate limit leaves half of the time to the
+// latency target.
+bool IsFreeSoon(const ServerGroup& group,
+                const ServerLoad& server,
+                Duration target,
+                Time now) {
+  return WaitForLimit(group, server, group.queue.size(), now) <= target / 2;
+}
+
+// Returns why no server of the shard accepts requests, or kOk if one does, now
+// or soon.
 ResultCode UnavailableReason(const ServerGroup& group,
                              const RegionFilter& filter,
+                             Duration target,
                              Time now) {
   ResultCode reason = ResultCode::kNoServer;
-  for (const auto& server : group.servers)
-    reason = SoonerEnding(reason, CheckEligibility(*server, filter, now));
+  for (const auto& server : group.servers) {
+    ResultCode eligibility = CheckEligibility(*server, filter, now);
+    if (eligibility == ResultCode::kServerLimited &&
+        IsFreeSoon(group, *server, target, now)) {
+      eligibility = ResultCode::kOk;
+    }
+    reason = SoonerEnding(reason, eligibility);
+  }
   return reason;
 }
 
@@ -93,7 +110,7 @@
   std::vector<std::size_t> late_sub_queries;
   for (std::size_t sub_query = 0; sub_query < groups.size(); ++sub_query) {
     const ResultCode reason =
-        UnavailableReason(*groups[sub_query], filter, now);
+        UnavailableReason(*groups[sub_query], filter, target, now);
     if (reason != ResultCode::kOk)
       selection.omitted.push_back({sub_query, reason});
     else if (IsLate(*groups[sub_query], filter, now))
--- a/src/framework/result_code.cc
+++ b/src/framework/result_code.cc
@@ -91,6 +91,9 @@
      "All servers that could take work are in evacuated data centres."},
     {kServerCold, "server_cold",
      "All servers that could take work are cold and have their share."},
+    {kServerLimited, "server_limited",
+     "All servers that could take work have named rate limits, which are used "
+     "up; not run."},
     {kNoHome, "no_home", "No instance can run the collection."},
     {kPeerUnreachable, "peer_unreachable",
      "Another instance can't be reached."},
--- a/src/framework/result_code.h
+++ b/src/framework/result_code.h
@@ -72,6 +72,7 @@
   kNoServerInRegions = 5013,
   kDataCentreEvacuated = 5014,
   kServerCold = 5015,
+  kServerLimited = 5016,
 
   // membership: 6000 to 6999.
   kNoHome = 6001,
