Lost attempts are logged with a digest of their request

The digest covers method, host, path, query, body and the headers by which callers are told apart, and is the same whenever the request comes again.

--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -317,6 +317,16 @@
        {"in_flight", action.in_flight}});
 }
 
+void DispatchDuty::Execute(const AttemptLost& action) {
+  CountAndLog(LogLevel::kInfo, "attempt_lost",
+              {{"request_id", action.request_id},
+               {"digest", action.digest},
+               {"server", action.server},
+               {"service", action.service},
+               {"outcome", NameOf(kAttemptOutcomeNames, action.outcome)},
+               {"after_ms", WholeMillis(action.after)}});
+}
+
 void DispatchDuty::Execute(const BackoffChange& action) {
   CountAndLog(LogLevel::kInfo,
               action.active ? "server_backoff" : "server_backoff_over",
--- a/src/app/dispatch_duty.h
+++ b/src/app/dispatch_duty.h
@@ -128,6 +128,7 @@
                    const char* event,
                    const nlohmann::json& fields);
   void Execute(const ServerStateChange& action);
+  void Execute(const AttemptLost& action);
   void Execute(const BackoffChange& action);
   void Execute(const RateLimitChange& action);
   void Execute(const AdmissionChange& action);
--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -210,8 +210,7 @@
     RecordReply(attempt, reply, reply_class, now);
   const auto call = calls_.find(attempt.call);
   if (attempt.call != 0 && call != calls_.end())
-    OnSubQueryReply(call->second.get(), attempt.sub_query, &reply, reply_class,
-                    now);
+    OnSubQueryReply(call->second.get(), attempt, &reply, reply_class, now);
   DispatchQueued(attempt.group, now);
 }
 
--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -237,8 +237,12 @@
                    const TargetReply& reply,
                    ReplyClass reply_class,
                    Time now);
+  void ReportLostAttempt(const ActiveCall& call,
+                         const PendingAttempt& attempt,
+                         AttemptOutcome outcome,
+                         Time now);
   void OnSubQueryReply(ActiveCall* call,
-                       std::size_t index,
+                       const PendingAttempt& attempt,
                        TargetReply* reply,
                        ReplyClass reply_class,
                        Time now);
--- a/src/dispatch/dispatch_engine_sub_queries.cc
+++ b/src/dispatch/dispatch_engine_sub_queries.cc
@@ -7,6 +7,7 @@
 #include "dispatch/dispatch_engine.h"
 #include "dispatch/internal/answer_policy.h"
 #include "dispatch/internal/hedge_policy.h"
+#include "dispatch/internal/request_digest.h"
 #include "dispatch/internal/server_eligibility.h"
 #include "dispatch/internal/sub_query_selection.h"
 #include "framework/http_status.h"
@@ -24,6 +25,14 @@
 // A hedge is postponed by this if the chosen server is unresponsive as well.
 constexpr Duration kHedgeRetry = Millis(15);
 
+// Whether the connection ended before the answer did, as when a server crashes.
+// A server that crashes before it answered on a new connection looks like one
+// that rejects the connection.
+bool IsBrokenOff(const TargetReply& reply) {
+  return reply.outcome == AttemptOutcome::kBroken ||
+         reply.outcome == AttemptOutcome::kConnectionRejected;
+}
+
 ResultCode CodeOf(const TargetReply& reply) {
   if (reply.outcome == AttemptOutcome::kNotSent)
     return ResultCode::kConnectFailed;
@@ -293,11 +302,23 @@
   }
 }
 
+void DispatchEngine::ReportLostAttempt(const ActiveCall& call,
+                                       const PendingAttempt& attempt,
+                                       AttemptOutcome outcome,
+                                       Time now) {
+  const ServerEntry& entry = attempt.server->entry();
+  const RequestMessage& message = *call.call.message;
+  actions_.emplace_back(
+      AttemptLost{message.request_id, detail::DigestOf(message), entry.id,
+                  entry.service, outcome, now - attempt.sent});
+}
+
 void DispatchEngine::OnSubQueryReply(ActiveCall* call,
-                                     std::size_t index,
+                                     const PendingAttempt& attempt,
                                      TargetReply* reply,
                                      ReplyClass reply_class,
                                      Time now) {
+  const std::size_t index = attempt.sub_query;
   SubQuery& sub_query = call->sub_queries[index];
   std::erase(sub_query.pending_attempts, reply->attempt);
   if (reply_class == ReplyClass::kRejected) {
@@ -323,6 +344,8 @@
     return;
   }
   sub_query.code = CodeOf(*reply);
+  if (IsBrokenOff(*reply))
+    ReportLostAttempt(*call, attempt, reply->outcome, now);
   if (reply_class == ReplyClass::kFailed)
     call->final_reply = std::move(*reply);
   if (sub_query.pending_attempts.empty() && !sub_query.queued)
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -87,6 +87,14 @@
   kTooLarge,  // As kBroken: the answer exceeded its size limit.
 };
 
+inline constexpr EnumNames<AttemptOutcome, 5> kAttemptOutcomeNames{{
+    {AttemptOutcome::kAnswered, "answered"},
+    {AttemptOutcome::kNotSent, "not_sent"},
+    {AttemptOutcome::kBroken, "broken"},
+    {AttemptOutcome::kConnectionRejected, "connection_rejected"},
+    {AttemptOutcome::kTooLarge, "too_large"},
+}};
+
 struct TargetReply {
   AttemptId attempt = 0;
   AttemptOutcome outcome = AttemptOutcome::kBroken;
@@ -255,6 +263,17 @@
   std::uint32_t in_flight = 0;
 };
 
+// The connection of an attempt broke off before the end of the answer, so that
+// the server may have crashed while it ran the request.
+struct AttemptLost {
+  std::string request_id;
+  std::string digest;  // Of the request.
+  std::string server;
+  std::string service;
+  AttemptOutcome outcome = AttemptOutcome::kBroken;
+  Duration after{0};  // Since it was sent.
+};
+
 // A server's requested backoff began or ended.
 struct BackoffChange {
   std::string server;
@@ -313,6 +332,7 @@
                                     ProbeHealth,
                                     CompleteCall,
                                     ServerStateChange,
+                                    AttemptLost,
                                     BackoffChange,
                                     RateLimitChange,
                                     AdmissionChange,
