A failing test of a request of death; known red

Eight instances, 36 servers: a search that crashes each server that runs it and comes again twice a second ends servers 213 times in 20 s, and 8 of 1,250 sound searches are served. A request to one server that does so ends 42.

--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -296,6 +296,38 @@
      [this, index = *call.caller] { SendForCaller(index); });
 }
 
+int FleetSession::crashes() const {
+  int crashes = 0;
+  for (const auto& [name, server] : servers_)
+    crashes += server.crashes;
+  return crashes;
+}
+
+void FleetSession::Crash(SessionServer* server) {
+  const auto break_off = [this, server](std::size_t instance,
+                                        AttemptId attempt) {
+    TargetReply broken;
+    broken.attempt = attempt;
+    broken.outcome = AttemptOutcome::kBroken;
+    Reply(instance, std::move(broken),
+          NetworkTime(options_.instances[instance], server->entry.data_centre));
+  };
+  for (const auto& [instance, attempt] : server->running)
+    break_off(instance, attempt);
+  for (const auto& job : server->queue)
+    break_off(job.instance, job.attempt);
+  server->running.clear();
+  server->queue.clear();
+  server->crashed = true;
+  ++server->crashes;
+  At(now_ + options_.restart_time, [this, server] {
+    server->crashed = false;
+    ServerEntry restarted = server->entry;
+    ++restarted.started_ms;
+    Announce(restarted);
+  });
+}
+
 int FleetSession::runs() const {
   int runs = 0;
   for (const auto& [name, server] : servers_)
@@ -365,9 +397,10 @@
   } else if (const auto* probe = std::get_if<ProbeHealth>(&action)) {
     const SessionServer& server = servers_.at(probe->server);
     ++probes_;
-    const ProbeReply reply{!server.silent && !server.reports_leaving,
-                           server.reports_leaving, server.requests_backoff,
-                           std::max(server.cold_until - now_, Duration(0))};
+    const ProbeReply reply{
+        !server.silent && !server.reports_leaving && !server.crashed,
+        server.reports_leaving, server.requests_backoff,
+        std::max(server.cold_until - now_, Duration(0))};
     At(now_ + 2 * options_.cross_region_time,
        [this, instance, reply, id = probe->server] {
          engines_[instance]->OnProbe(id, reply, now_);
@@ -402,6 +435,12 @@
   SessionServer& server = servers_.at(request.server);
   const Duration network_time =
       NetworkTime(options_.instances[instance], server.entry.data_centre);
+  if (server.crashed) {
+    TargetReply refused;
+    refused.attempt = request.attempt;
+    refused.outcome = AttemptOutcome::kNotSent;
+    return Reply(instance, std::move(refused), network_time);
+  }
   ++server.arrivals;
   server.arrival_times.push_back(now_);
   ++server.arrivals_from[instance];
@@ -426,8 +465,8 @@
     rejected.not_executed = true;
     return Reply(instance, std::move(rejected), network_time);
   }
-  SessionServer::Job job{instance, request.attempt,
-                         request.message->request_id};
+  SessionServer::Job job{instance, request.attempt, request.message->request_id,
+                         request.message->target};
   if (server.running.size() < server.entry.slots)
     Start(&server, std::move(job));
   else
@@ -451,8 +490,11 @@
 
 void FleetSession::Finish(SessionServer* server,
                           const SessionServer::Job& job) {
-  if (server->running.erase({job.instance, job.attempt}) == 0)
+  if (server->running.count({job.instance, job.attempt}) == 0)
     return;
+  if (job.target == kDeadlySearch || job.target == kDeadlySingle)
+    return Crash(server);
+  server->running.erase({job.instance, job.attempt});
   TargetReply reply;
   reply.attempt = job.attempt;
   reply.outcome = server->resets_connections ? AttemptOutcome::kBroken
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -39,6 +39,8 @@
   int rejections = 0;
   int cancelled = 0;
   int max_running = 0;
+  bool crashed = false;  // It refuses connections until it starts again.
+  int crashes = 0;
   std::vector<Time> arrival_times;
   Time cold_until{};  // As its health responses say.
   std::map<std::string, int> runs_by_request;
@@ -47,6 +49,7 @@
     std::size_t instance = 0;
     AttemptId attempt = 0;
     std::string request_id;
+    std::string target;
   };
   std::deque<Job> queue;
   std::set<std::pair<std::size_t, AttemptId>> running;
@@ -98,8 +101,13 @@
     int retries = 0;                // Of each caller of RunCallers().
     // The share of these callers that retry at once, three times.
     double impatient_share = 0;
+    Duration restart_time = Millis(3300);  // Of a server that crashed.
   };
 
+  // A request with this target crashes each server that runs it.
+  static constexpr char kDeadlySearch[] = "/all/deadly";
+  static constexpr char kDeadlySingle[] = "/one/deadly";
+
   explicit FleetSession(Options options);
 
   // Sends a request to an instance: for all shards ("/all/") or for one server
@@ -127,8 +135,13 @@
   // Likewise, with callers that retry.
   void RunCallers(double per_second, Duration duration);
   const std::vector<CallerOutcome>& callers() const { return callers_; }
-  // Number of requests that all servers ran.
+  // Number of requests that all servers ran, and of their crashes.
   int runs() const;
+  int crashes() const;
+
+  // Ends the server's process, with all that it runs. It starts again after a
+  // while.
+  void Crash(SessionServer* server);
 
   bool answered(CallId call) const { return answers_.count(call) > 0; }
   const SessionAnswer& answer(CallId call) const { return answers_.at(call); }
--- /dev/null
+++ b/src/dispatch/tests/request_of_death_test.cc
@@ -0,0 +1,100 @@
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include "dispatch/tests/fleet_session.h"
+
+namespace limpetrudder {
+namespace {
+
+// The users' bound: three servers, and three further requests to servers.
+constexpr int kMaxCrashes = 3;
+
+FleetSession::Options SmallFleet() {
+  FleetSession::Options options;
+  options.instances = {"kgn-a", "kgn-a", "kgn-a", "mbj-a",
+                       "mbj-a", "mbj-a", "mdv-a", "mdv-a"};
+  for (int i = 0; i < 6; ++i) {
+    options.shards.push_back({"kgn-a", "mbj-a"});
+    options.shards.push_back({"mbj-a", "mdv-a"});
+    options.shards.push_back({"mdv-a", "kgn-a"});
+  }
+  return options;
+}
+
+struct Load {
+  int searches = 0;
+  int served = 0;
+};
+
+// Runs sound searches at all instances, and twice a second a request of death,
+// which its caller sends once more to the next instance if it fails.
+Load RunDeadlyLoad(FleetSession* session,
+                   const std::string& target,
+                   Duration duration) {
+  constexpr int kSearchesPerSecond = 60;
+  constexpr Duration kGap = Millis(1000 / kSearchesPerSecond);
+  std::vector<CallId> searches;
+  CallId deadly = 0;
+  std::size_t next = 0;
+  const Time end = session->now() + duration;
+  for (int i = 0; session->now() < end; ++i) {
+    searches.push_back(session->Search(next++ % 8));
+    if (i % (kSearchesPerSecond / 2) == 0)
+      deadly = session->SendRequest(target, next++ % 8);
+    session->Run(kGap);
+    if (deadly != 0 && session->answered(deadly)) {
+      CHECK(session->answer(deadly).reply.status >= 500);
+      session->SendRequest(target, next++ % 8);
+      deadly = 0;
+    }
+  }
+  session->Run(Seconds(3));
+  Load load;
+  load.searches = static_cast<int>(searches.size());
+  load.served = static_cast<int>(
+      std::count_if(searches.begin(), searches.end(), [session](CallId call) {
+        return session->answer(call).reply.status == 200;
+      }));
+  return load;
+}
+
+TEST_SUITE_BEGIN("request-of-death");
+
+TEST_CASE("A search that crashes each server that runs it comes again") {
+  FleetSession session(SmallFleet());
+  const Load load =
+      RunDeadlyLoad(&session, FleetSession::kDeadlySearch, Seconds(20));
+  const int crashes = session.crashes();
+  MESSAGE(crashes << " crashes, " << load.served << " of " << load.searches
+                  << " sound searches served");
+
+  SUBCASE("most callers of sound searches are served") {
+    CHECK(load.served >= load.searches * 95 / 100);
+  }
+  SUBCASE("it reaches no server any more") {
+    RunDeadlyLoad(&session, FleetSession::kDeadlySearch, Seconds(20));
+    CHECK(session.crashes() == crashes);
+  }
+  SUBCASE("an instance that restarts doesn't run it either") {
+    session.Restart(2);
+    session.Run(Seconds(1));
+    RunDeadlyLoad(&session, FleetSession::kDeadlySearch, Seconds(4));
+    CHECK(session.crashes() == crashes);
+  }
+}
+
+TEST_CASE("A request to one server that crashes each server comes again") {
+  FleetSession::Options options = SmallFleet();
+  options.single_servers = 7;
+  FleetSession session(options);
+  RunDeadlyLoad(&session, FleetSession::kDeadlySingle, Seconds(20));
+  CHECK(session.crashes() <= kMaxCrashes);
+}
+
+TEST_SUITE_END();
+
+}  // namespace
+}  // namespace limpetrudder
