A test of servers that end in the middle of an answer's head

It can't happen here: the parser takes such an end as an error, whatever the framing, and the attempt counts as broken off. The test cuts heads of four framings at each byte, and passes on the code as it was.

--- a/src/net/tests/target_pool_test.cc
+++ b/src/net/tests/target_pool_test.cc
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include "net/internal/response_reader.h"
 #include "net/target_pool.h"
 #include "net/tests/raw_server.h"
 
@@ -218,5 +219,29 @@
   }
 }
 
+TEST_CASE("A server that ends in the middle of its answer's head") {
+  // In an orderly way, which completes an answer without a length.
+  for (const std::string framing :
+       {"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n",
+        "Connection: close\r\n", ""}) {
+    const std::string head = "HTTP/1.1 200 OK\r\nServer-Stamp: abc\r\n" +
+                             framing + "Server-Load: 1,0,2\r\n\r\n";
+    for (std::size_t size = 1; size < head.size(); ++size) {
+      CAPTURE(framing);
+      CAPTURE(size);
+      detail::ResponseReader reader;
+      reader.Read(head.data(), size);
+      reader.ReadEnd();
+      CHECK(reader.state() == detail::ResponseReader::State::kMalformed);
+    }
+  }
+  PoolFixture pool;
+  const RawServer server([](int) {
+    return std::string(1, kCloseAfterResponse) +
+           "HTTP/1.1 200 OK\r\nServer-Stamp: abc\r\nContent-Le";
+  });
+  CHECK(pool.Ask(server.address()).outcome == AttemptOutcome::kBroken);
+}
+
 }  // namespace
 }  // namespace limpetrudder
