A stopping instance refuses what it can't finish, and answers what is left

It happened here as well: kept connections stay open after the port is closed, and Stop() ended the threads with calls in flight. Cause: the end of the grace was known to the stop only, not to what decides on calls. Change: from when the balancer has taken the instance out, calls whose timeouts end after it are refused at once (6004, not run, for other instances too); the calls that are left at the end get a final answer, 502 if they may have run.

--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -217,8 +217,13 @@
   engine_.OnInstances(event.instances, now);
 }
 
-void DispatchDuty::On(const StopAcceptingCallers&, Time) {
+void DispatchDuty::On(const StopAcceptingCallers& event, Time) {
   caller_server_->StopAccepting();
+  engine_.OnStopping(event.end);
+}
+
+void DispatchDuty::On(const GiveUpCalls&, Time now) {
+  engine_.GiveUpCalls(now);
 }
 
 void DispatchDuty::RunEngine(Time now) {
--- a/src/app/dispatch_duty.h
+++ b/src/app/dispatch_duty.h
@@ -36,13 +36,18 @@
 struct InstancesChanged {
   std::vector<InstanceEntry> instances;
 };
-struct StopAcceptingCallers {};
+// The instance ends at `end`.
+struct StopAcceptingCallers {
+  Time end{};
+};
+struct GiveUpCalls {};
 
 using DispatchEvent = std::variant<RoutesChanged,
                                    ServersChanged,
                                    EvacuationsChanged,
                                    InstancesChanged,
-                                   StopAcceptingCallers>;
+                                   StopAcceptingCallers,
+                                   GiveUpCalls>;
 
 // Runs the dispatch engine and the connections of callers and servers on one
 // thread: passes events to the engine and executes its actions. Not thread
@@ -119,6 +124,7 @@
   void On(const EvacuationsChanged& event, Time now);
   void On(InstancesChanged event, Time now);
   void On(const StopAcceptingCallers& event, Time now);
+  void On(const GiveUpCalls& event, Time now);
 
   // Calls the engine's Tick(), executes its actions and sets the timer for the
   // next tick.
--- a/src/app/entry_app.cc
+++ b/src/app/entry_app.cc
@@ -37,6 +37,9 @@
 constexpr Duration kExitTime = Millis(600);
 constexpr Duration kStopPollInterval = Millis(20);
 
+// Time for the last answers to be sent; a part of kExitTime.
+constexpr Duration kFinalAnswerTime = Millis(200);
+
 // Limits for requests of other instances. A forwarded call is a caller's
 // message, whose size the forwarding instance has checked, with additional
 // headers and names of shards.
@@ -243,7 +246,7 @@
     std::this_thread::sleep_for(kStopPollInterval);
     const Time now = SteadyNow();
     if (accepting && now - began >= kBalancerDetectionTime) {
-      dispatch_mailbox_.PostResult(StopAcceptingCallers{});
+      dispatch_mailbox_.PostResult(StopAcceptingCallers{cut_deadline});
       accepting = false;
     }
     if (accepting || state_.active_calls > 0)
@@ -252,6 +255,10 @@
       break;
   }
   const std::size_t cut_calls = state_.active_calls;
+  if (cut_calls > 0) {
+    dispatch_mailbox_.PostResult(GiveUpCalls{});
+    std::this_thread::sleep_for(kFinalAnswerTime);
+  }
   StopThreads();
   Log(LogLevel::kInfo, "stopped",
       {{"cut", cut_calls}, {"took_ms", WholeMillis(SteadyNow() - began)}});
--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -40,6 +40,16 @@
       [&](const std::string& shard) { return named.count(shard) > 0; });
 }
 
+// Returns the time that the instance has to answer the call.
+Duration TimeoutOf(const CallRequest& call, const Route& route) {
+  Duration timeout =
+      route.timeout > Duration::zero() ? route.timeout : kDefaultTimeout;
+  if (call.caller_timeout > Duration::zero())
+    timeout = std::min(timeout, call.caller_timeout);
+  return call.forwarded ? timeout
+                        : std::max(timeout - kDeadlineMargin, timeout / 2);
+}
+
 }  // namespace
 
 DispatchEngine::DispatchEngine(DispatchSettings settings)
@@ -165,6 +175,10 @@
                   std::nullopt);
   if (RefuseQuarantined(call, now))
     return;
+  const Duration timeout = TimeoutOf(call, *route);
+  if (now + timeout > end_)
+    return Refuse(call, http_status::kUnavailable, ResultCode::kStopping,
+                  Duration(0));
   auto owned = std::make_unique<ActiveCall>();
   ActiveCall* active = owned.get();
   active->call = std::move(call);
@@ -174,12 +188,6 @@
       &topology_,
       route->allowed_regions.Intersect(active->call.allowed_regions));
   active->received = now;
-  Duration timeout =
-      route->timeout > Duration::zero() ? route->timeout : kDefaultTimeout;
-  if (active->call.caller_timeout > Duration::zero())
-    timeout = std::min(timeout, active->call.caller_timeout);
-  if (!active->call.forwarded)
-    timeout = std::max(timeout - kDeadlineMargin, timeout / 2);
   active->deadline = now + timeout;
   const Duration target =
       active->call.forwarded
@@ -231,6 +239,19 @@
     ReleaseCall(found->second.get(), now, /*cancel_now=*/true);
 }
 
+void DispatchEngine::OnStopping(Time end) {
+  end_ = end;
+}
+
+void DispatchEngine::GiveUpCalls(Time now) {
+  std::vector<CallId> ids;
+  for (const auto& [id, call] : calls_)
+    ids.push_back(id);
+  std::sort(ids.begin(), ids.end());
+  for (const CallId id : ids)
+    GiveUp(calls_.at(id).get(), now);
+}
+
 Time DispatchEngine::Tick(Time now) {
   while (!wakeups_.empty() && wakeups_.begin()->first <= now) {
     const CallId id = wakeups_.begin()->second;
--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -88,6 +88,13 @@
   // Returns the answer to another instance's ExchangeQuarantine.
   std::vector<QuarantineNotice> QuarantineNotices(Time now) const;
 
+  // The instance stops and ends at `end`. Refuses calls from now on whose
+  // timeouts end later, so that their callers ask other instances in time.
+  void OnStopping(Time end);
+
+  // Gives all calls a final answer with what there is, since the instance ends.
+  void GiveUpCalls(Time now);
+
   // Does what is due and returns when to call it again.
   Time Tick(Time now);
 
@@ -296,6 +303,10 @@
   void RetryOrFail(ActiveCall* call, std::size_t index, Time now);
   void FailSubQuery(ActiveCall* call, std::size_t index, ResultCode code);
 
+  // Finishes the call with the parts that have been answered, if they suffice,
+  // or as failed.
+  void GiveUp(ActiveCall* call, Time now);
+
   // Finishes the call if it can be decided; returns whether it was.
   bool TryFinish(ActiveCall* call, Time now);
   void ScheduleWakeup(ActiveCall* call, Time now);
@@ -346,6 +357,7 @@
   Time fleet_size_at_{};
   bool pacing_started_ = false;   // For any server since the last tick.
   Time starting_until_ = kNever;  // End of the start-up phase.
+  Time end_ = kNever;             // Of a stopping instance.
 };
 
 }  // namespace limpetrudder
--- a/src/dispatch/dispatch_engine_answers.cc
+++ b/src/dispatch/dispatch_engine_answers.cc
@@ -30,6 +30,17 @@
   return false;
 }
 
+void DispatchEngine::GiveUp(ActiveCall* call, Time now) {
+  const bool suffices =
+      call->is_partial() || call->answered >= detail::MinSubQueries(*call);
+  if (suffices && !call->sub_queries.empty())
+    return Finish(call, ComposeAnswer(call), now);
+  CallReply reply = ComposeFailure(call, now);
+  if (!call->may_have_run())
+    call->record.code = ResultCode::kStopping;
+  Finish(call, std::move(reply), now);
+}
+
 void DispatchEngine::ScheduleWakeup(ActiveCall* call, Time now) {
   Time next = detail::NextAnswerDecision(*call, now);
   for (const SubQuery& sub_query : call->sub_queries) {
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -183,7 +183,7 @@
 // anything, so that the forwarding instance coordinates the query itself.
 constexpr bool IsForwardRefusal(ResultCode code) {
   return code == ResultCode::kNotReady || code == ResultCode::kRevisionTooLow ||
-         code == ResultCode::kRoutesOutdated;
+         code == ResultCode::kRoutesOutdated || code == ResultCode::kStopping;
 }
 
 // The outcome of one sub-query, for the log.
--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -79,6 +79,11 @@
   engines_[instance]->OnServers(change, now_);
 }
 
+void FleetSession::GiveUpCalls(std::size_t instance) {
+  engines_[instance]->GiveUpCalls(now_);
+  RunEngine(instance);
+}
+
 void FleetSession::Restart(std::size_t instance) {
   for (auto& [name, server] : servers_) {
     std::erase_if(server.queue, [instance](const SessionServer::Job& job) {
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -165,6 +165,8 @@
   // Stops an instance: it no longer answers anything, pings included.
   void Freeze(std::size_t instance) { frozen_.insert(instance); }
   void Thaw(std::size_t instance) { frozen_.erase(instance); }
+  // Ends an instance's calls, as at the end of its grace period.
+  void GiveUpCalls(std::size_t instance);
   // Replaces an instance by a new process, which knows the routes, servers and
   // instances only. Its calls are lost.
   void Restart(std::size_t instance);
