An answer clears a request at instances that have quarantined it

The notice that a server answered was compared with the end of the quarantine, which lies ahead, so it changed nothing where the request was quarantined already. It is compared with the time of the suspicion now. The test, "an answer at one instance clears it at another that blamed it", failed before.

--- a/src/dispatch/internal/request_quarantine.cc
+++ b/src/dispatch/internal/request_quarantine.cc
@@ -134,7 +134,7 @@
   const auto found = rows_.find(notice.digest);
   const Row known = found == rows_.end() ? Row{} : found->second;
   if (notice.standing == RequestStanding::kClear) {
-    if (known.cleared_at >= since || known.SuspectedSince() > since)
+    if (known.cleared_at >= since || known.suspected_at > since)
       return false;
     Row& row = Add(notice.digest, now);
     row.confirmed = true;
--- a/src/dispatch/tests/request_quarantine_test.cc
+++ b/src/dispatch/tests/request_quarantine_test.cc
@@ -96,6 +96,14 @@
     CHECK(one.StandingOf("a", kStart + Millis(95)) ==
           RequestStanding::kQuarantined);
   }
+  SUBCASE("an answer at one instance clears it at another that blamed it") {
+    other.OnCrash("a", kStart + Millis(70), kStart + Millis(90));
+    CHECK(one.OnAnswered("a", kStart + Millis(95)));
+    CHECK(tell(one, &other, kStart + Millis(100)));
+    CHECK(other.StandingOf("a", kStart + Millis(100)) ==
+          RequestStanding::kClear);
+    CHECK_FALSE(tell(other, &one, kStart + Millis(100)));
+  }
   SUBCASE("a request that was cleared isn't suspected again by old news") {
     CHECK(one.OnAnswered("a", kStart + Millis(80)));
     RequestQuarantine third;
