--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -404,6 +404,8 @@
   } else if (const auto* probe = std::get_if<ProbeHealth>(&action)) {
     const SessionServer& server = servers_.at(probe->server);
     ++probes_;
+    if (cut_.count(instance) > 0)
+      return;
     const ProbeReply reply{
         !server.crashed,
         !server.silent && !server.reports_leaving && !server.crashed,
@@ -454,6 +456,13 @@
 
 void FleetSession::Deliver(std::size_t instance, const SendToServer& request) {
   const SessionServer& server = servers_.at(request.server);
+  if (cut_.count(instance) > 0) {
+    constexpr Duration kConnectTimeout = Millis(400);
+    TargetReply lost;
+    lost.attempt = request.attempt;
+    lost.outcome = AttemptOutcome::kNotSent;
+    return Reply(instance, std::move(lost), kConnectTimeout);
+  }
   At(now_ + NetworkTime(options_.instances[instance], server.entry.data_centre),
      [this, instance, request] { Arrive(instance, request); });
 }
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -165,6 +165,8 @@
   // Stops an instance: it no longer answers anything, pings included.
   void Freeze(std::size_t instance) { frozen_.insert(instance); }
   void Thaw(std::size_t instance) { frozen_.erase(instance); }
+  // Separates an instance from all servers, not from callers and instances.
+  void CutFromServers(std::size_t instance) { cut_.insert(instance); }
   // Ends an instance's calls, as at the end of its grace period.
   void GiveUpCalls(std::size_t instance);
   // Replaces an instance by a new process, which knows the routes, servers and
@@ -238,6 +240,7 @@
   std::map<CallId, SessionAnswer> answers_;
   std::vector<CallerOutcome> callers_;
   std::set<std::size_t> frozen_;
+  std::set<std::size_t> cut_;            // From all servers.
   std::map<std::size_t, int> restarts_;  // By instance.
   // Pairs of instances with an open connection.
   std::set<std::pair<std::size_t, std::size_t>> connected_;
