Requests that are no longer suspected are forgotten, and digests kept by call

Rows that are over are removed now, and a call computes its digest once. A request that was quarantined stays suspected for an hour after it, as the postmortem says; it was a minute.

--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -268,6 +268,7 @@
   Time next = kNever;
   MonitorCoordinators(now, &next);
   EndBackoffs(now, &next);
+  quarantine_.RemoveExpired(now);
   SendNotices(exchange_.Tick(quarantine_.HasNotices(now), now, &next), now);
   for (auto& change : admission_.TakeChanges(now))
     actions_.emplace_back(std::move(change));
--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -165,6 +165,7 @@
   // Refuses a call before anything was sent, because servers are overloaded.
   void RefuseOverloaded(ActiveCall* call, Time now);
   RequestStanding StandingOf(const CallRequest& call, Time now) const;
+  static const std::string& DigestOf(ActiveCall* call);
   // Refuses a call whose request may not be sent to servers now. Returns
   // whether it did.
   bool RefuseQuarantined(const CallRequest& call, Time now);
@@ -291,7 +292,7 @@
                    const TargetReply& reply,
                    ReplyClass reply_class,
                    Time now);
-  void ReportLostAttempt(const ActiveCall& call,
+  void ReportLostAttempt(ActiveCall* call,
                          const PendingAttempt& attempt,
                          AttemptOutcome outcome,
                          Time now);
--- a/src/dispatch/dispatch_engine_quarantine.cc
+++ b/src/dispatch/dispatch_engine_quarantine.cc
@@ -34,6 +34,12 @@
              : quarantine_.StandingOf(detail::DigestOf(*call.message), now);
 }
 
+const std::string& DispatchEngine::DigestOf(ActiveCall* call) {
+  if (call->digest.empty())
+    call->digest = detail::DigestOf(*call->call.message);
+  return call->digest;
+}
+
 bool DispatchEngine::RefuseQuarantined(const CallRequest& call, Time now) {
   const RequestStanding standing = StandingOf(call, now);
   // NOTE The instance that delegated a batch has cleared its request.
@@ -120,7 +126,7 @@
       (call->answered > 0 || call->broken_attempts < kBrokenBeforeSuspicion)) {
     return false;
   }
-  const std::string digest = detail::DigestOf(*call->call.message);
+  const std::string& digest = DigestOf(call);
   const bool was_trial =
       call->trial || quarantine_.IsTrial(digest, attempt.sent, now);
   quarantine_.Suspect(digest, now);
@@ -140,7 +146,7 @@
 
 void DispatchEngine::OnServerAnswered(ActiveCall* call, Time now) {
   if (!quarantine_.empty()) {
-    const std::string digest = detail::DigestOf(*call->call.message);
+    const std::string& digest = DigestOf(call);
     if (quarantine_.OnAnswered(digest, now)) {
       ReportStanding(digest, "", now);
       SendNotices(exchange_.OnOwnChange(), now);
@@ -224,6 +230,8 @@
 
 void DispatchEngine::SendNotices(const std::vector<std::size_t>& peers,
                                  Time now) {
+  if (peers.empty())
+    return;
   const auto notices = quarantine_.Notices(now);
   for (const std::size_t peer : peers) {
     actions_.emplace_back(ExchangeQuarantine{
--- a/src/dispatch/dispatch_engine_sub_queries.cc
+++ b/src/dispatch/dispatch_engine_sub_queries.cc
@@ -7,7 +7,6 @@
 #include "dispatch/dispatch_engine.h"
 #include "dispatch/internal/answer_policy.h"
 #include "dispatch/internal/hedge_policy.h"
-#include "dispatch/internal/request_digest.h"
 #include "dispatch/internal/server_eligibility.h"
 #include "dispatch/internal/sub_query_selection.h"
 #include "framework/http_status.h"
@@ -305,15 +304,14 @@
   }
 }
 
-void DispatchEngine::ReportLostAttempt(const ActiveCall& call,
+void DispatchEngine::ReportLostAttempt(ActiveCall* call,
                                        const PendingAttempt& attempt,
                                        AttemptOutcome outcome,
                                        Time now) {
   const ServerEntry& entry = attempt.server->entry();
-  const RequestMessage& message = *call.call.message;
-  actions_.emplace_back(
-      AttemptLost{message.request_id, detail::DigestOf(message), entry.id,
-                  entry.service, outcome, now - attempt.sent});
+  actions_.emplace_back(AttemptLost{call->call.message->request_id,
+                                    DigestOf(call), entry.id, entry.service,
+                                    outcome, now - attempt.sent});
 }
 
 void DispatchEngine::OnSubQueryReply(ActiveCall* call,
@@ -351,7 +349,7 @@
   sub_query.code = CodeOf(*reply);
   bool handled = false;
   if (IsBrokenOff(*reply)) {
-    ReportLostAttempt(*call, attempt, reply->outcome, now);
+    ReportLostAttempt(call, attempt, reply->outcome, now);
     handled = OnPossibleCrash(call, attempt, now);
   }
   if (reply_class == ReplyClass::kFailed) {
--- a/src/dispatch/internal/active_call.h
+++ b/src/dispatch/internal/active_call.h
@@ -77,6 +77,7 @@
   bool target_passed = false;
   std::uint32_t answered = 0;
   std::uint32_t failed = 0;
+  std::string digest;  // Of the request; empty until it is needed.
   std::uint32_t broken_attempts = 0;  // By servers that broke off.
   // Servers may crash under it, so it is sent to one of them at a time until
   // one has answered.
--- a/src/dispatch/internal/request_quarantine.cc
+++ b/src/dispatch/internal/request_quarantine.cc
@@ -17,12 +17,13 @@
 
 // Notices of other instances that are as old as this say nothing new.
 constexpr Duration kMaxNoticeAge =
-    RequestQuarantine::kMaxQuarantine + RequestQuarantine::kSuspicion;
+    RequestQuarantine::kMaxQuarantine + RequestQuarantine::kLaterSuspicion;
 
 }  // namespace
 
 bool RequestQuarantine::Row::IsSuspected(Time now) const {
-  return cleared_at < SuspectedSince() && now - SuspectedSince() < kSuspicion;
+  const Duration duration = quarantines > 0 ? kLaterSuspicion : kSuspicion;
+  return cleared_at < SuspectedSince() && now - SuspectedSince() < duration;
 }
 
 RequestStanding RequestQuarantine::StandingOf(const Row& row, Time now) {
@@ -159,6 +160,13 @@
   return true;
 }
 
+void RequestQuarantine::RemoveExpired(Time now) {
+  std::erase_if(rows_, [now](const auto& row) {
+    return now >= row.second.until && !row.second.IsSuspected(now) &&
+           now - row.second.changed_at >= kSuspicion;
+  });
+}
+
 bool RequestQuarantine::HasNotice(const Row& row, Time now) {
   // NOTE A request that was cleared may still be suspected elsewhere.
   return row.confirmed && (StandingOf(row, now) != RequestStanding::kClear ||
--- a/src/dispatch/internal/request_quarantine.h
+++ b/src/dispatch/internal/request_quarantine.h
@@ -33,8 +33,9 @@
   static constexpr Duration kFirstQuarantine = Seconds(600);
   static constexpr Duration kMaxQuarantine = Seconds(3600);
 
-  // How long a suspicion lasts, after the crash or the end of a quarantine.
+  // How long a suspicion lasts: after a crash, and after a quarantine.
   static constexpr Duration kSuspicion = Seconds(60);
+  static constexpr Duration kLaterSuspicion = Seconds(3600);
 
   // While an instance tries a suspected request, the others don't.
   static constexpr Duration kTrial = Seconds(1);
@@ -71,6 +72,9 @@
   // Returns what other instances have to know, latest changes first.
   std::vector<QuarantineNotice> Notices(Time now) const;
 
+  // Forgets what is over.
+  void RemoveExpired(Time now);
+
   bool empty() const { return rows_.empty(); }
   bool HasNotices(Time now) const;
 
--- a/src/dispatch/tests/request_quarantine_test.cc
+++ b/src/dispatch/tests/request_quarantine_test.cc
@@ -45,6 +45,12 @@
       CHECK(quarantine.NextSend("a", until + Millis(30)) ==
             until + Millis(30) + RequestQuarantine::kFirstQuarantine * 2);
     }
+    SUBCASE("and tried at one server when it comes again within the hour") {
+      const Time later = now + RequestQuarantine::kFirstQuarantine +
+                         RequestQuarantine::kLaterSuspicion - Seconds(1);
+      quarantine.RemoveExpired(later);
+      CHECK(quarantine.StandingOf("a", later) == RequestStanding::kSuspected);
+    }
     SUBCASE("until a server answers it after all") {
       CHECK(quarantine.OnAnswered("a", now + Millis(5)));
       CHECK(quarantine.StandingOf("a", now + Millis(5)) ==
@@ -60,6 +66,8 @@
   SUBCASE("is forgotten if nothing more happens") {
     CHECK(quarantine.StandingOf("a", kStart + Seconds(70)) ==
           RequestStanding::kClear);
+    quarantine.RemoveExpired(kStart + Seconds(70));
+    CHECK(quarantine.empty());
   }
 }
 
