--- a/src/dispatch/tests/cut_from_servers_test.cc
+++ b/src/dispatch/tests/cut_from_servers_test.cc
@@ -8,18 +8,6 @@
 namespace limpetrudder {
 namespace {
 
-FleetSession::Options SmallFleet() {
-  FleetSession::Options options;
-  options.instances = {"kgn-a", "kgn-a", "kgn-a", "mbj-a",
-                       "mbj-a", "mbj-a", "mdv-a", "mdv-a"};
-  for (int i = 0; i < 6; ++i) {
-    options.shards.push_back({"kgn-a", "mbj-a"});
-    options.shards.push_back({"mbj-a", "mdv-a"});
-    options.shards.push_back({"mdv-a", "kgn-a"});
-  }
-  return options;
-}
-
 // Share of the first tries that are served, for the instances that are cut off
 // from all servers and for the others.
 struct Served {
@@ -61,7 +49,7 @@
 TEST_SUITE_BEGIN("cut-from-servers");
 
 TEST_CASE("Callers reach instances that have lost all servers") {
-  FleetSession session(SmallFleet());
+  FleetSession session(FleetSession::SmallFleet(18));
 
   SUBCASE("searches at one of them are served") {
     const Served served = ServeWhileCut(&session, {0}, "/all/x");
@@ -80,7 +68,7 @@
 TEST_SUITE_BEGIN("cut-from-servers-single");
 
 TEST_CASE("Callers of single servers reach instances that have lost all") {
-  FleetSession session(SmallFleet());
+  FleetSession session(FleetSession::SmallFleet(18));
   const Served served = ServeWhileCut(&session, {0, 1, 2}, "/one/x");
   CHECK(served.others >= 0.99);
   CHECK(served.cut >= 1 - kMaxFailed);
--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -27,6 +27,18 @@
 
 }  // namespace
 
+FleetSession::Options FleetSession::SmallFleet(int shards) {
+  Options options;
+  options.instances = {"kgn-a", "kgn-a", "kgn-a", "mbj-a",
+                       "mbj-a", "mbj-a", "mdv-a", "mdv-a"};
+  const std::vector<std::vector<std::string>> places = {
+      {"kgn-a", "mbj-a"}, {"mbj-a", "mdv-a"}, {"mdv-a", "kgn-a"}};
+  for (int i = 0; i < shards; ++i)
+    options.shards.push_back(
+        places[static_cast<std::size_t>(i) % places.size()]);
+  return options;
+}
+
 FleetSession::FleetSession(Options options)
     : options_(std::move(options)), random_(options_.seed) {
   if (options_.shards.empty())
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -108,6 +108,10 @@
   static constexpr char kDeadlySearch[] = "/all/deadly";
   static constexpr char kDeadlySingle[] = "/one/deadly";
 
+  // Returns the options of a small deployment: eight instances in three data
+  // centres, and shards with one server in each of two of these.
+  static Options SmallFleet(int shards);
+
   explicit FleetSession(Options options);
 
   // Sends a request to an instance: for all shards ("/all/") or for one server
--- a/src/dispatch/tests/rate_limit_test.cc
+++ b/src/dispatch/tests/rate_limit_test.cc
@@ -32,20 +32,6 @@
   return most;
 }
 
-// Eight instances in three data centres, as on the small deployments. Each
-// server gets about 45 requests per second.
-FleetSession::Options SmallFleet() {
-  FleetSession::Options options;
-  options.instances = {"kgn-a", "kgn-a", "kgn-a", "mbj-a",
-                       "mbj-a", "mbj-a", "mdv-a", "mdv-a"};
-  for (int i = 0; i < 4; ++i) {
-    options.shards.push_back({"kgn-a", "mbj-a"});
-    options.shards.push_back({"mbj-a", "mdv-a"});
-    options.shards.push_back({"mdv-a", "kgn-a"});
-  }
-  return options;
-}
-
 std::size_t CountAnswered(const FleetSession& session, Time from) {
   return static_cast<std::size_t>(std::count_if(
       session.answers().begin(), session.answers().end(),
@@ -59,7 +45,7 @@
 
 TEST_CASE(
     "A server that names a rate limit gets more requests than it allows") {
-  FleetSession session(SmallFleet());
+  FleetSession session(FleetSession::SmallFleet(12));
   SessionServer& server = session.server(0, 0);
   session.RunLoad(90, Seconds(2));
   constexpr double kLimit = 25;
@@ -82,7 +68,7 @@
 }
 
 TEST_CASE("A server changes its rate limit") {
-  FleetSession session(SmallFleet());
+  FleetSession session(FleetSession::SmallFleet(12));
   SessionServer& server = session.server(0, 0);
   session.RunLoad(90, Seconds(2));
   server.rate_limit = 20;
--- a/src/dispatch/tests/request_of_death_test.cc
+++ b/src/dispatch/tests/request_of_death_test.cc
@@ -13,18 +13,6 @@
 // request reaches servers three times at most.
 constexpr int kMaxCrashes = 3 + 3;
 
-FleetSession::Options SmallFleet() {
-  FleetSession::Options options;
-  options.instances = {"kgn-a", "kgn-a", "kgn-a", "mbj-a",
-                       "mbj-a", "mbj-a", "mdv-a", "mdv-a"};
-  for (int i = 0; i < 6; ++i) {
-    options.shards.push_back({"kgn-a", "mbj-a"});
-    options.shards.push_back({"mbj-a", "mdv-a"});
-    options.shards.push_back({"mdv-a", "kgn-a"});
-  }
-  return options;
-}
-
 struct Load {
   int searches = 0;
   int served = 0;
@@ -65,7 +53,7 @@
 TEST_SUITE_BEGIN("request-of-death");
 
 TEST_CASE("A search that crashes each server that runs it comes again") {
-  FleetSession session(SmallFleet());
+  FleetSession session(FleetSession::SmallFleet(18));
   const Load load =
       RunDeadlyLoad(&session, FleetSession::kDeadlySearch, Seconds(20));
   const int crashes = session.crashes();
@@ -89,7 +77,7 @@
 }
 
 TEST_CASE("A request to one server that crashes each server comes again") {
-  FleetSession::Options options = SmallFleet();
+  FleetSession::Options options = FleetSession::SmallFleet(18);
   options.single_servers = 7;
   FleetSession session(options);
   RunDeadlyLoad(&session, FleetSession::kDeadlySingle, Seconds(4));
