A failing test of a request whose cancelled runs still crash servers; known red

Played in virtual time, the trial then takes the second server of a shard that has lost one: two of 18 shards are down, and no search finds 17 parts for 3.3 s.

--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -21,6 +21,11 @@
   return "s" + std::to_string(shard) + "-" + std::to_string(replica);
 }
 
+bool IsDeadly(const std::string& target) {
+  return target == FleetSession::kDeadlySearch ||
+         target == FleetSession::kDeadlySingle;
+}
+
 std::string SingleName(std::size_t index) {
   return "one-" + std::to_string(index);
 }
@@ -313,6 +318,16 @@
      [this, index = *call.caller] { SendForCaller(index); });
 }
 
+std::size_t FleetSession::CountShardsDown() const {
+  std::map<std::string, bool> down;  // By service.
+  for (const auto& [name, server] : servers_) {
+    const auto row = down.try_emplace(server.entry.service, true).first;
+    row->second = row->second && server.crashed;
+  }
+  return static_cast<std::size_t>(std::count_if(
+      down.begin(), down.end(), [](const auto& row) { return row.second; }));
+}
+
 int FleetSession::crashes() const {
   int crashes = 0;
   for (const auto& [name, server] : servers_)
@@ -335,8 +350,10 @@
     break_off(job.instance, job.attempt);
   server->running.clear();
   server->queue.clear();
+  server->crashing.clear();
   server->crashed = true;
   ++server->crashes;
+  max_shards_down_ = std::max(max_shards_down_, CountShardsDown());
   At(now_ + options_.restart_time, [this, server] {
     server->crashed = false;
     ServerEntry restarted = server->entry;
@@ -523,6 +540,8 @@
 
 void FleetSession::Start(SessionServer* server, SessionServer::Job job) {
   server->running.emplace(job.instance, job.attempt);
+  if (options_.crashes_if_cancelled && IsDeadly(job.target))
+    server->crashing.emplace(job.instance, job.attempt);
   server->max_running =
       std::max(server->max_running, static_cast<int>(server->running.size()));
   ++server->runs;
@@ -540,7 +559,7 @@
                           const SessionServer::Job& job) {
   if (server->running.count({job.instance, job.attempt}) == 0)
     return;
-  if (job.target == kDeadlySearch || job.target == kDeadlySingle)
+  if (IsDeadly(job.target))
     return Crash(server);
   server->running.erase({job.instance, job.attempt});
   TargetReply reply;
@@ -646,6 +665,8 @@
         std::erase_if(server.queue, [&](const SessionServer::Job& job) {
           return job.instance == instance && job.attempt == attempt;
         });
+    if (server.crashing.count({instance, attempt}) > 0)
+      continue;
     if (queued + server.running.erase({instance, attempt}) > 0)
       ++server.cancelled;
   }
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -53,6 +53,8 @@
   };
   std::deque<Job> queue;
   std::set<std::pair<std::size_t, AttemptId>> running;
+  // Those that crash the server even if they are cancelled.
+  std::set<std::pair<std::size_t, AttemptId>> crashing;
 };
 
 // The result for a caller that retries after a refusal or a failure.
@@ -102,6 +104,9 @@
     // The share of these callers that retry at once, three times.
     double impatient_share = 0;
     Duration restart_time = Millis(3300);  // Of a server that crashed.
+    // Whether a request that is cancelled while it runs still crashes its
+    // server, if it is one that does.
+    bool crashes_if_cancelled = false;
   };
 
   // A request with this target crashes each server that runs it.
@@ -142,6 +147,8 @@
   // Number of requests that all servers ran, and of their crashes.
   int runs() const;
   int crashes() const;
+  // The highest number of shards of which all servers were down at a time.
+  std::size_t max_shards_down() const { return max_shards_down_; }
 
   // Ends the server's process, with all that it runs. It starts again after a
   // while.
@@ -225,6 +232,7 @@
               const std::function<void()>& send);
   void OnCallerAnswered(const CallState& call, const CallReply& reply);
   Duration NetworkTime(const std::string& from, const std::string& to) const;
+  std::size_t CountShardsDown() const;
   std::size_t IndexOf(const std::string& instance_name) const;
   void StartEngine(std::size_t instance);
   // Sets what all answers of the server say besides their result.
@@ -255,6 +263,7 @@
   int pacing_starts_ = 0;
   int probes_ = 0;
   int exchanges_ = 0;
+  std::size_t max_shards_down_ = 0;
   int data_centre_changes_ = 0;
   std::vector<FetchRoutes> fetches_;
 };
--- a/src/dispatch/tests/request_of_death_test.cc
+++ b/src/dispatch/tests/request_of_death_test.cc
@@ -89,5 +89,20 @@
 
 TEST_SUITE_END();
 
+TEST_SUITE_BEGIN("request-of-death-begun");
+
+TEST_CASE("A search crashes all servers that began it, cancelled or not") {
+  FleetSession::Options options = FleetSession::SmallFleet(18);
+  options.crashes_if_cancelled = true;
+  FleetSession session(options);
+  const Load load =
+      RunDeadlyLoad(&session, FleetSession::kDeadlySearch, Seconds(20));
+  // An answer may lack one of the eighteen shards.
+  CHECK(session.max_shards_down() <= 1);
+  CHECK(load.served >= load.searches * 95 / 100);
+}
+
+TEST_SUITE_END();
+
 }  // namespace
 }  // namespace limpetrudder
