A search is cancelled only once a crash under it is confirmed

Cause: two broken connections without an answer cancelled a search and failed its trial before the probes had told whether servers crashed. Change: retries wait for the probe, 60 ms at most, and nothing is cancelled before; a request whose servers only broke off goes on as ever, also if it broke off twice.

--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -177,10 +177,17 @@
   // Cancels all attempts and batches of the call. Its sub-queries stay open.
   void CancelAttempts(ActiveCall* call, Time now);
   // A server broke off under the call. Returns whether the call was given up or
-  // goes on as a trial; otherwise it is handled as any failure.
+  // waits for a crash check; otherwise it is handled as any failure.
   bool OnPossibleCrash(ActiveCall* call,
                        const PendingAttempt& attempt,
                        Time now);
+  // A server crashed under a call that waited for a crash check: goes on as a
+  // trial, or gives up a batch.
+  void OnCrashConfirmed(ActiveCall* call, Time now);
+  // Makes the retries that waited for a crash check.
+  void ResumeRetries(ActiveCall* call, Time now);
+  // Goes on with the calls that wait for a crash check of the request.
+  void EndSuspensions(const std::string& digest, bool crashed, Time now);
   // A server answered the call, so it isn't a request of death. Sends what a
   // trial held back.
   void OnServerAnswered(ActiveCall* call, Time now);
--- a/src/dispatch/dispatch_engine_answers.cc
+++ b/src/dispatch/dispatch_engine_answers.cc
@@ -42,7 +42,8 @@
 }
 
 void DispatchEngine::ScheduleWakeup(ActiveCall* call, Time now) {
-  Time next = detail::NextAnswerDecision(*call, now);
+  Time next =
+      std::min(detail::NextAnswerDecision(*call, now), call->suspended_until);
   for (const SubQuery& sub_query : call->sub_queries) {
     if (sub_query.state == detail::SubQueryState::kOpen)
       next = std::min(next, sub_query.hedge_at);
@@ -57,6 +58,8 @@
 void DispatchEngine::Advance(ActiveCall* call, Time now) {
   if (call->candidate && now >= call->candidate_until)
     return OnCandidateSilent(call, now);
+  if (now >= call->suspended_until)
+    ResumeRetries(call, now);
   for (std::size_t i = 0; i < call->sub_queries.size(); ++i) {
     SubQuery& sub_query = call->sub_queries[i];
     if (sub_query.state != detail::SubQueryState::kOpen)
--- a/src/dispatch/dispatch_engine_quarantine.cc
+++ b/src/dispatch/dispatch_engine_quarantine.cc
@@ -16,6 +16,10 @@
 // none has answered: those that don't crash answer in about the same time.
 constexpr std::uint32_t kBrokenBeforeSuspicion = 2;
 
+// Retries of a suspected search wait this long for the probe that tells whether
+// a server crashed under it: a round trip between regions and some more.
+constexpr Duration kMaxSuspension = Millis(60);
+
 // A trial takes about as long as an answer, and its result is passed on at
 // once.
 constexpr Duration kTrialRetryAfter = Millis(200);
@@ -131,19 +135,62 @@
       call->trial || quarantine_.IsTrial(digest, attempt.sent, now);
   quarantine_.Suspect(digest, now);
   CheckCrash(attempt, digest, now);
-  if (was_trial || (is_scatter && call->is_partial())) {
+  if (was_trial) {
     CancelAttempts(call, now);
     FailOpenSubQueries(call);
     return true;
   }
   if (!is_scatter)
     return false;
-  CancelAttempts(call, now);
-  call->trial = true;
-  StartTrial(call, now);
+  call->suspended_until = now + kMaxSuspension;
   return true;
 }
 
+void DispatchEngine::OnCrashConfirmed(ActiveCall* call, Time now) {
+  call->suspended_until = kNever;
+  CancelAttempts(call, now);
+  if (call->is_partial()) {
+    FailOpenSubQueries(call);
+  } else {
+    call->trial = true;
+    StartTrial(call, now);
+  }
+}
+
+void DispatchEngine::ResumeRetries(ActiveCall* call, Time now) {
+  call->suspended_until = kNever;
+  for (std::size_t i = 0; i < call->sub_queries.size(); ++i) {
+    const SubQuery& sub_query = call->sub_queries[i];
+    if (sub_query.state == detail::SubQueryState::kOpen && !sub_query.queued &&
+        sub_query.pending_attempts.empty() && sub_query.attempts > 0) {
+      RetryOrFail(call, i, now);
+    }
+  }
+}
+
+void DispatchEngine::EndSuspensions(const std::string& digest,
+                                    bool crashed,
+                                    Time now) {
+  std::vector<CallId> ids;
+  for (const auto& [id, call] : calls_) {
+    if (call->suspended_until != kNever && call->digest == digest)
+      ids.push_back(id);
+  }
+  std::sort(ids.begin(), ids.end());
+  for (const CallId id : ids) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end())
+      continue;
+    ActiveCall* call = found->second.get();
+    if (crashed)
+      OnCrashConfirmed(call, now);
+    else
+      ResumeRetries(call, now);
+    if (!TryFinish(call, now))
+      ScheduleWakeup(call, now);
+  }
+}
+
 void DispatchEngine::OnServerAnswered(ActiveCall* call, Time now) {
   if (!quarantine_.empty()) {
     const std::string& digest = DigestOf(call);
@@ -152,6 +199,8 @@
       SendNotices(exchange_.OnOwnChange(), now);
     }
   }
+  if (call->suspended_until != kNever)
+    ResumeRetries(call, now);
   if (!std::exchange(call->trial, false) || !call->route->is_scatter())
     return;
   if (call->attempts_started() == 1 && !call->is_partial())
@@ -204,6 +253,7 @@
       ReportStanding(check.digest, server, now);
       changed = true;
     }
+    EndSuspensions(check.digest, crashed, now);
   }
   if (changed)
     SendNotices(exchange_.OnOwnChange(), now);
--- a/src/dispatch/internal/request_quarantine.cc
+++ b/src/dispatch/internal/request_quarantine.cc
@@ -59,7 +59,8 @@
                                 Time sent,
                                 Time now) const {
   const auto found = rows_.find(digest);
-  return found != rows_.end() && found->second.IsSuspected(now) &&
+  return found != rows_.end() && found->second.confirmed &&
+         found->second.IsSuspected(now) &&
          sent >= found->second.SuspectedSince();
 }
 
--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -440,7 +440,8 @@
         !server.silent && !server.reports_leaving && !server.crashed,
         server.reports_leaving, server.requests_backoff,
         std::max(server.cold_until - now_, Duration(0))};
-    At(now_ + 2 * options_.cross_region_time,
+    At(now_ + 2 * NetworkTime(options_.instances[instance],
+                              server.entry.data_centre),
        [this, instance, reply, id = probe->server] {
          engines_[instance]->OnProbe(id, reply, now_);
          RunEngine(instance);
--- a/src/dispatch/tests/request_of_death_test.cc
+++ b/src/dispatch/tests/request_of_death_test.cc
@@ -104,5 +104,22 @@
 
 TEST_SUITE_END();
 
+TEST_CASE("Connections that break off without a crash blame no request") {
+  FleetSession session(FleetSession::SmallFleet(18));
+  for (SessionServer* server : session.shard_servers())
+    server->resets_connections = server->entry.id.back() == '0';
+  const auto is_blame = [](ResultCode code) {
+    return code == ResultCode::kRequestSuspected ||
+           code == ResultCode::kRequestQuarantined;
+  };
+  for (int i = 0; i < 100; ++i) {
+    const CallRecord& record =
+        session.SearchNow(static_cast<std::size_t>(i) % 8).record;
+    CHECK_FALSE(is_blame(record.code));
+    for (const SubQueryRecord& failed : record.failed_sub_queries)
+      CHECK_FALSE(is_blame(failed.code));
+  }
+}
+
 }  // namespace
 }  // namespace limpetrudder
