An instance that lost all servers serves its callers through others

Cause: an instance coordinated its own searches whether it reached servers or not, requests to one server were never forwarded, and nobody else learnt of the cut.

Change: ServerContact finds that contact is lost (three servers, none has responded for a second). Without it, and where all servers of too many shards are down from here, a call goes whole to another instance, calls to one server too. Forwarded calls are refused with 5017 and pings with 503 meanwhile. If three others refuse as well, the route's calls are refused at once for half a second.

--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -416,6 +416,14 @@
               {{"data_centre", action.data_centre}});
 }
 
+void DispatchDuty::Execute(const ServerContactChange& action) {
+  CountAndLog(
+      LogLevel::kWarning, action.lost ? "servers_lost" : "servers_regained",
+      {{"unheard_ms", action.since_last_response
+                          ? Json(WholeMillis(*action.since_last_response))
+                          : Json()}});
+}
+
 void DispatchDuty::RecordCall(const CallRecord& record) {
   Metrics& metrics = state_->metrics();
   metrics.Add("calls");
--- a/src/app/dispatch_duty.h
+++ b/src/app/dispatch_duty.h
@@ -84,6 +84,10 @@
   // Call on the duty's thread.
   void OnExchange(const ServerRequest& request, const Responder& respond);
 
+  // Whether other instances should forward calls to this one. Call on the
+  // duty's thread.
+  bool has_server_contact() const { return engine_.has_server_contact(); }
+
   // Handles a call that another instance forwarded. The request's connection
   // must be one of the peer server, not of the callers' server. Call on the
   // duty's thread.
@@ -151,6 +155,7 @@
   void Execute(const PacingChange& action);
   void Execute(const ServerCold& action);
   void Execute(const DataCentreChange& action);
+  void Execute(const ServerContactChange& action);
   // Adds the call to the metrics and logs it.
   void RecordCall(const CallRecord& record);
 
--- a/src/app/entry_app.cc
+++ b/src/app/entry_app.cc
@@ -224,6 +224,9 @@
   if (request.path == kQuarantinePath)
     return dispatch_duty_.OnExchange(request, respond);
   if (request.path == kPingPath) {
+    response.status = dispatch_duty_.has_server_contact()
+                          ? http_status::kOk
+                          : http_status::kUnavailable;
     response.content_type.clear();
   } else if (request.path == kMetricsPath) {
     response.body = state_.metrics().Snapshot().dump();
--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -77,6 +77,7 @@
   profiles_.RetainOnly(*routes_);
   split_.RetainOnly(*routes_);
   admission_.RetainOnly(*routes_);
+  substitutes_paused_.clear();
   Tick(now);
 }
 
@@ -173,6 +174,9 @@
   if (NewerRoutesFor(call) > 0 && !IncludesAll(*route, call.only_shards))
     return Refuse(call, http_status::kUnavailable, ResultCode::kRoutesOutdated,
                   std::nullopt);
+  if (call.forwarded && contact_.lost())
+    return Refuse(call, http_status::kUnavailable,
+                  ResultCode::kServersUnreachable, std::nullopt);
   if (RefuseQuarantined(call, now))
     return;
   const Duration timeout = TimeoutOf(call, *route);
@@ -200,13 +204,19 @@
   active->record.routes_version = routes_->version();
   active->trial = !active->is_partial() &&
                   StandingOf(active->call, now) == RequestStanding::kSuspected;
+  // NOTE A batch is answered with the parts that there are.
+  if (active->call.forwarded && !active->is_partial() && LacksServers(*active))
+    return Refuse(active->call, http_status::kUnavailable,
+                  ResultCode::kServersUnreachable, std::nullopt);
   calls_[active->call.id] = std::move(owned);
-  if (!active->trial && TryForward(active, now))
+  if (TryForward(active, now))
     return ScheduleWakeup(active, now);
   StartLocally(active, now);
 }
 
 void DispatchEngine::StartLocally(ActiveCall* call, Time now) {
+  if (contact_.lost())
+    return RefuseUnreachable(call, now);
   if (call->route->is_scatter() && !call->is_partial() &&
       !admission_.Admit(*call->route, now)) {
     return RefuseOverloaded(call, now);
@@ -223,6 +233,10 @@
   attempt.server->OnRequestEnded();
   if (attempt.group == nullptr)
     return OnCoordinatorReply(attempt, &reply, now);
+  if (reply.outcome == AttemptOutcome::kAnswered ||
+      reply.outcome == AttemptOutcome::kTooLarge) {
+    OnServerResponse(now);
+  }
   RecordQueueDelay(attempt, reply, now);
   const ReplyClass reply_class = ClassifyReply(attempt, reply);
   if (attempt.IsCurrent())
@@ -267,6 +281,7 @@
   PingDownCoordinators(now);
   Time next = kNever;
   MonitorCoordinators(now, &next);
+  CheckServerContact(now, &next);
   EndBackoffs(now, &next);
   quarantine_.RemoveExpired(now);
   SendNotices(exchange_.Tick(quarantine_.HasNotices(now), now, &next), now);
--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -19,6 +19,7 @@
 #include "dispatch/internal/query_admission.h"
 #include "dispatch/internal/request_quarantine.h"
 #include "dispatch/internal/route_profiles.h"
+#include "dispatch/internal/server_contact.h"
 #include "dispatch/internal/server_placer.h"
 #include "dispatch/internal/server_table.h"
 #include "dispatch/internal/topology.h"
@@ -105,6 +106,10 @@
     return routes_ ? routes_->version() : 0;
   }
 
+  // Whether the instance has contact with servers. Without it, other instances
+  // should forward nothing to it.
+  bool has_server_contact() const { return !contact_.lost(); }
+
  private:
   using SubQuery = detail::SubQuery;
   using ActiveCall = detail::ActiveCall;
@@ -212,9 +217,23 @@
   // just begun.
   void CancelOptionalSubQueries(Time now);
   void CancelSubQuery(ActiveCall* call, std::size_t index, Time now);
+  // Whether the call can't be served here, since this instance reaches too few
+  // servers, while another instance may reach them.
+  bool LacksServers(const ActiveCall& call);
+  // Returns the instance that is to coordinate the call, or null.
+  std::shared_ptr<ServerLoad> ChooseCoordinator(ActiveCall* call, Time now);
   // Forwards the call if another instance is to coordinate it, or waits for
   // that instance's sign of life first. Returns false if it is to start here.
   bool TryForward(ActiveCall* call, Time now);
+  // Another instance took no call for which this one, or itself, reaches too
+  // few servers: forwards it to a further one or refuses it.
+  void OnServersUnreachable(ActiveCall* call,
+                            const ServerLoad& instance,
+                            Time now);
+  void RefuseUnreachable(ActiveCall* call, Time now);
+  void OnServerResponse(Time now);
+  // Finds out whether contact with the servers is lost, and probes them then.
+  void CheckServerContact(Time now, Time* next);
   // Admits and starts the call here, or refuses it.
   void StartLocally(ActiveCall* call, Time now);
   void ForwardWhole(ActiveCall* call,
@@ -238,7 +257,10 @@
                      const std::string& data_centre,
                      std::vector<std::size_t> sub_queries,
                      Time now);
-  void OnForwardedCallReply(ActiveCall* call, TargetReply* reply, Time now);
+  void OnForwardedCallReply(ActiveCall* call,
+                            const ServerLoad& coordinator,
+                            TargetReply* reply,
+                            Time now);
   void OnBatchReply(ActiveCall* call,
                     std::size_t batch_index,
                     TargetReply* reply,
@@ -353,6 +375,10 @@
   // process probed last.
   std::map<std::string, std::int64_t> probed_servers_;
   std::set<std::string> backing_off_servers_;
+  detail::ServerContact contact_;
+  // By route: until then its calls aren't forwarded for want of servers, since
+  // other instances reach too few of them as well.
+  std::map<std::string, Time> substitutes_paused_;
   std::deque<LeavingNotice> leaving_notices_;
   detail::RequestQuarantine quarantine_;
   std::vector<CrashCheck> crash_checks_;
--- a/src/dispatch/dispatch_engine_forwarding.cc
+++ b/src/dispatch/dispatch_engine_forwarding.cc
@@ -9,6 +9,7 @@
 #include "dispatch/dispatch_engine.h"
 #include "dispatch/internal/answer_policy.h"
 #include "dispatch/internal/batch_plan.h"
+#include "dispatch/internal/server_eligibility.h"
 #include "dispatch/internal/sub_query_selection.h"
 #include "framework/http_status.h"
 
@@ -31,10 +32,17 @@
 // or overloaded.
 constexpr Duration kDirectTime = Millis(2500);
 
+// A call for which this instance reaches too few servers is refused once this
+// many other instances, in different data centres if possible, have refused it
+// for the same reason. The servers themselves are down then, so further calls
+// of its route are refused at once for kSubstitutePause.
+constexpr std::size_t kMaxUnreachable = 3;
+constexpr Duration kSubstitutePause = Millis(500);
+
 // Whether the coordinator refused the call before it reached any server, for
 // instance since its routes are newer and lack the requested one.
 bool IsRefused(const TargetReply& reply) {
-  return reply.outcome == AttemptOutcome::kAnswered &&
+  return reply.outcome == AttemptOutcome::kAnswered && !reply.from_server &&
          (reply.not_executed || (reply.status >= http_status::kBadRequest &&
                                  reply.status < http_status::kInternalError));
 }
@@ -50,12 +58,49 @@
 
 }  // namespace
 
-bool DispatchEngine::TryForward(ActiveCall* call, Time now) {
-  const Route& route = *call->route;
-  if (call->call.forwarded || !route.is_scatter())
+bool DispatchEngine::LacksServers(const ActiveCall& call) {
+  if (contact_.lost())
+    return true;
+  if (probed_servers_.empty())
     return false;
-  const auto coordinator = coordinators_.Choose(
-      route, call->region_filter, profiles_.SizesOf(route), &servers_, now);
+  const Route& route = *call.route;
+  const auto all_down = [&](const std::string& service) {
+    return detail::AreAllDown(*servers_.Group(service), call.region_filter);
+  };
+  if (route.is_scatter()) {
+    const auto down =
+        std::count_if(route.shards.begin(), route.shards.end(), all_down);
+    return route.shards.size() - static_cast<std::size_t>(down) <
+           detail::MinParts(route);
+  }
+  return std::all_of(
+      route.backends.begin(), route.backends.end(),
+      [&](const auto& backend) { return all_down(backend.service); });
+}
+
+std::shared_ptr<detail::ServerLoad> DispatchEngine::ChooseCoordinator(
+    ActiveCall* call,
+    Time now) {
+  const Route& route = *call->route;
+  if (call->call.forwarded)
+    return nullptr;
+  if (!call->unreachable_from.empty() || LacksServers(*call)) {
+    const auto paused = substitutes_paused_.find(route.name);
+    if (call->unreachable_from.size() >= kMaxUnreachable ||
+        (paused != substitutes_paused_.end() && now < paused->second)) {
+      return nullptr;
+    }
+    return coordinators_.ChooseSubstitute(call->region_filter,
+                                          call->unreachable_from, now);
+  }
+  if (call->trial || !route.is_scatter())
+    return nullptr;
+  return coordinators_.Choose(route, call->region_filter,
+                              profiles_.SizesOf(route), &servers_, now);
+}
+
+bool DispatchEngine::TryForward(ActiveCall* call, Time now) {
+  const auto coordinator = ChooseCoordinator(call, now);
   if (!coordinator)
     return false;
   if (detail::CoordinatorSet::WasHeardLately(*coordinator, now))
@@ -74,7 +119,9 @@
   call->coordinator_attempt = next_attempt_++;
   call->record.coordinator = coordinator->entry().id;
   call->record.parts_wanted =
-      static_cast<std::uint32_t>(call->route->shards.size());
+      call->route->is_scatter()
+          ? static_cast<std::uint32_t>(call->route->shards.size())
+          : 1;
   ForwardTo(coordinator, call, std::nullopt, call->coordinator_attempt, {},
             now);
 }
@@ -141,14 +188,16 @@
   const Duration hop_time =
       topology_.RoundTrip(coordinator->entry().data_centre) + kHopMargin;
   const std::size_t batch_size = shards.size();
-  const bool overloaded = admission_.IsOverloaded(*call->route, now);
+  const bool overloaded =
+      call->route->is_scatter() && admission_.IsOverloaded(*call->route, now);
   actions_.emplace_back(
       ForwardCall{id, coordinator->entry().id, coordinator->entry().address,
                   call->call.message, call->deadline - now - hop_time,
                   call->answer_by - now - hop_time, call->table->version(),
                   call->region_filter.regions(), std::move(shards),
                   detail::MaxMissingInBatch(*call, batch_size, overloaded),
-                  call->route->top_records});
+                  call->route->top_records, !call->route->is_scatter(),
+                  !call->is_idempotent()});
 }
 
 void DispatchEngine::CoordinateLocally(ActiveCall* call,
@@ -218,6 +267,8 @@
     OnLeaving(leaving, now);
   if (reply->outcome == AttemptOutcome::kAnswered) {
     coordinator.OnAlive(now);
+    if (reply->servers_unreachable && coordinator.OnUnreachable(now))
+      ReportServerState(coordinator, ResultCode::kServersUnreachable, now);
   } else if (reply->outcome == AttemptOutcome::kNotSent) {
     if (coordinator.OnUnreachable(now))
       ReportServerState(coordinator, ResultCode::kPeerUnreachable, now);
@@ -229,23 +280,54 @@
     return;
   ActiveCall* call = found->second.get();
   if (call->coordinator_attempt == reply->attempt)
-    OnForwardedCallReply(call, reply, now);
+    OnForwardedCallReply(call, coordinator, reply, now);
   else
     OnBatchReply(call, attempt.sub_query, reply, now);
 }
 
+void DispatchEngine::OnServersUnreachable(ActiveCall* call,
+                                          const ServerLoad& instance,
+                                          Time now) {
+  call->coordinator_attempt = 0;
+  call->unreachable_from.push_back(instance.entry().data_centre);
+  if (TryForward(call, now))
+    return ScheduleWakeup(call, now);
+  substitutes_paused_[call->route->name] = now + kSubstitutePause;
+  RefuseUnreachable(call, now);
+}
+
+void DispatchEngine::RefuseUnreachable(ActiveCall* call, Time now) {
+  CallReply reply;
+  reply.status = http_status::kUnavailable;
+  reply.retry_after = kSubstitutePause;
+  call->record.code = ResultCode::kServersUnreachable;
+  Finish(call, std::move(reply), now);
+}
+
 void DispatchEngine::OnForwardedCallReply(ActiveCall* call,
+                                          const ServerLoad& coordinator,
                                           TargetReply* reply,
                                           Time now) {
-  if (!IsAccepted(*reply))
+  if (reply->servers_unreachable ||
+      (!MayHaveRun(*reply) && LacksServers(*call))) {
+    return OnServersUnreachable(call, coordinator, now);
+  }
+  const bool lacks_server = !call->route->is_scatter() &&
+                            http_status::IsSuccess(reply->status) &&
+                            !reply->from_server;
+  if (!IsAccepted(*reply) || lacks_server)
     return CoordinateLocally(call, MayHaveRun(*reply), now);
   call->coordinator_attempt = 0;
-  call->record.parts =
-      static_cast<std::uint32_t>(reply->part_signatures.size());
-  if (reply->status != http_status::kOk)
+  call->answered =
+      reply->from_server
+          ? 1
+          : static_cast<std::uint32_t>(reply->part_signatures.size());
+  if (reply->status != http_status::kOk && !reply->from_server)
     call->record.code = ResultCode::kNoAnswer;
   CallReply final_reply;
   final_reply.status = reply->status;
+  final_reply.headers = std::move(reply->headers);
+  final_reply.from_server = reply->from_server;
   final_reply.body = std::move(reply->body);
   final_reply.part_signatures = std::move(reply->part_signatures);
   final_reply.missing_parts = reply->missing_parts;
--- a/src/dispatch/dispatch_engine_servers.cc
+++ b/src/dispatch/dispatch_engine_servers.cc
@@ -302,6 +302,8 @@
                              const ProbeReply& reply,
                              Time now) {
   FinishCrashChecks(id, !reply.reachable, now);
+  if (reply.reachable)
+    OnServerResponse(now);
   const auto server = servers_.Find(id);
   const auto probed = probed_servers_.find(id);
   if (!server || probed == probed_servers_.end() ||
@@ -320,6 +322,29 @@
   DispatchQueued(servers_.Group(server->entry().service), now);
 }
 
+void DispatchEngine::OnServerResponse(Time now) {
+  if (!contact_.OnResponse(now))
+    return;
+  actions_.emplace_back(ServerContactChange{false, std::nullopt});
+}
+
+void DispatchEngine::CheckServerContact(Time now, Time* next) {
+  if (contact_.Check(now)) {
+    std::optional<Duration> since_last_response;
+    if (contact_.last_response() != Time{})
+      since_last_response = now - contact_.last_response();
+    actions_.emplace_back(ServerContactChange{true, since_last_response});
+  }
+  if (contact_.TakeProbe(now)) {
+    if (const auto server = servers_.RandomServer(&random_)) {
+      const ServerEntry& entry = server->entry();
+      actions_.emplace_back(ProbeHealth{
+          entry.id, entry.address, servers_.Group(entry.service)->health_path});
+    }
+  }
+  *next = std::min(*next, contact_.NextCheck());
+}
+
 void DispatchEngine::ReportServerState(const ServerLoad& server,
                                        ResultCode reason,
                                        Time now) {
--- a/src/dispatch/dispatch_engine_sub_queries.cc
+++ b/src/dispatch/dispatch_engine_sub_queries.cc
@@ -134,7 +134,8 @@
   // NOTE Attempts that the lost coordinator may have made count towards the
   // route's maximum.
   sub_query.runs = repeated ? kRunsOfLostCoordinator : 0;
-  if (sub_query.runs >= call->route->max_attempts)
+  if (sub_query.runs >= call->route->max_attempts ||
+      (repeated && !call->is_idempotent()))
     return FailSubQuery(call, index, ResultCode::kPeerUnreachable);
   if (!repeated) {
     sub_query.group->budget.OnRequest();
@@ -189,6 +190,7 @@
   ++call->record.attempts;
   call->record.cross_region_attempts += IsCrossRegion(*server) ? 1 : 0;
   server->OnSent(now);
+  contact_.OnSent(entry.id, now);
   attempts_[id] = {.call = call->call.id,
                    .sub_query = index,
                    .server = server,
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -108,7 +108,10 @@
   RateLimitNotice rate_limit;
   std::string signature;  // Identifies the run; empty if the server sent none.
 
-  // The fields below are set in replies of coordinators only.
+  // The fields below are set in replies of other instances only.
+  bool from_server = false;  // Status, headers and body are a server's.
+  // The instance refused the call since it reaches too few servers.
+  bool servers_unreachable = false;
   std::vector<std::string> part_signatures;
   std::uint32_t missing_parts = 0;
   // For each missing part, the number of servers that ran it or may have.
@@ -183,7 +186,8 @@
 // anything, so that the forwarding instance coordinates the query itself.
 constexpr bool IsForwardRefusal(ResultCode code) {
   return code == ResultCode::kNotReady || code == ResultCode::kRevisionTooLow ||
-         code == ResultCode::kRoutesOutdated || code == ResultCode::kStopping;
+         code == ResultCode::kRoutesOutdated || code == ResultCode::kStopping ||
+         code == ResultCode::kServersUnreachable;
 }
 
 // The outcome of one sub-query, for the log.
@@ -229,7 +233,7 @@
   std::size_t max_body_bytes = 0;  // Of the answer.
 };
 
-// Forwards a query to another instance, which coordinates all of it or, if
+// Forwards a call to another instance, which coordinates all of it or, if
 // `shards` isn't empty, the parts of these shards.
 struct ForwardCall {
   AttemptId attempt = 0;
@@ -243,6 +247,9 @@
   std::vector<std::string> shards;
   std::uint32_t max_missing = 0;
   std::uint32_t top_records = 0;
+  // The call is for one server, whose answer is passed on.
+  bool single = false;
+  bool fresh_connection = false;  // Else a recently used one will do.
 };
 
 // Fetches the routes from another instance, which has a newer version.
@@ -345,6 +352,12 @@
   double rate = 0;
 };
 
+// This instance lost contact with all servers, or one responded again.
+struct ServerContactChange {
+  bool lost = false;
+  std::optional<Duration> since_last_response;  // Unset: there was none.
+};
+
 // All instances of a data centre came to be regarded as silent, or one of them
 // was heard again.
 struct DataCentreChange {
@@ -377,6 +390,7 @@
                                     AdmissionChange,
                                     PacingChange,
                                     ServerCold,
+                                    ServerContactChange,
                                     DataCentreChange>;
 
 }  // namespace limpetrudder
--- a/src/dispatch/internal/active_call.h
+++ b/src/dispatch/internal/active_call.h
@@ -70,6 +70,9 @@
   std::shared_ptr<ServerLoad> candidate;
   Time candidate_until = kNever;
   std::uint32_t silent_candidates = 0;
+  // Data centres of the instances that refused it since they reach too few
+  // servers.
+  std::vector<std::string> unreachable_from;
   std::vector<SubQuery> sub_queries;
   std::vector<Batch> batches;
   // Set once the latency target has passed and the pending attempts are
--- a/src/dispatch/internal/coordinator_set.cc
+++ b/src/dispatch/internal/coordinator_set.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <set>
+#include <utility>
 
 namespace limpetrudder::detail {
 namespace {
@@ -216,6 +217,36 @@
   return best;
 }
 
+std::shared_ptr<ServerLoad> CoordinatorSet::ChooseSubstitute(
+    const RegionFilter& filter,
+    const std::vector<std::string>& avoided,
+    Time now) {
+  const std::set<std::string> silent = SilentDataCentres(now);
+  std::pair<bool, double> min_cost{true, std::numeric_limits<double>::max()};
+  std::shared_ptr<ServerLoad> best;
+  for (const auto& [name, coordinator] : coordinators_) {
+    const std::string& data_centre = coordinator.instance.data_centre;
+    if (!IsAvailable(*coordinator.load, now) || !filter.Allows(data_centre) ||
+        silent.count(data_centre) > 0) {
+      continue;
+    }
+    const bool is_avoided =
+        std::find(avoided.begin(), avoided.end(), data_centre) != avoided.end();
+    const double calls = 1 + coordinator.load->in_flight();
+    const double millis =
+        (ToMillis(topology_->RoundTrip(data_centre)) +
+         calls * kHopCoreMillis / coordinator.instance.cores) *
+        (1 + kJitter * random_->Unit()) *
+        (1 + coordinator.load->FailureRatio(now));
+    const std::pair cost{is_avoided, millis};
+    if (cost < min_cost) {
+      min_cost = cost;
+      best = coordinator.load;
+    }
+  }
+  return best;
+}
+
 bool CoordinatorSet::WasHeardLately(const ServerLoad& load, Time now) {
   return now - load.last_response() <= kHeardLately;
 }
--- a/src/dispatch/internal/coordinator_set.h
+++ b/src/dispatch/internal/coordinator_set.h
@@ -61,6 +61,14 @@
                                        const PartSizes& sizes,
                                        Time now);
 
+  // Returns an instance that may serve a call for which this one reaches too
+  // few servers, or null. It is in none of the data centres `avoided`, whose
+  // instances may have lost the servers as well, unless only these are left.
+  std::shared_ptr<ServerLoad> ChooseSubstitute(
+      const RegionFilter& filter,
+      const std::vector<std::string>& avoided,
+      Time now);
+
   // Whether the coordinator has responded to anything lately. Any other one may
   // be gone.
   static bool WasHeardLately(const ServerLoad& load, Time now);
--- a/src/dispatch/internal/server_eligibility.cc
+++ b/src/dispatch/internal/server_eligibility.cc
@@ -35,6 +35,18 @@
                                            : ResultCode::kServerLimited;
 }
 
+bool AreAllDown(const ServerGroup& group, const RegionFilter& filter) {
+  bool any_down = false;
+  for (const auto& server : group.servers) {
+    if (server->gone() || !filter.Allows(server->entry().data_centre))
+      continue;
+    if (!server->down())
+      return false;
+    any_down = true;
+  }
+  return any_down;
+}
+
 Duration WaitForLimit(const ServerGroup& group,
                       const ServerLoad& server,
                       std::size_t queued,
--- a/src/dispatch/internal/server_eligibility.h
+++ b/src/dispatch/internal/server_eligibility.h
@@ -17,6 +17,10 @@
                             const RegionFilter& filter,
                             Time now);
 
+// Whether the service has servers that a call with `filter` may use, and this
+// instance regards all of them as down. Not thread safe.
+bool AreAllDown(const ServerGroup& group, const RegionFilter& filter);
+
 // Returns how long a request would wait for this instance's share of the
 // server's rate limit, behind `queued` others of the group. Not thread safe.
 Duration WaitForLimit(const ServerGroup& group,
--- a/src/dispatch/internal/server_table.cc
+++ b/src/dispatch/internal/server_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 #include "dispatch/internal/rate_limit_share.h"
 #include "dispatch/internal/warmup_share.h"
@@ -247,6 +248,21 @@
   }
 }
 
+std::shared_ptr<ServerLoad> ServerTable::RandomServer(Random* random) const {
+  if (servers_.empty())
+    return nullptr;
+  auto server =
+      std::next(servers_.begin(),
+                static_cast<std::ptrdiff_t>(random->Below(servers_.size())));
+  for (std::size_t i = 0; i < servers_.size(); ++i) {
+    if (!server->second->gone())
+      return server->second;
+    if (++server == servers_.end())
+      server = servers_.begin();
+  }
+  return nullptr;
+}
+
 std::shared_ptr<ServerLoad> ServerTable::Find(const std::string& id) const {
   const auto found = servers_.find(id);
   return found == servers_.end() ? nullptr : found->second;
--- a/src/dispatch/internal/server_table.h
+++ b/src/dispatch/internal/server_table.h
@@ -16,6 +16,7 @@
 #include "dispatch/internal/failure_rate.h"
 #include "dispatch/internal/server_load.h"
 #include "dispatch/internal/topology.h"
+#include "framework/random.h"
 #include "limits/fleet_composition.h"
 #include "limits/retry_budget.h"
 #include "routing/route_table.h"
@@ -128,6 +129,8 @@
   void SetStarting(bool starting);
 
   std::shared_ptr<ServerLoad> Find(const std::string& id) const;
+  // Returns any server that isn't gone, or null.
+  std::shared_ptr<ServerLoad> RandomServer(Random* random) const;
   const std::unordered_map<std::string, std::shared_ptr<ServerLoad>>& servers()
       const {
     return servers_;
--- a/src/dispatch/tests/cut_from_servers_test.cc
+++ b/src/dispatch/tests/cut_from_servers_test.cc
@@ -1,4 +1,5 @@
 #include <set>
+#include <string>
 #include <vector>
 
 #include <doctest/doctest.h>
@@ -17,7 +18,8 @@
 
 Served ServeWhileCut(FleetSession* session,
                      const std::set<std::size_t>& cut,
-                     const std::string& target) {
+                     const std::string& target,
+                     ServerCut kind = ServerCut::kConnectTimeout) {
   const auto run = [&](Duration duration) {
     std::vector<CallId> calls[2];
     const Time end = session->now() + duration;
@@ -37,7 +39,7 @@
     return Served{share(calls[1]), share(calls[0])};
   };
   for (const std::size_t instance : cut)
-    session->CutFromServers(instance);
+    session->CutFromServers(instance, kind);
   // The users' shortest time from which instances have to serve again.
   run(Seconds(4));
   return run(Seconds(6));
@@ -46,6 +48,9 @@
 // The users' bound of the failures at instances that are cut off.
 constexpr double kMaxFailed = 11.0 / 50;
 
+constexpr ServerCut kCuts[] = {ServerCut::kConnectTimeout, ServerCut::kHang,
+                               ServerCut::kRefuse, ServerCut::kRefuseNew};
+
 TEST_SUITE_BEGIN("cut-from-servers");
 
 TEST_CASE("Callers reach instances that have lost all servers") {
@@ -61,6 +66,73 @@
     CHECK(served.others >= 0.99);
     CHECK(served.cut >= 1 - kMaxFailed);
   }
+  SUBCASE("they serve by themselves again once they reach servers") {
+    ServeWhileCut(&session, {0, 1, 2}, "/all/x");
+    for (const std::size_t instance : {0U, 1U, 2U})
+      session.ReconnectServers(instance);
+    session.Run(Seconds(5));
+    CHECK(session.contact_losses() == 3);
+    for (std::size_t i = 0; i < 80; ++i) {
+      CHECK(session.SearchNow(i % 8).reply.status == 200);
+      CHECK(session.SingleNow(i % 8).reply.status == 200);
+    }
+    CHECK(session.contact_losses() == 3);
+  }
+}
+
+TEST_CASE("Searches are served however connections to servers are cut") {
+  for (const ServerCut kind : kCuts) {
+    CAPTURE(static_cast<int>(kind));
+    FleetSession session(FleetSession::SmallFleet(18));
+    const Served served = ServeWhileCut(&session, {0, 1, 2}, "/all/x", kind);
+    CHECK(served.others >= 0.99);
+    CHECK(served.cut >= 1 - kMaxFailed);
+  }
+}
+
+TEST_CASE("No instance reaches a server") {
+  FleetSession session(FleetSession::SmallFleet(18));
+  for (std::size_t instance = 0; instance < 8; ++instance)
+    session.CutFromServers(instance);
+  for (std::size_t i = 0; i < 400; ++i) {
+    session.Search(i % 8);
+    session.Run(Millis(10));
+  }
+
+  SUBCASE("searches are refused at once, and the refusal is true") {
+    const int runs = session.runs();
+    for (std::size_t i = 0; i < 80; ++i) {
+      const Time sent = session.now();
+      const SessionAnswer& answer = session.SearchNow(i % 8);
+      CHECK(answer.reply.status == 503);
+      CHECK(answer.reply.retry_after.has_value());
+      // At most a round trip to an instance in each other data centre.
+      CHECK(answer.at - sent <= Millis(60));
+    }
+    CHECK(session.runs() == runs);
+  }
+  SUBCASE("few of them are forwarded") {
+    const int forwards = session.forwards();
+    for (std::size_t i = 0; i < 400; ++i) {
+      session.SearchNow(i % 8);
+      session.Run(Millis(5));
+    }
+    // Each instance tries its two other data centres twice a second.
+    CHECK(session.forwards() - forwards <= 8 * 2 * 2 * 5);
+  }
+}
+
+TEST_CASE("Crashed servers aren't taken for lost contact") {
+  FleetSession session(FleetSession::SmallFleet(18));
+  for (SessionServer* server : session.shard_servers()) {
+    if (server->entry.data_centre == "kgn-a")
+      session.Crash(server);
+  }
+  for (std::size_t i = 0; i < 300; ++i) {
+    session.Search(i % 8);
+    session.Run(Millis(10));
+  }
+  CHECK(session.contact_losses() == 0);
 }
 
 TEST_SUITE_END();
@@ -74,6 +146,50 @@
   CHECK(served.cut >= 1 - kMaxFailed);
 }
 
+TEST_CASE("Callers of single servers reach them through other instances") {
+  for (const ServerCut kind : kCuts) {
+    CAPTURE(static_cast<int>(kind));
+    FleetSession session(FleetSession::SmallFleet(18));
+    const Served served = ServeWhileCut(&session, {0, 1, 2}, "/one/x", kind);
+    CHECK(served.others >= 0.99);
+    CHECK(served.cut >= 1 - kMaxFailed);
+  }
+}
+
+TEST_CASE("A request that may run once is forwarded by a cut-off instance") {
+  FleetSession::Options options = FleetSession::SmallFleet(18);
+  options.single_kind = RequestKind::kNonIdempotent;
+  FleetSession session(options);
+  const Served served =
+      ServeWhileCut(&session, {0, 1, 2}, "/one/x", ServerCut::kHang);
+  CHECK(served.cut >= 1 - kMaxFailed);
+  for (std::size_t i = 0; i < 3; ++i) {
+    for (const auto& [request, runs] : session.single(i).runs_by_request)
+      CHECK(runs == 1);
+  }
+}
+
+TEST_CASE("A request that may run once is lost with the instance that got it") {
+  FleetSession::Options options = FleetSession::SmallFleet(18);
+  options.single_kind = RequestKind::kNonIdempotent;
+  for (std::size_t other = 3; other < 8; ++other) {
+    FleetSession session(options);
+    ServeWhileCut(&session, {0, 1, 2}, "/one/x", ServerCut::kHang);
+    const CallId call = session.Single(0);
+    session.Run(Millis(10));
+    session.Freeze(other);
+    session.Run(Seconds(5));
+    REQUIRE(session.answered(call));
+    int runs = 0;
+    for (std::size_t i = 0; i < 3; ++i) {
+      const auto& by_request = session.single(i).runs_by_request;
+      const auto found = by_request.find("request-" + std::to_string(call));
+      runs += found == by_request.end() ? 0 : found->second;
+    }
+    CHECK(runs <= 1);
+  }
+}
+
 TEST_SUITE_END();
 
 }  // namespace
--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -424,31 +424,42 @@
     const Duration network_time =
         NetworkTime(options_.instances[instance], options_.instances[other]);
     At(now_ + (alive ? 2 * network_time : Millis(400)),
-       [this, instance, alive, name = ping->name] {
-         engines_[instance]->OnPing(name, alive, now_);
+       [this, instance, other, alive, name = ping->name] {
+         engines_[instance]->OnPing(
+             name, alive && engines_[other]->has_server_contact(), now_);
          RunEngine(instance);
        });
   } else if (const auto* exchange = std::get_if<ExchangeQuarantine>(&action)) {
     Exchange(instance, *exchange);
   } else if (const auto* probe = std::get_if<ProbeHealth>(&action)) {
-    const SessionServer& server = servers_.at(probe->server);
-    ++probes_;
-    if (cut_.count(instance) > 0)
-      return;
-    const ProbeReply reply{
-        !server.crashed,
-        !server.silent && !server.reports_leaving && !server.crashed,
-        server.reports_leaving, server.requests_backoff,
-        std::max(server.cold_until - now_, Duration(0))};
-    At(now_ + 2 * NetworkTime(options_.instances[instance],
-                              server.entry.data_centre),
-       [this, instance, reply, id = probe->server] {
-         engines_[instance]->OnProbe(id, reply, now_);
-         RunEngine(instance);
-       });
+    Probe(instance, *probe);
+  } else if (const auto* contact = std::get_if<ServerContactChange>(&action)) {
+    contact_losses_ += contact->lost ? 1 : 0;
   }
 }
 
+void FleetSession::Probe(std::size_t instance, const ProbeHealth& probe) {
+  const SessionServer& server = servers_.at(probe.server);
+  ++probes_;
+  const auto cut = cuts_.find(instance);
+  const bool is_refused =
+      cut != cuts_.end() && (cut->second == ServerCut::kRefuse ||
+                             cut->second == ServerCut::kRefuseNew);
+  if (cut != cuts_.end() && !is_refused)
+    return;
+  const bool reachable = !server.crashed && !is_refused;
+  const ProbeReply reply{
+      reachable, !server.silent && !server.reports_leaving && reachable,
+      reachable && server.reports_leaving, server.requests_backoff,
+      std::max(server.cold_until - now_, Duration(0))};
+  At(now_ + 2 * NetworkTime(options_.instances[instance],
+                            server.entry.data_centre),
+     [this, instance, reply, id = probe.server] {
+       engines_[instance]->OnProbe(id, reply, now_);
+       RunEngine(instance);
+     });
+}
+
 void FleetSession::Exchange(std::size_t instance,
                             const ExchangeQuarantine& exchange) {
   ++exchanges_;
@@ -484,14 +495,60 @@
   return 0;
 }
 
+void FleetSession::CutFromServers(std::size_t instance, ServerCut cut) {
+  cuts_[instance] = cut;
+  if (cut == ServerCut::kRefuseNew)
+    return;
+  std::erase_if(connections_, [instance](const auto& connection) {
+    return connection.first.first == instance;
+  });
+  for (auto& [name, server] : servers_) {
+    std::erase_if(server.running, [&](const auto& running) {
+      if (running.first != instance)
+        return false;
+      if (cut == ServerCut::kRefuse) {
+        TargetReply broken;
+        broken.attempt = running.second;
+        broken.outcome = AttemptOutcome::kBroken;
+        Reply(instance, std::move(broken), kLocalTime);
+      }
+      return true;
+    });
+  }
+}
+
+bool FleetSession::OpensConnection(std::size_t instance,
+                                   const SendToServer& request) {
+  const SessionServer& server = servers_.at(request.server);
+  const auto in_use =
+      std::count_if(
+          server.running.begin(), server.running.end(),
+          [&](const auto& running) { return running.first == instance; }) +
+      std::count_if(server.queue.begin(), server.queue.end(),
+                    [&](const SessionServer::Job& job) {
+                      return job.instance == instance;
+                    });
+  int& connections = connections_[{instance, request.server}];
+  if (in_use < connections)
+    return false;
+  connections += cuts_.count(instance) > 0 ? 0 : 1;
+  return true;
+}
+
 void FleetSession::Deliver(std::size_t instance, const SendToServer& request) {
   const SessionServer& server = servers_.at(request.server);
-  if (cut_.count(instance) > 0) {
+  const bool opens = OpensConnection(instance, request);
+  const auto cut = cuts_.find(instance);
+  if (cut != cuts_.end() && (opens || cut->second != ServerCut::kRefuseNew)) {
+    if (cut->second == ServerCut::kHang)
+      return;
     constexpr Duration kConnectTimeout = Millis(400);
     TargetReply lost;
     lost.attempt = request.attempt;
     lost.outcome = AttemptOutcome::kNotSent;
-    return Reply(instance, std::move(lost), kConnectTimeout);
+    return Reply(instance, std::move(lost),
+                 cut->second == ServerCut::kConnectTimeout ? kConnectTimeout
+                                                           : kLocalTime);
   }
   At(now_ + NetworkTime(options_.instances[instance], server.entry.data_centre),
      [this, instance, request] { Arrive(instance, request); });
@@ -634,6 +691,10 @@
   reply.attempt = call.from_attempt;
   reply.outcome = AttemptOutcome::kAnswered;
   reply.status = done.reply.status;
+  reply.headers = std::move(done.reply.headers);
+  reply.from_server = done.reply.from_server;
+  reply.servers_unreachable =
+      done.record.code == ResultCode::kServersUnreachable;
   reply.body = std::move(done.reply.body);
   reply.part_signatures = std::move(done.reply.part_signatures);
   reply.missing_parts = done.reply.missing_parts;
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -57,6 +57,14 @@
   std::set<std::pair<std::size_t, AttemptId>> crashing;
 };
 
+// How an instance is separated from all servers.
+enum class ServerCut {
+  kConnectTimeout,  // Connections can't be opened and time out.
+  kHang,            // Nothing is delivered, and no connection times out.
+  kRefuse,          // Open connections are reset, new ones refused.
+  kRefuseNew,       // Open connections live on, new ones are refused.
+};
+
 // The result for a caller that retries after a refusal or a failure.
 struct CallerOutcome {
   Time started{};
@@ -177,7 +185,9 @@
   void Freeze(std::size_t instance) { frozen_.insert(instance); }
   void Thaw(std::size_t instance) { frozen_.erase(instance); }
   // Separates an instance from all servers, not from callers and instances.
-  void CutFromServers(std::size_t instance) { cut_.insert(instance); }
+  void CutFromServers(std::size_t instance,
+                      ServerCut cut = ServerCut::kConnectTimeout);
+  void ReconnectServers(std::size_t instance) { cuts_.erase(instance); }
   // Ends an instance's calls, as at the end of its grace period.
   void GiveUpCalls(std::size_t instance);
   // Replaces an instance by a new process, which knows the routes, servers and
@@ -200,6 +210,8 @@
   int data_centre_changes() const { return data_centre_changes_; }
   // How often pacing of a server began at any instance.
   int pacing_starts() const { return pacing_starts_; }
+  // How often instances lost contact with the servers.
+  int contact_losses() const { return contact_losses_; }
   const std::vector<FetchRoutes>& fetches() const { return fetches_; }
 
  private:
@@ -217,6 +229,10 @@
   void RunEngine(std::size_t instance);
   void Execute(std::size_t instance, DispatchAction action);
   void Deliver(std::size_t instance, const SendToServer& attempt);
+  // Whether the request needs a new connection to its server; opens it then,
+  // unless the instance is cut off.
+  bool OpensConnection(std::size_t instance, const SendToServer& attempt);
+  void Probe(std::size_t instance, const ProbeHealth& probe);
   void Arrive(std::size_t instance, const SendToServer& attempt);
   void Start(SessionServer* server, SessionServer::Job job);
   void Finish(SessionServer* server, const SessionServer::Job& job);
@@ -252,7 +268,9 @@
   std::map<CallId, SessionAnswer> answers_;
   std::vector<CallerOutcome> callers_;
   std::set<std::size_t> frozen_;
-  std::set<std::size_t> cut_;            // From all servers.
+  std::map<std::size_t, ServerCut> cuts_;
+  // Open connections of each instance to each server.
+  std::map<std::pair<std::size_t, std::string>, int> connections_;
   std::map<std::size_t, int> restarts_;  // By instance.
   // Pairs of instances with an open connection.
   std::set<std::pair<std::size_t, std::size_t>> connected_;
@@ -262,6 +280,7 @@
   std::set<std::string> forwarded_to_;
   int pacing_starts_ = 0;
   int probes_ = 0;
+  int contact_losses_ = 0;
   int exchanges_ = 0;
   std::size_t max_shards_down_ = 0;
   int data_centre_changes_ = 0;
--- a/src/framework/result_code.cc
+++ b/src/framework/result_code.cc
@@ -99,6 +99,9 @@
     {kServerLimited, "server_limited",
      "All servers that could take work have named rate limits, which are used "
      "up; not run."},
+    {kServersUnreachable, "servers_unreachable",
+     "The instance has lost contact with the servers and no other one took the "
+     "call; not run."},
     {kNoHome, "no_home", "No instance can run the collection."},
     {kPeerUnreachable, "peer_unreachable",
      "Another instance can't be reached."},
--- a/src/framework/result_code.h
+++ b/src/framework/result_code.h
@@ -75,6 +75,7 @@
   kDataCentreEvacuated = 5014,
   kServerCold = 5015,
   kServerLimited = 5016,
+  kServersUnreachable = 5017,
 
   // membership: 6000 to 6999.
   kNoHome = 6001,
--- a/src/net/forward_codec.cc
+++ b/src/net/forward_codec.cc
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <utility>
 
+#include "framework/http_status.h"
 #include "framework/logger.h"
 #include "framework/read_number.h"
 #include "net/http_text.h"
@@ -13,6 +14,13 @@
 namespace limpetrudder {
 namespace {
 
+// Replaces kForwardedHeader in a call to one server. Builds that don't know it
+// answer 404 and run nothing, since they don't pass on a server's headers.
+constexpr char kSingleHeader[] = "Limpet-Single-Target-Left-Ms";
+// In a response: status, headers and body are a server's.
+constexpr char kFromServer[] = "Limpet-From-Server";
+constexpr char kServersUnreachable[] = "Limpet-Servers-Unreachable";
+constexpr std::string_view kOwnPrefix = "Limpet-";
 constexpr char kTimeLeft[] = "Limpet-Time-Left-Ms";
 constexpr char kVersion[] = "Limpet-Routes-Version";
 constexpr char kRequestId[] = "Limpet-Request-Id";
@@ -100,6 +108,30 @@
   return servers;
 }
 
+bool IsOwnHeader(std::string_view name) {
+  return EqualsIgnoringCase(name.substr(0, kOwnPrefix.size()), kOwnPrefix);
+}
+
+// Appends the headers of a server's answer, except for those that concern one
+// connection or belong to this protocol.
+void AppendServerHeaders(std::vector<HeaderField> headers,
+                         ServerResponse* response) {
+  for (auto& header : headers) {
+    if (!IsHopByHop(header.name) && !IsOwnHeader(header.name) &&
+        !EqualsIgnoringCase(header.name, "Content-Length")) {
+      response->headers.push_back(std::move(header));
+    }
+  }
+}
+
+// Returns the headers of a server's answer that another instance passed on.
+std::vector<HeaderField> TakeServerHeaders(std::vector<HeaderField> headers) {
+  std::erase_if(headers, [](const HeaderField& header) {
+    return IsOwnHeader(header.name);
+  });
+  return headers;
+}
+
 }  // namespace
 
 PoolRequest EncodeForward(const ForwardCall& forward) {
@@ -108,6 +140,8 @@
   request.id = forward.attempt;
   request.server = forward.coordinator;
   request.address = forward.address;
+  request.head_only = message.method == "HEAD";
+  request.fresh_connection = forward.fresh_connection;
   std::string& bytes = request.bytes;
   bytes.reserve(512 + message.body.size());
   AppendRequestLine(&bytes, message.method, message.target);
@@ -115,7 +149,8 @@
   AppendHeader(&bytes, kHost, message.host);
   AppendHeader(&bytes, kRequestId, message.request_id);
   AppendMillis(&bytes, kTimeLeft, forward.time_left);
-  AppendMillis(&bytes, kForwardedHeader, forward.target_left);
+  AppendMillis(&bytes, forward.single ? kSingleHeader : kForwardedHeader,
+               forward.target_left);
   AppendHeader(&bytes, kVersion, std::to_string(forward.routes_version));
   if (!forward.allowed_regions.any()) {
     for (const auto& region : forward.allowed_regions.names())
@@ -147,7 +182,9 @@
 bool IsForwarded(const ServerRequest& request) {
   return std::any_of(request.headers.begin(), request.headers.end(),
                      [](const HeaderField& header) {
-                       return EqualsIgnoringCase(header.name, kForwardedHeader);
+                       return EqualsIgnoringCase(header.name,
+                                                 kForwardedHeader) ||
+                              EqualsIgnoringCase(header.name, kSingleHeader);
                      });
 }
 
@@ -169,7 +206,7 @@
       message->request_id = header.value;
     else if (header.name == kTimeLeft)
       readable = ReadNumber(header.value, &time_left) && readable;
-    else if (header.name == kForwardedHeader)
+    else if (header.name == kForwardedHeader || header.name == kSingleHeader)
       readable = ReadNumber(header.value, &target_left) && readable;
     else if (header.name == kMaxMissing)
       readable = ReadNumber(header.value, &max_missing) && readable;
@@ -221,6 +258,14 @@
     response.headers.push_back({kQueuePressure, std::to_string(permille)});
   if (IsForwardRefusal(record.code)) {
     response.headers.push_back({kNotTaken, "1"});
+    if (record.code == ResultCode::kServersUnreachable)
+      response.headers.push_back({kServersUnreachable, "1"});
+    return response;
+  }
+  if (reply.from_server) {
+    response.content_type.clear();
+    response.headers.push_back({kFromServer, "1"});
+    AppendServerHeaders(std::move(reply.headers), &response);
     return response;
   }
   if (reply.retry_after) {
@@ -247,7 +292,11 @@
   bool has_signatures = false;
   for (const auto& header : response.headers) {
     std::uint64_t number = 0;
-    if (header.name == kNotTaken) {
+    if (header.name == kFromServer) {
+      reply.from_server = true;
+    } else if (header.name == kServersUnreachable) {
+      reply.servers_unreachable = true;
+    } else if (header.name == kNotTaken) {
       reply.not_executed = true;
     } else if (header.name == kNewerRoutes &&
                ReadNumber(header.value, &number)) {
@@ -271,10 +320,16 @@
       reply.retry_after = Millis(static_cast<std::int64_t>(number));
     }
   }
-  if (response.outcome == AttemptOutcome::kAnswered && !has_signatures &&
-      !reply.not_executed) {
-    reply.outcome = AttemptOutcome::kBroken;
+  const bool has_protocol =
+      has_signatures || reply.not_executed || reply.from_server;
+  if (response.outcome == AttemptOutcome::kAnswered && !has_protocol) {
+    if (response.status == http_status::kNotFound)
+      reply.not_executed = true;
+    else
+      reply.outcome = AttemptOutcome::kBroken;
   }
+  if (reply.from_server)
+    reply.headers = TakeServerHeaders(std::move(response.headers));
   reply.body = std::move(response.body);
   return reply;
 }
--- a/src/net/forward_codec.h
+++ b/src/net/forward_codec.h
@@ -11,7 +11,7 @@
 // The protocol by which instances forward calls to each other, HTTP/1.1 on
 // their peer addresses. A request is the caller's request as it was received,
 // with the remaining times in "Limpet-" headers. A response is the merged body,
-// with the signatures of its parts in headers.
+// with the signatures of its parts in headers, or the answer of one server.
 inline constexpr char kForwardedHeader[] = "Limpet-Target-Left-Ms";
 inline constexpr char kPingPath[] = "/ping";
 inline constexpr char kMetricsPath[] = "/metrics";
@@ -30,7 +30,8 @@
 ServerResponse EncodeForwardReply(CallReply reply, const CallRecord& record);
 
 // Reads the response to a forwarded call. One without the headers of this
-// protocol has the outcome kBroken.
+// protocol has the outcome kBroken; a 404 without them comes from a build that
+// doesn't know this kind of call, and has run nothing.
 TargetReply DecodeForwardReply(PoolResponse response);
 
 }  // namespace limpetrudder
--- a/src/net/tests/peer_feed_test.cc
+++ b/src/net/tests/peer_feed_test.cc
@@ -84,6 +84,16 @@
     CHECK(call.assume_value().max_missing == 1);
     CHECK(call.assume_value().top_records == 50);
   }
+  SUBCASE("a call to one server is marked so that older builds refuse it") {
+    forward.single = true;
+    const ServerRequest request = sent();
+    CHECK(IsForwarded(request));
+    CHECK(std::none_of(request.headers.begin(), request.headers.end(),
+                       [](const HeaderField& header) {
+                         return header.name == kForwardedHeader;
+                       }));
+    CHECK(DecodeForward(request, 9).assume_value().target_left == Millis(180));
+  }
   SUBCASE("a forwarded call names the allowed regions, unless all are") {
     CHECK(DecodeForward(sent(), 9).assume_value().allowed_regions.any());
     forward.allowed_regions =
@@ -143,6 +153,42 @@
     CHECK(back.not_executed);
     CHECK(back.newer_routes == 13);
   }
+  SUBCASE("an instance refuses a call since it reaches no servers") {
+    CallRecord record;
+    record.code = ResultCode::kServersUnreachable;
+    const TargetReply back =
+        DecodeForwardReply(ToPoolResponse(EncodeForwardReply({}, record)));
+    CHECK(back.not_executed);
+    CHECK(back.servers_unreachable);
+  }
+  SUBCASE("a response passes on the answer of one server") {
+    CallReply reply;
+    reply.status = 404;
+    reply.from_server = true;
+    reply.headers = {{"X-Signature", "s1"},
+                     {"Limpet-Not-Taken", "1"},
+                     {"Connection", "close"},
+                     {"Content-Type", "text/plain"}};
+    reply.body = "no such order";
+    const TargetReply back =
+        DecodeForwardReply(ToPoolResponse(EncodeForwardReply(reply, {})));
+    CHECK(back.outcome == AttemptOutcome::kAnswered);
+    CHECK(back.from_server);
+    CHECK_FALSE(back.not_executed);
+    CHECK(back.status == 404);
+    CHECK(back.body == "no such order");
+    REQUIRE(back.headers.size() == 2);
+    CHECK(back.headers[0].value == "s1");
+    CHECK(back.headers[1].value == "text/plain");
+  }
+  SUBCASE("a build that doesn't know calls to one server runs none") {
+    PoolResponse response;
+    response.outcome = AttemptOutcome::kAnswered;
+    response.status = 404;
+    const TargetReply back = DecodeForwardReply(std::move(response));
+    CHECK(back.outcome == AttemptOutcome::kAnswered);
+    CHECK(back.not_executed);
+  }
   SUBCASE("a response tells how many servers ran each missing part") {
     CallReply reply;
     reply.part_signatures = {"s1", "", ""};
