The soak cuts instances off from all servers, and mixes builds

The proxies tell whose connection it is by the local ports of the processes. From 4 s on callers there have to be served by the users' rule.

--- a/testing/soak/entry_process.cc
+++ b/testing/soak/entry_process.cc
@@ -6,8 +6,11 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <stdexcept>
+#include <system_error>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -17,16 +20,21 @@
 namespace limpetrudder::testbed {
 namespace {
 
+// Of the table of TCP connections, from 0.
+constexpr int kInodeColumn = 9;
+
 std::string LoopbackAddress(std::uint16_t port) {
   return "127.0.0.1:" + std::to_string(port);
 }
 
 }  // namespace
 
-EntryProcess::EntryProcess(std::string binary,
+EntryProcess::EntryProcess(std::vector<std::string> binaries,
+                           std::size_t first_binary,
                            std::string folder,
                            EntryOptions options)
-    : binary_(std::move(binary)),
+    : binaries_(std::move(binaries)),
+      next_binary_(first_binary),
       folder_(std::move(folder)),
       options_(std::move(options)) {
   const nlohmann::json settings = {
@@ -57,13 +65,14 @@
   posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
-  const char* arguments[] = {binary_.c_str(), "entry", "--settings",
+  const std::string& binary = binaries_[next_binary_++ % binaries_.size()];
+  const char* arguments[] = {binary.c_str(), "entry", "--settings",
                              settings.c_str(), nullptr};
-  const int error = posix_spawn(&pid_, binary_.c_str(), &files, nullptr,
+  const int error = posix_spawn(&pid_, binary.c_str(), &files, nullptr,
                                 const_cast<char* const*>(arguments), environ);
   posix_spawn_file_actions_destroy(&files);
   if (error != 0)
-    throw std::runtime_error("cannot start " + binary_);
+    throw std::runtime_error("cannot start " + binary);
   paused_ = false;
   stopping_ = false;
 }
@@ -90,6 +99,33 @@
   return true;
 }
 
+std::set<std::uint16_t> EntryProcess::LocalPorts() const {
+  std::set<std::uint16_t> ports;
+  std::set<std::string> sockets;  // As "socket:[INODE]".
+  std::error_code error;
+  for (const auto& file : std::filesystem::directory_iterator(
+           "/proc/" + std::to_string(pid_) + "/fd", error)) {
+    sockets.insert(std::filesystem::read_symlink(file.path(), error).string());
+  }
+  std::ifstream table("/proc/net/tcp");
+  std::string line;
+  std::getline(table, line);  // The names of the columns.
+  while (std::getline(table, line)) {
+    std::istringstream columns(line);
+    std::string row;
+    std::string local;  // "ADDRESS:PORT" in hexadecimal digits.
+    std::string column;
+    columns >> row >> local;
+    for (int i = 2; i <= kInodeColumn; ++i)
+      columns >> column;
+    if (sockets.count("socket:[" + column + "]") > 0) {
+      ports.insert(static_cast<std::uint16_t>(
+          std::stoul(local.substr(local.find(':') + 1), nullptr, 16)));
+    }
+  }
+  return ports;
+}
+
 std::size_t EntryProcess::ResidentBytes() const {
   if (!running())
     return 0;
--- a/testing/soak/entry_process.h
+++ b/testing/soak/entry_process.h
@@ -4,7 +4,9 @@
 #include <sys/types.h>
 
 #include <cstdint>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "framework/time.h"
 
@@ -19,11 +21,15 @@
   std::uint16_t store_port = 0;  // Port of the instance's proxy to the store.
 };
 
-// One process of the real binary, which the soak starts and sends signals to.
+// One process of a real binary, which the soak starts and sends signals to.
 // Signals only the process that it started, by its id.
 class EntryProcess {
  public:
-  EntryProcess(std::string binary, std::string folder, EntryOptions options);
+  // Each start runs the next one of the `binaries`, from `first_binary` on.
+  EntryProcess(std::vector<std::string> binaries,
+               std::size_t first_binary,
+               std::string folder,
+               EntryOptions options);
   ~EntryProcess();
 
   EntryProcess(const EntryProcess&) = delete;
@@ -35,6 +41,9 @@
   // process can be started again.
   bool HasExited();
 
+  // The local ports of its TCP connections.
+  std::set<std::uint16_t> LocalPorts() const;
+
   // The resident memory of the process in bytes; 0 if it isn't running.
   std::size_t ResidentBytes() const;
 
@@ -46,7 +55,8 @@
   const EntryOptions& options() const { return options_; }
 
  private:
-  const std::string binary_;
+  const std::vector<std::string> binaries_;
+  std::size_t next_binary_;
   const std::string folder_;
   const EntryOptions options_;
   pid_t pid_ = 0;
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -45,6 +45,17 @@
 // Minimum share of fault-free requests that must be served.
 constexpr double kMinServedRatio = 0.95;
 
+// How long instances are cut off from all servers, and the time after which
+// their callers have to be served.
+constexpr Duration kServerCutTime = Millis(9000);
+constexpr Duration kServerCutAdaptTime = Millis(4000);
+
+// Callers at cut-off instances must be served at least two thirds as often as
+// the others, unless at most ten requests and one in fifty fail there.
+constexpr double kMinServedAtCut = 2.0 / 3;
+constexpr int kMaxFailedAtCut = 10;
+constexpr int kMaxFailedAtCutDivisor = 50;
+
 std::vector<std::string> SplitList(std::string_view text) {
   std::vector<std::string> items;
   for (std::size_t at = 0; at < text.size();) {
@@ -99,8 +110,11 @@
                                                  kEntryPortOffset + 4 * i);
     store_proxies_.push_back(std::make_unique<TcpProxy>(
         &context_, static_cast<std::uint16_t>(base + 3), options_.first_port));
+    std::vector<std::string> binaries = {options_.binary};
+    if (!options_.other_binary.empty())
+      binaries.push_back(options_.other_binary);
     entries_.push_back(std::make_unique<EntryProcess>(
-        options_.binary, options_.folder,
+        std::move(binaries), static_cast<std::size_t>(i), options_.folder,
         EntryOptions{"entry-" + std::to_string(i), base,
                      static_cast<std::uint16_t>(base + 1),
                      static_cast<std::uint16_t>(base + 2),
@@ -165,6 +179,8 @@
   for (auto& fault : std::exchange(active_faults_, {}))
     fault.undo();
   last_fault_end_ = SteadyNow();
+  RunPhase(kRecoveryTime, /*with_faults=*/false);
+  RunServerCut();
   RunPhase(kFinalPhase + kRecoveryTime, /*with_faults=*/false);
   RunPhase(kCallerTimeout, /*with_faults=*/false);
   CheckServerCounters();
@@ -239,6 +255,11 @@
   pending.sent = SteadyNow();
   pending.fault_free = IsFaultFree();
   pending.cancels_early = random_.Below(40) == 0;
+  pending.during_cut =
+      !pending.cancels_early && SteadyNow() >= cut_counts_from_;
+  Count& count =
+      cut_entries_.count(entry) > 0 ? at_cut_entries_ : at_other_entries_;
+  count.sent += pending.during_cut ? 1 : 0;
   if (kind == Kind::kWrite)
     write_ids_.insert(pending.request_id);
   const char* path = kind == Kind::kSearch ? "/search/x"
@@ -288,6 +309,9 @@
   if (!http_status::IsSuccess(status))
     return;
   ++served_;
+  Count& count = cut_entries_.count(pending.entry) > 0 ? at_cut_entries_
+                                                       : at_other_entries_;
+  count.served += pending.during_cut ? 1 : 0;
   if (pending.fault_free && !pending.cancels_early)
     ++fault_free_served_;
   if (pending.kind == Kind::kSearch)
@@ -366,6 +390,61 @@
   }
 }
 
+void Soak::RunServerCut() {
+  // NOTE Draws from numbers of its own, so that older seeds give the same
+  // faults before.
+  Random random(options_.seed + 1);
+  const std::size_t count = 1 + random.Below(entries_.size() - 1);
+  const std::size_t first = random.Below(entries_.size());
+  for (std::size_t i = 0; i < count; ++i)
+    cut_entries_.insert((first + i) % entries_.size());
+  const ProxyMode mode =
+      random.Below(2) == 0 ? ProxyMode::kSilent : ProxyMode::kRefuse;
+  const bool cuts_open = random.Below(3) != 0;
+  Log(std::to_string(count) + " instances from " + std::to_string(first) +
+      " on cut off from all servers, " +
+      std::string(NameOf(kProxyModeNames, mode)) +
+      (cuts_open ? "" : ", open connections live on"));
+  const auto is_cut = [this](std::uint16_t port) {
+    return std::any_of(cut_entries_.begin(), cut_entries_.end(),
+                       [&](std::size_t entry) {
+                         return entries_[entry]->LocalPorts().count(port) > 0;
+                       });
+  };
+  for (const auto& proxy : server_proxies_)
+    proxy->CutClients(is_cut, mode, cuts_open);
+  EndFaultAfter(kServerCutTime + kCallerTimeout, [] {});
+  RunPhase(kServerCutAdaptTime, /*with_faults=*/false);
+  cut_counts_from_ = SteadyNow();
+  RunPhase(kServerCutTime - kServerCutAdaptTime, /*with_faults=*/false);
+  cut_counts_from_ = kNever;
+  for (const auto& proxy : server_proxies_)
+    proxy->ReconnectClients();
+  RunPhase(kCallerTimeout, /*with_faults=*/false);
+  CheckServerCut();
+}
+
+void Soak::CheckServerCut() {
+  const auto share = [](const Count& count) {
+    return static_cast<double>(count.served) / std::max(1, count.sent);
+  };
+  const int failed = at_cut_entries_.sent - at_cut_entries_.served;
+  const int max_failed =
+      kMaxFailedAtCut +
+      (at_cut_entries_.sent + at_other_entries_.sent) / kMaxFailedAtCutDivisor;
+  const std::string counts = std::to_string(at_cut_entries_.served) + " of " +
+                             std::to_string(at_cut_entries_.sent) +
+                             " served at instances cut off from all servers, " +
+                             std::to_string(at_other_entries_.served) + " of " +
+                             std::to_string(at_other_entries_.sent) +
+                             " at the others";
+  Log(counts);
+  if (share(at_cut_entries_) < kMinServedAtCut * share(at_other_entries_) &&
+      failed > max_failed) {
+    ReportViolation(counts);
+  }
+}
+
 void Soak::CheckServerCounters() {
   for (const auto& [key, runs] : counters_.runs) {
     const std::string request_id = key.substr(0, key.find('@'));
--- a/testing/soak/soak.h
+++ b/testing/soak/soak.h
@@ -23,6 +23,9 @@
 
 struct SoakOptions {
   std::string binary;
+  // If set, every other start of an instance runs this build, as during
+  // upgrades: both are side by side.
+  std::string other_binary;
   std::string folder;
   std::uint64_t seed = 1;
   int entries = 3;
@@ -57,6 +60,9 @@
     Time sent{};
     bool fault_free = false;  // IsFaultFree() when it was sent.
     bool cancels_early = false;
+    // Sent while some instances have been cut off from the servers for long
+    // enough.
+    bool during_cut = false;
     std::shared_ptr<asio::steady_timer> timer;
   };
 
@@ -66,6 +72,12 @@
     std::function<void()> undo;
   };
 
+  // Requests, and those of them that were served.
+  struct Count {
+    int sent = 0;
+    int served = 0;
+  };
+
   void StartFleet();
   std::string MakeConfig(std::uint64_t version) const;
   void RunPhase(Duration duration, bool with_faults);
@@ -81,6 +93,10 @@
   void CheckLostRequest(const PendingRequest& pending,
                         const PoolResponse& response);
   void CheckServerCounters();
+  // Cuts some instances off from all servers for a while and checks that their
+  // callers are served.
+  void RunServerCut();
+  void CheckServerCut();
   void InjectFault();
   void InjectEntryFault(EntryProcess* entry);
   void InjectServerFault();
@@ -120,6 +136,10 @@
   int fault_free_sent_ = 0;
   int fault_free_served_ = 0;
   int served_ = 0;
+  std::set<std::size_t> cut_entries_;  // From all servers.
+  Time cut_counts_from_ = kNever;
+  Count at_cut_entries_;
+  Count at_other_entries_;
   int fault_count_ = 0;
 };
 
--- a/testing/soak/soak_main.cc
+++ b/testing/soak/soak_main.cc
@@ -11,6 +11,7 @@
 
 const option kOptions[] = {
     {"binary", required_argument, nullptr, 'b'},
+    {"other-binary", required_argument, nullptr, 'B'},
     {"folder", required_argument, nullptr, 'f'},
     {"seed", required_argument, nullptr, 's'},
     {"seeds", required_argument, nullptr, 'n'},
@@ -25,7 +26,7 @@
 constexpr char kUsage[] =
     "usage: limpetrudder_soak --binary PATH --folder DIR [--seed N]\n"
     "    [--seeds COUNT] [--entries N] [--shards N] [--rate PER_SECOND]\n"
-    "    [--seconds OF_FAULTS] [--port FIRST]\n"
+    "    [--seconds OF_FAULTS] [--port FIRST] [--other-binary PATH]\n"
     "Runs COUNT seeds from N on; exits with 1 at a broken promise.\n";
 
 // Linux takes the ports of outgoing connections from 32768 upwards by default.
@@ -64,6 +65,9 @@
       case 'b':
         options.binary = optarg;
         break;
+      case 'B':
+        options.other_binary = optarg;
+        break;
       case 'f':
         options.folder = optarg;
         break;
--- a/testing/soak/tcp_proxy.cc
+++ b/testing/soak/tcp_proxy.cc
@@ -29,7 +29,8 @@
       return;
     Accept();
     auto connection = std::make_shared<Connection>(std::move(socket), context_);
-    if (mode_ == ProxyMode::kRefuse)
+    connection->cut = IsCut(*connection);
+    if (ModeOf(*connection) == ProxyMode::kRefuse)
       return Close(connection, /*reset=*/true);
     connections_.push_back(connection);
     connection->server.async_connect(
@@ -52,13 +53,14 @@
                                                  std::size_t size) {
     if (error)
       return Close(connection, error != asio::error::eof);
-    const bool dropped = mode_ == ProxyMode::kSilent ||
-                         (mode_ == ProxyMode::kOneWay && !to_server);
+    const ProxyMode mode = ModeOf(*connection);
+    const bool dropped = mode == ProxyMode::kSilent ||
+                         (mode == ProxyMode::kOneWay && !to_server);
     if (dropped)
       return ReadNext(connection, to_server);
-    if (mode_ == ProxyMode::kEndless && to_server)
+    if (mode == ProxyMode::kEndless && to_server)
       return SendEndlessResponse(connection);
-    if (mode_ != ProxyMode::kDelay)
+    if (mode != ProxyMode::kDelay)
       return Forward(connection, to_server, size);
     auto timer = std::make_shared<asio::steady_timer>(*context_);
     timer->expires_after(kProxyDelay);
@@ -118,4 +120,34 @@
   }
 }
 
+bool TcpProxy::IsCut(const Connection& connection) const {
+  asio::error_code error;
+  const auto client = connection.client.remote_endpoint(error);
+  return is_cut_ && !error && is_cut_(client.port());
+}
+
+void TcpProxy::CutClients(ClientFilter is_cut, ProxyMode mode, bool cuts_open) {
+  is_cut_ = std::move(is_cut);
+  cut_mode_ = mode;
+  if (!cuts_open)
+    return;
+  for (const auto& weak : connections_) {
+    const ConnectionPtr connection = weak.lock();
+    if (!connection || !IsCut(*connection))
+      continue;
+    connection->cut = true;
+    if (mode == ProxyMode::kRefuse)
+      Close(connection, /*reset=*/true);
+  }
+}
+
+void TcpProxy::ReconnectClients() {
+  is_cut_ = nullptr;
+  for (const auto& weak : connections_) {
+    const ConnectionPtr connection = weak.lock();
+    if (connection && connection->cut)
+      Close(connection, /*reset=*/true);
+  }
+}
+
 }  // namespace limpetrudder::testbed
--- a/testing/soak/tcp_proxy.h
+++ b/testing/soak/tcp_proxy.h
@@ -2,6 +2,7 @@
 #define TESTING_SOAK_TCP_PROXY_H_
 
 #include <array>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -46,6 +47,12 @@
   // Resets all open connections.
   void ResetAll();
 
+  // Separates the clients that `is_cut` tells by their ports: their new
+  // connections get the mode `mode` and, if `cuts_open`, their open ones too.
+  using ClientFilter = std::function<bool(std::uint16_t client_port)>;
+  void CutClients(ClientFilter is_cut, ProxyMode mode, bool cuts_open);
+  void ReconnectClients();
+
  private:
   using Tcp = asio::ip::tcp;
 
@@ -57,10 +64,15 @@
     std::array<char, 16384> request_buffer{};
     std::array<char, 16384> response_buffer{};
     bool endless = false;
+    bool cut = false;  // Has the mode `cut_mode_`.
   };
   using ConnectionPtr = std::shared_ptr<Connection>;
 
   void Accept();
+  ProxyMode ModeOf(const Connection& connection) const {
+    return connection.cut ? cut_mode_ : mode_;
+  }
+  bool IsCut(const Connection& connection) const;
   void ReadNext(const ConnectionPtr& connection, bool to_server);
   void Forward(const ConnectionPtr& connection,
                bool to_server,
@@ -72,6 +84,8 @@
   const std::uint16_t target_port_;
   Tcp::acceptor acceptor_;
   ProxyMode mode_ = ProxyMode::kPass;
+  ClientFilter is_cut_;
+  ProxyMode cut_mode_ = ProxyMode::kPass;
   int endless_responses_ = 0;  // Endless responses started so far.
   std::vector<std::weak_ptr<Connection>> connections_;
 };
