Retries of a search wait once a connection breaks off under it

Cause: a search is suspected when a second server breaks off under it, and the first part that broke off, of the search and of each batch of it, was retried at the shard's other server before that.

Change: from the first broken connection on, retries and hedges of a search that no server has answered wait for an answer or the second break, 60 ms at most. A batch of one part is checked at the first.

--- a/src/dispatch/dispatch_engine_quarantine.cc
+++ b/src/dispatch/dispatch_engine_quarantine.cc
@@ -126,9 +126,14 @@
                                      Time now) {
   ++call->broken_attempts;
   const bool is_scatter = call->route->is_scatter();
-  if (is_scatter && !call->trial &&
-      (call->answered > 0 || call->broken_attempts < kBrokenBeforeSuspicion)) {
-    return false;
+  if (is_scatter && !call->trial) {
+    if (call->answered > 0)
+      return false;
+    call->suspended_until =
+        std::min(call->suspended_until, now + kMaxSuspension);
+    if (call->broken_attempts <
+        std::min<std::size_t>(kBrokenBeforeSuspicion, call->sub_queries.size()))
+      return true;
   }
   const std::string& digest = DigestOf(call);
   const bool was_trial =
@@ -140,10 +145,7 @@
     FailOpenSubQueries(call);
     return true;
   }
-  if (!is_scatter)
-    return false;
-  call->suspended_until = now + kMaxSuspension;
-  return true;
+  return is_scatter;
 }
 
 void DispatchEngine::OnCrashConfirmed(ActiveCall* call, Time now) {
--- a/src/dispatch/dispatch_engine_sub_queries.cc
+++ b/src/dispatch/dispatch_engine_sub_queries.cc
@@ -242,6 +242,10 @@
 void DispatchEngine::TryHedge(ActiveCall* call, std::size_t index, Time now) {
   SubQuery& sub_query = call->sub_queries[index];
   sub_query.hedge_at = kNever;
+  if (call->suspended_until != kNever) {
+    sub_query.hedge_at = call->suspended_until;
+    return;
+  }
   if (sub_query.pending_attempts.size() != 1 ||
       sub_query.runs >= call->route->max_attempts)
     return;
