An answer clears a request of death only if its server survives it

Cause: any answer counted as proof, though the server may crash after it; and a search with an answer was never checked, however many servers broke off under it.

Change: a server that answered a request in doubt is probed 40 ms later. If it still runs, the request is cleared; if it refuses connections, that is a crash. Trials and searches with two broken connections wait for it, 100 ms at most; a single broken connection beside an answer is retried at once as before.

--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -282,6 +282,7 @@
   Time next = kNever;
   MonitorCoordinators(now, &next);
   CheckServerContact(now, &next);
+  ProbeForCrashes(now, &next);
   EndBackoffs(now, &next);
   quarantine_.RemoveExpired(now);
   SendNotices(exchange_.Tick(quarantine_.HasNotices(now), now, &next), now);
--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -146,7 +146,11 @@
     std::string server;
     std::string digest;
     Time sent{};
-    Time since{};
+    Time due{};  // When to probe.
+    bool probed = false;
+    // It answered the request, so that the request is cleared if it has
+    // survived that.
+    bool answered = false;
   };
 
   // How a server's reply counts for its sub-query.
@@ -187,18 +191,30 @@
                        const PendingAttempt& attempt,
                        Time now);
   // A server crashed under a call that waited for a crash check: goes on as a
-  // trial, or gives up a batch.
+  // trial, or gives up a trial or a batch.
   void OnCrashConfirmed(ActiveCall* call, Time now);
-  // Makes the retries that waited for a crash check.
-  void ResumeRetries(ActiveCall* call, Time now);
-  // Goes on with the calls that wait for a crash check of the request.
-  void EndSuspensions(const std::string& digest, bool crashed, Time now);
-  // A server answered the call, so it isn't a request of death. Sends what a
-  // trial held back.
-  void OnServerAnswered(ActiveCall* call, Time now);
-  void CheckCrash(const PendingAttempt& attempt,
-                  const std::string& digest,
-                  Time now);
+  // Sends what waited for a crash check: retries or, after a trial, everything
+  // else.
+  void Resume(ActiveCall* call, Time now);
+  // Sends what a trial held back.
+  void ResumeAfterTrial(ActiveCall* call, Time now);
+  // Goes on with the calls that wait for this crash check.
+  void EndSuspensions(const CrashCheck& check, bool crashed, Time now);
+  // A server answered the call. If it may be a request of death all the same,
+  // checks whether the server survives it.
+  void OnServerAnswered(ActiveCall* call,
+                        const std::string& server,
+                        Time sent,
+                        Time now);
+  // Checks whether a server that has answered the call survives that. Returns
+  // false if none of this instance's servers has.
+  bool CheckSurvivor(ActiveCall* call, Time now);
+  void CheckCrash(CrashCheck check, Time now);
+  // Sends the probes that are due.
+  void ProbeForCrashes(Time now, Time* next);
+  // Applies the result of a check. Returns whether what other instances have to
+  // know changed.
+  bool ApplyCrashCheck(const CrashCheck& check, bool crashed, Time now);
   void FinishCrashChecks(const std::string& server, bool crashed, Time now);
   // Sends all notices to these instances, indices of `peers_`.
   void SendNotices(const std::vector<std::size_t>& peers, Time now);
--- a/src/dispatch/dispatch_engine_answers.cc
+++ b/src/dispatch/dispatch_engine_answers.cc
@@ -59,7 +59,7 @@
   if (call->candidate && now >= call->candidate_until)
     return OnCandidateSilent(call, now);
   if (now >= call->suspended_until)
-    ResumeRetries(call, now);
+    Resume(call, now);
   for (std::size_t i = 0; i < call->sub_queries.size(); ++i) {
     SubQuery& sub_query = call->sub_queries[i];
     if (sub_query.state != detail::SubQueryState::kOpen)
--- a/src/dispatch/dispatch_engine_quarantine.cc
+++ b/src/dispatch/dispatch_engine_quarantine.cc
@@ -2,6 +2,7 @@
 // crashing more of them.
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "dispatch/dispatch_engine.h"
@@ -16,9 +17,15 @@
 // none has answered: those that don't crash answer in about the same time.
 constexpr std::uint32_t kBrokenBeforeSuspicion = 2;
 
-// Retries of a suspected search wait this long for the probe that tells whether
-// a server crashed under it: a round trip between regions and some more.
-constexpr Duration kMaxSuspension = Millis(60);
+// A server that has answered a request and still runs after this time hasn't
+// crashed under it.
+constexpr Duration kSurvivalTime = Millis(40);
+
+// A search waits this long for the probe that tells whether a server crashed
+// under it: a round trip between regions and some more. If a server has
+// answered, it waits for the probe of that one.
+constexpr Duration kMaxProbeWait = Millis(60);
+constexpr Duration kMaxSurvivalWait = kSurvivalTime + kMaxProbeWait;
 
 // A trial takes about as long as an answer, and its result is passed on at
 // once.
@@ -126,41 +133,47 @@
                                      Time now) {
   ++call->broken_attempts;
   const bool is_scatter = call->route->is_scatter();
-  if (is_scatter && !call->trial) {
-    if (call->answered > 0)
-      return false;
-    call->suspended_until =
-        std::min(call->suspended_until, now + kMaxSuspension);
-    if (call->broken_attempts <
-        std::min<std::size_t>(kBrokenBeforeSuspicion, call->sub_queries.size()))
-      return true;
-  }
   const std::string& digest = DigestOf(call);
-  const bool was_trial =
-      call->trial || quarantine_.IsTrial(digest, attempt.sent, now);
-  quarantine_.Suspect(digest, now);
-  CheckCrash(attempt, digest, now);
-  if (was_trial) {
+  const CrashCheck check{attempt.server->entry().id, digest, attempt.sent, now};
+  if (call->trial || quarantine_.IsTrial(digest, attempt.sent, now)) {
+    CheckCrash(check, now);
     CancelAttempts(call, now);
     FailOpenSubQueries(call);
     return true;
   }
+  if (is_scatter) {
+    const auto min_broken =
+        std::min<std::size_t>(kBrokenBeforeSuspicion, call->sub_queries.size());
+    const bool is_suspect = call->broken_attempts >= min_broken;
+    if (call->answered > 0 && !(is_suspect && CheckSurvivor(call, now)))
+      return false;
+    const Duration max_wait =
+        call->answered > 0 ? kMaxSurvivalWait : kMaxProbeWait;
+    call->suspended_until = std::min(call->suspended_until, now + max_wait);
+    if (!is_suspect || call->answered > 0)
+      return true;
+  }
+  quarantine_.Suspect(digest, now);
+  CheckCrash(check, now);
   return is_scatter;
 }
 
 void DispatchEngine::OnCrashConfirmed(ActiveCall* call, Time now) {
   call->suspended_until = kNever;
   CancelAttempts(call, now);
-  if (call->is_partial()) {
+  if (call->is_partial() || call->trial) {
     FailOpenSubQueries(call);
   } else {
     call->trial = true;
+    call->survival_checked = false;
     StartTrial(call, now);
   }
 }
 
-void DispatchEngine::ResumeRetries(ActiveCall* call, Time now) {
+void DispatchEngine::Resume(ActiveCall* call, Time now) {
   call->suspended_until = kNever;
+  if (std::exchange(call->trial, false))
+    return ResumeAfterTrial(call, now);
   for (std::size_t i = 0; i < call->sub_queries.size(); ++i) {
     const SubQuery& sub_query = call->sub_queries[i];
     if (sub_query.state == detail::SubQueryState::kOpen && !sub_query.queued &&
@@ -170,12 +183,28 @@
   }
 }
 
-void DispatchEngine::EndSuspensions(const std::string& digest,
+void DispatchEngine::ResumeAfterTrial(ActiveCall* call, Time now) {
+  if (call->attempts_started() == 1 && !call->is_partial())
+    DelegateRemoteSubQueries(call, now);
+  for (std::size_t i = 0; i < call->sub_queries.size(); ++i) {
+    const SubQuery& sub_query = call->sub_queries[i];
+    const bool waits = sub_query.pending_attempts.empty() &&
+                       !sub_query.queued &&
+                       sub_query.state == detail::SubQueryState::kOpen;
+    if (waits && (!sub_query.delegated || sub_query.runs > 0))
+      ResumeSubQuery(call, i, now);
+  }
+}
+
+void DispatchEngine::EndSuspensions(const CrashCheck& check,
                                     bool crashed,
                                     Time now) {
   std::vector<CallId> ids;
   for (const auto& [id, call] : calls_) {
-    if (call->suspended_until != kNever && call->digest == digest)
+    if (call->suspended_until == kNever || call->digest != check.digest)
+      continue;
+    // NOTE What becomes of a server that answered says more.
+    if (!call->survival_checked || check.answered)
       ids.push_back(id);
   }
   std::sort(ids.begin(), ids.end());
@@ -187,52 +216,84 @@
     if (crashed)
       OnCrashConfirmed(call, now);
     else
-      ResumeRetries(call, now);
+      Resume(call, now);
     if (!TryFinish(call, now))
       ScheduleWakeup(call, now);
   }
 }
 
-void DispatchEngine::OnServerAnswered(ActiveCall* call, Time now) {
-  if (!quarantine_.empty()) {
-    const std::string& digest = DigestOf(call);
-    if (quarantine_.OnAnswered(digest, now)) {
-      ReportStanding(digest, "", now);
-      SendNotices(exchange_.OnOwnChange(), now);
-    }
+void DispatchEngine::OnServerAnswered(ActiveCall* call,
+                                      const std::string& server,
+                                      Time sent,
+                                      Time now) {
+  const bool in_doubt =
+      call->trial ||
+      (!quarantine_.empty() && quarantine_.IsInDoubt(DigestOf(call), now));
+  if (!in_doubt) {
+    if (call->suspended_until != kNever && !call->survival_checked)
+      Resume(call, now);
+    return;
   }
-  if (call->suspended_until != kNever)
-    ResumeRetries(call, now);
-  if (!std::exchange(call->trial, false) || !call->route->is_scatter())
+  if (std::exchange(call->survival_checked, true))
     return;
-  if (call->attempts_started() == 1 && !call->is_partial())
-    DelegateRemoteSubQueries(call, now);
-  for (std::size_t i = 0; i < call->sub_queries.size(); ++i) {
-    const SubQuery& sub_query = call->sub_queries[i];
-    const bool waits = sub_query.pending_attempts.empty() &&
-                       !sub_query.queued &&
-                       sub_query.state == detail::SubQueryState::kOpen;
-    if (waits && (!sub_query.delegated || sub_query.runs > 0))
-      ResumeSubQuery(call, i, now);
+  CheckCrash({.server = server,
+              .digest = DigestOf(call),
+              .sent = sent,
+              .due = now + kSurvivalTime,
+              .answered = true},
+             now);
+  if (call->route->is_scatter())
+    call->suspended_until = now + kMaxSurvivalWait;
+}
+
+bool DispatchEngine::CheckSurvivor(ActiveCall* call, Time now) {
+  if (call->survival_checked)
+    return true;
+  for (const SubQuery& sub_query : call->sub_queries) {
+    if (sub_query.state != detail::SubQueryState::kAnswered ||
+        sub_query.attempts == 0) {
+      continue;
+    }
+    call->survival_checked = true;
+    CheckCrash({.server = sub_query.last_server,
+                .digest = DigestOf(call),
+                .sent = now,
+                .due = now + kSurvivalTime,
+                .answered = true},
+               now);
+    return true;
   }
+  return false;
 }
 
-void DispatchEngine::CheckCrash(const PendingAttempt& attempt,
-                                const std::string& digest,
-                                Time now) {
-  std::erase_if(crash_checks_, [now](const CrashCheck& check) {
-    return now - check.since > kCrashCheckTime;
+void DispatchEngine::CheckCrash(CrashCheck check, Time now) {
+  std::erase_if(crash_checks_, [now](const CrashCheck& old) {
+    return now - old.due > kCrashCheckTime;
   });
-  if (crash_checks_.size() >= kMaxCrashChecks)
-    return;
-  const ServerEntry& entry = attempt.server->entry();
-  const bool is_probed = std::any_of(
-      crash_checks_.begin(), crash_checks_.end(),
-      [&entry](const CrashCheck& check) { return check.server == entry.id; });
-  crash_checks_.push_back({entry.id, digest, attempt.sent, now});
-  if (!is_probed) {
-    actions_.emplace_back(
-        ProbeHealth{entry.id, entry.address, attempt.group->health_path});
+  if (crash_checks_.size() < kMaxCrashChecks)
+    crash_checks_.push_back(std::move(check));
+}
+
+void DispatchEngine::ProbeForCrashes(Time now, Time* next) {
+  std::set<std::string> probed;
+  for (const CrashCheck& check : crash_checks_) {
+    if (check.probed)
+      probed.insert(check.server);
+  }
+  for (CrashCheck& check : crash_checks_) {
+    if (check.probed)
+      continue;
+    if (now < check.due) {
+      *next = std::min(*next, check.due);
+      continue;
+    }
+    check.probed = true;
+    const auto server = servers_.Find(check.server);
+    if (!server || !probed.insert(check.server).second)
+      continue;
+    const ServerEntry& entry = server->entry();
+    actions_.emplace_back(ProbeHealth{
+        entry.id, entry.address, servers_.Group(entry.service)->health_path});
   }
 }
 
@@ -241,26 +302,35 @@
                                        Time now) {
   std::vector<CrashCheck> checks;
   std::erase_if(crash_checks_, [&](const CrashCheck& check) {
-    if (check.server != server)
+    if (check.server != server || !check.probed)
       return false;
-    if (now - check.since <= kCrashCheckTime)
+    if (now - check.due <= kCrashCheckTime)
       checks.push_back(check);
     return true;
   });
   bool changed = false;
   for (const CrashCheck& check : checks) {
-    if (!crashed) {
-      quarantine_.OnNoCrash(check.digest);
-    } else if (quarantine_.OnCrash(check.digest, check.sent, now)) {
-      ReportStanding(check.digest, server, now);
+    if (ApplyCrashCheck(check, crashed, now)) {
+      ReportStanding(check.digest, crashed ? server : "", now);
       changed = true;
     }
-    EndSuspensions(check.digest, crashed, now);
+    EndSuspensions(check, crashed, now);
   }
   if (changed)
     SendNotices(exchange_.OnOwnChange(), now);
 }
 
+bool DispatchEngine::ApplyCrashCheck(const CrashCheck& check,
+                                     bool crashed,
+                                     Time now) {
+  if (crashed)
+    return quarantine_.OnCrash(check.digest, check.sent, now);
+  if (check.answered)
+    return quarantine_.OnAnswered(check.digest, now);
+  quarantine_.OnNoCrash(check.digest);
+  return false;
+}
+
 void DispatchEngine::OnQuarantineNotices(
     const std::vector<QuarantineNotice>& notices,
     Time now) {
--- a/src/dispatch/dispatch_engine_sub_queries.cc
+++ b/src/dispatch/dispatch_engine_sub_queries.cc
@@ -347,7 +347,7 @@
     } else {
       call->final_reply = std::move(*reply);
     }
-    OnServerAnswered(call, now);
+    OnServerAnswered(call, attempt.server->entry().id, attempt.sent, now);
     if (!TryFinish(call, now))
       ScheduleWakeup(call, now);
     return;
@@ -359,9 +359,10 @@
     handled = OnPossibleCrash(call, attempt, now);
   }
   if (reply_class == ReplyClass::kFailed) {
-    OnServerAnswered(call, now);
+    OnServerAnswered(call, attempt.server->entry().id, attempt.sent, now);
     call->final_reply = std::move(*reply);
   }
+  handled |= call->trial && call->suspended_until != kNever;
   if (!handled && sub_query.state == detail::SubQueryState::kOpen &&
       sub_query.pending_attempts.empty() && !sub_query.queued)
     RetryOrFail(call, index, now);
--- a/src/dispatch/internal/active_call.h
+++ b/src/dispatch/internal/active_call.h
@@ -82,8 +82,10 @@
   std::uint32_t failed = 0;
   std::string digest;  // Of the request; empty until it is needed.
   std::uint32_t broken_attempts = 0;  // By servers that broke off.
-  // Set while retries wait for a check whether servers crashed under it.
+  // Set while attempts wait for a check whether servers crashed under it.
   Time suspended_until = kNever;
+  // A check whether a server that answered it survives that has begun.
+  bool survival_checked = false;
   // Servers may crash under it, so it is sent to one of them at a time until
   // one has answered.
   bool trial = false;
--- a/src/dispatch/internal/request_quarantine.cc
+++ b/src/dispatch/internal/request_quarantine.cc
@@ -84,6 +84,12 @@
   return rows_[digest];
 }
 
+bool RequestQuarantine::IsInDoubt(const std::string& digest, Time now) const {
+  const auto found = rows_.find(digest);
+  return found != rows_.end() &&
+         (now < found->second.until || found->second.IsSuspected(now));
+}
+
 void RequestQuarantine::Suspect(const std::string& digest, Time now) {
   Row& row = Add(digest, now);
   if (now < row.until || row.IsSuspected(now))
@@ -118,12 +124,9 @@
 }
 
 bool RequestQuarantine::OnAnswered(const std::string& digest, Time now) {
-  const auto found = rows_.find(digest);
-  if (found == rows_.end() ||
-      (now >= found->second.until && !found->second.IsSuspected(now))) {
+  if (!IsInDoubt(digest, now))
     return false;
-  }
-  Row& row = found->second;
+  Row& row = rows_.at(digest);
   row.until = Time::min();
   row.cleared_at = row.changed_at = now;
   return row.confirmed;
--- a/src/dispatch/internal/request_quarantine.h
+++ b/src/dispatch/internal/request_quarantine.h
@@ -17,8 +17,8 @@
 // which of them are quarantined. A crash makes a request suspected, whether it
 // caused the crash or was only in flight at the server. A suspected request is
 // tried at one server at a time. If that one crashes too, the request is
-// quarantined; if it answers anything at all, the request is cleared, since a
-// request of death crashes every server that runs it.
+// quarantined; if it answers anything at all and survives that, the request is
+// cleared, since a request of death crashes every server that runs it.
 //
 // Applies when servers crash, one after the other, under a request that comes
 // again and again. Holds no clock and does no I/O. Not thread safe.
@@ -50,6 +50,9 @@
   // was suspected already.
   bool IsTrial(const std::string& digest, Time sent, Time now) const;
 
+  // Whether servers may crash under the request, be that confirmed or not.
+  bool IsInDoubt(const std::string& digest, Time now) const;
+
   // Servers broke off while they ran the request; whether they crashed isn't
   // known yet. Doesn't change the standing.
   void Suspect(const std::string& digest, Time now);
@@ -62,8 +65,8 @@
   // A server that broke off hasn't crashed.
   void OnNoCrash(const std::string& digest);
 
-  // A server answered the request. Returns whether that cleared it of a
-  // suspicion that other instances know of.
+  // A server answered the request and survived it. Returns whether that cleared
+  // it of a suspicion that other instances know of.
   bool OnAnswered(const std::string& digest, Time now);
 
   // Applies what another instance knows. Returns whether anything changed.
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -115,6 +115,9 @@
     // Whether a request that is cancelled while it runs still crashes its
     // server, if it is one that does.
     bool crashes_if_cancelled = false;
+    // The share of the requests of death that are answered shortly before the
+    // server crashes.
+    double answered_before_crash = 0;
   };
 
   // A request with this target crashes each server that runs it.
