The first quarantine of a request ends after five seconds

Callers would see: a popular sound search that runs at servers which crash under another request is tried within that wave, its trial's server crashes as well, and it is refused for ten minutes: 1,000 of 1,000 searches, ten seconds after the wave.

Cause: a single crash under a trial counted as proof, though many servers crash at the same time in a wave, each under whatever else it runs.

Change: the first quarantine lasts five seconds, by when servers run again; a crash under the trial after that quarantines for ten minutes, doubled up to an hour as before. Requests that have been quarantined are evicted after those that never were, so that a flood doesn't remove them.

Evidence: suite request-of-death-blamed failed before (1,000 refused) and passes.

--- a/src/dispatch/internal/request_quarantine.cc
+++ b/src/dispatch/internal/request_quarantine.cc
@@ -10,9 +10,11 @@
 // Returns the duration of a quarantine after `earlier` ones of the request.
 Duration QuarantineTime(std::uint32_t earlier) {
   constexpr std::uint32_t kMaxDoublings = 3;
+  if (earlier == 0)
+    return RequestQuarantine::kFirstQuarantine;
   return std::min(RequestQuarantine::kMaxQuarantine,
-                  RequestQuarantine::kFirstQuarantine *
-                      (1 << std::min(earlier, kMaxDoublings)));
+                  RequestQuarantine::kSecondQuarantine *
+                      (1 << std::min(earlier - 1, kMaxDoublings)));
 }
 
 // Notices of other instances that are as old as this say nothing new.
@@ -70,12 +72,13 @@
   if (found != rows_.end())
     return found->second;
   if (rows_.size() >= kMaxRequests) {
-    // NOTE A request that is quarantined has cost servers; whoever fills the
-    // table with others only removes those others.
+    // NOTE A request that is or was quarantined has cost servers; whoever fills
+    // the table with others only removes those others.
     const auto least = std::min_element(
         rows_.begin(), rows_.end(), [now](const auto& a, const auto& b) {
           const auto order = [now](const Row& row) {
-            return std::make_tuple(StandingOf(row, now), row.changed_at);
+            return std::make_tuple(StandingOf(row, now), row.quarantines,
+                                   row.changed_at);
           };
           return order(a.second) < order(b.second);
         });
--- a/src/dispatch/internal/request_quarantine.h
+++ b/src/dispatch/internal/request_quarantine.h
@@ -29,8 +29,11 @@
   static constexpr std::size_t kMaxRequests = 256;
   static constexpr std::size_t kMaxNotices = 32;
 
-  // Doubled with each further quarantine of the request.
-  static constexpr Duration kFirstQuarantine = Seconds(600);
+  // The first quarantine is short, since the trial's server may have crashed
+  // under another request: many crash at about the same time then. The time of
+  // the second one is doubled with each further one.
+  static constexpr Duration kFirstQuarantine = Seconds(5);
+  static constexpr Duration kSecondQuarantine = Seconds(600);
   static constexpr Duration kMaxQuarantine = Seconds(3600);
 
   // How long a suspicion lasts: after a crash, and after a quarantine.
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -115,6 +115,9 @@
     // Whether a request that is cancelled while it runs still crashes its
     // server, if it is one that does.
     bool crashes_if_cancelled = false;
+    // How long servers run a request of death before they crash; 0: as long as
+    // any other.
+    Duration deadly_work{0};
     // The share of the requests of death that are answered shortly before the
     // server crashes.
     double answered_before_crash = 0;
