A probe whose connection is reset is no sign of a crash

Callers saw, in the soak: while instances were cut off from all servers by resets, a popular search was refused with 4005 and 4006 at all instances.

Cause: any probe without an answer counted as a crash of the server, though only a refused connection is one; servers, and what lies between, also reset connections that have just been opened. So an instance that was cut off blamed whatever it had sent, and told the others.

Change: the probe's reply tells a refused connection from a reset one.

--- a/src/dispatch/dispatch_engine_servers.cc
+++ b/src/dispatch/dispatch_engine_servers.cc
@@ -301,7 +301,10 @@
 void DispatchEngine::OnProbe(const std::string& id,
                              const ProbeReply& reply,
                              Time now) {
-  FinishCrashChecks(id, !reply.reachable, now);
+  // NOTE A connection that is reset tells nothing: servers reset those above
+  // their limit.
+  if (reply.reachable || reply.refused)
+    FinishCrashChecks(id, reply.refused, now);
   if (reply.reachable)
     OnServerResponse(now);
   const auto server = servers_.Find(id);
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -169,6 +169,7 @@
 // A server's answer to a health probe.
 struct ProbeReply {
   bool reachable = true;  // Whether there was any answer.
+  bool refused = false;   // Whether no connection could be opened.
   bool healthy = false;
   bool leaving = false;
   std::optional<Duration> backoff;
--- a/src/dispatch/tests/cut_from_servers_test.cc
+++ b/src/dispatch/tests/cut_from_servers_test.cc
@@ -49,7 +49,8 @@
 constexpr double kMaxFailed = 11.0 / 50;
 
 constexpr ServerCut kCuts[] = {ServerCut::kConnectTimeout, ServerCut::kHang,
-                               ServerCut::kRefuse, ServerCut::kRefuseNew};
+                               ServerCut::kRefuse, ServerCut::kRefuseNew,
+                               ServerCut::kReset};
 
 TEST_SUITE_BEGIN("cut-from-servers");
 
@@ -90,6 +91,40 @@
   }
 }
 
+TEST_CASE("Instances that are cut off blame no request for it") {
+  for (const ServerCut kind : kCuts) {
+    CAPTURE(static_cast<int>(kind));
+    FleetSession session(FleetSession::SmallFleet(18));
+    const auto run = [&session](Duration duration) {
+      int blamed = 0;
+      std::vector<CallId> calls;
+      const Time end = session.now() + duration;
+      for (std::size_t next = 0; session.now() < end; ++next) {
+        calls.push_back(
+            session.SendRequest(next % 3 == 0 ? "/one/x" : "/all/x", next % 8));
+        session.Run(Millis(5));
+      }
+      session.Run(Seconds(3));
+      for (const CallId call : calls) {
+        const ResultCode code = session.answer(call).record.code;
+        blamed += code == ResultCode::kRequestSuspected ||
+                          code == ResultCode::kRequestQuarantined
+                      ? 1
+                      : 0;
+      }
+      return blamed;
+    };
+    run(Seconds(1));
+    for (const std::size_t instance : {0U, 1U, 2U})
+      session.CutFromServers(instance, kind);
+    run(Seconds(2));
+    CHECK(run(Seconds(6)) == 0);
+    for (const std::size_t instance : {0U, 1U, 2U})
+      session.ReconnectServers(instance);
+    CHECK(run(Seconds(2)) == 0);
+  }
+}
+
 TEST_CASE("No instance reaches a server") {
   FleetSession session(FleetSession::SmallFleet(18));
   for (std::size_t instance = 0; instance < 8; ++instance)
--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -443,16 +443,20 @@
   const SessionServer& server = servers_.at(probe.server);
   ++probes_;
   const auto cut = cuts_.find(instance);
-  const bool is_refused =
-      cut != cuts_.end() && (cut->second == ServerCut::kRefuse ||
-                             cut->second == ServerCut::kRefuseNew);
-  if (cut != cuts_.end() && !is_refused)
+  const bool is_cut = cut != cuts_.end();
+  if (is_cut && (cut->second == ServerCut::kConnectTimeout ||
+                 cut->second == ServerCut::kHang)) {
     return;
-  const bool reachable = !server.crashed && !is_refused;
-  const ProbeReply reply{
-      reachable, !server.silent && !server.reports_leaving && reachable,
-      reachable && server.reports_leaving, server.requests_backoff,
-      std::max(server.cold_until - now_, Duration(0))};
+  }
+  const bool reachable = !server.crashed && !is_cut;
+  const bool refused =
+      !reachable && !(is_cut && cut->second == ServerCut::kReset);
+  const ProbeReply reply{reachable,
+                         refused,
+                         !server.silent && !server.reports_leaving && reachable,
+                         reachable && server.reports_leaving,
+                         server.requests_backoff,
+                         std::max(server.cold_until - now_, Duration(0))};
   At(now_ + 2 * NetworkTime(options_.instances[instance],
                             server.entry.data_centre),
      [this, instance, reply, id = probe.server] {
@@ -507,7 +511,7 @@
     std::erase_if(server.running, [&](const auto& running) {
       if (running.first != instance)
         return false;
-      if (cut == ServerCut::kRefuse) {
+      if (cut == ServerCut::kRefuse || cut == ServerCut::kReset) {
         TargetReply broken;
         broken.attempt = running.second;
         broken.outcome = AttemptOutcome::kBroken;
@@ -546,7 +550,9 @@
     constexpr Duration kConnectTimeout = Millis(400);
     TargetReply lost;
     lost.attempt = request.attempt;
-    lost.outcome = AttemptOutcome::kNotSent;
+    lost.outcome = cut->second == ServerCut::kReset
+                       ? AttemptOutcome::kConnectionRejected
+                       : AttemptOutcome::kNotSent;
     return Reply(instance, std::move(lost),
                  cut->second == ServerCut::kConnectTimeout ? kConnectTimeout
                                                            : kLocalTime);
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -63,6 +63,7 @@
   kHang,            // Nothing is delivered, and no connection times out.
   kRefuse,          // Open connections are reset, new ones refused.
   kRefuseNew,       // Open connections live on, new ones are refused.
+  kReset,           // All connections are reset, new ones once they are open.
 };
 
 // The result for a caller that retries after a refusal or a failure.
