An answer passed on by another instance isn't taken for another request's

Cause: the answer of a server echoes the caller's request id. The pool of connections drops answers that echo an id which their request didn't name, and forwarded calls named none.

Change: calls to one server are forwarded with the id that is echoed.

--- a/src/net/forward_codec.cc
+++ b/src/net/forward_codec.cc
@@ -140,6 +140,9 @@
   request.id = forward.attempt;
   request.server = forward.coordinator;
   request.address = forward.address;
+  // A server's answer that is passed on echoes the caller's request id.
+  if (forward.single)
+    request.echo = message.request_id;
   request.head_only = message.method == "HEAD";
   request.fresh_connection = forward.fresh_connection;
   std::string& bytes = request.bytes;
--- a/src/net/tests/peer_feed_test.cc
+++ b/src/net/tests/peer_feed_test.cc
@@ -86,6 +86,7 @@
   }
   SUBCASE("a call to one server is marked so that older builds refuse it") {
     forward.single = true;
+    CHECK(EncodeForward(forward).echo == "r1");
     const ServerRequest request = sent();
     CHECK(IsForwarded(request));
     CHECK(std::none_of(request.headers.begin(), request.headers.end(),
