The soak's proxies are in the path to the servers

Change: they publish the proxies' ports. Whose connection it is is told by both ports, and with one look at the kernel's table.

--- a/testing/soak/entry_process.cc
+++ b/testing/soak/entry_process.cc
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -23,6 +24,26 @@
 // Of the table of TCP connections, from 0.
 constexpr int kInodeColumn = 9;
 
+// Returns the inode of the TCP connection between two loopback ports; empty if
+// there is none.
+std::string InodeOfConnection(std::uint16_t from, std::uint16_t to) {
+  char address[40];
+  std::snprintf(address, sizeof(address), ": 0100007F:%04X 0100007F:%04X ",
+                from, to);
+  std::ifstream table("/proc/net/tcp");
+  std::string line;
+  while (std::getline(table, line)) {
+    if (line.find(address) == std::string::npos)
+      continue;
+    std::istringstream columns(line);
+    std::string column;
+    for (int i = 0; i <= kInodeColumn; ++i)
+      columns >> column;
+    return column;
+  }
+  return "";
+}
+
 std::string LoopbackAddress(std::uint16_t port) {
   return "127.0.0.1:" + std::to_string(port);
 }
@@ -99,31 +120,19 @@
   return true;
 }
 
-std::set<std::uint16_t> EntryProcess::LocalPorts() const {
-  std::set<std::uint16_t> ports;
-  std::set<std::string> sockets;  // As "socket:[INODE]".
+bool EntryProcess::OwnsConnection(std::uint16_t from, std::uint16_t to) const {
+  const std::string inode = InodeOfConnection(from, to);
+  if (inode.empty())
+    return false;
   std::error_code error;
   for (const auto& file : std::filesystem::directory_iterator(
            "/proc/" + std::to_string(pid_) + "/fd", error)) {
-    sockets.insert(std::filesystem::read_symlink(file.path(), error).string());
-  }
-  std::ifstream table("/proc/net/tcp");
-  std::string line;
-  std::getline(table, line);  // The names of the columns.
-  while (std::getline(table, line)) {
-    std::istringstream columns(line);
-    std::string row;
-    std::string local;  // "ADDRESS:PORT" in hexadecimal digits.
-    std::string column;
-    columns >> row >> local;
-    for (int i = 2; i <= kInodeColumn; ++i)
-      columns >> column;
-    if (sockets.count("socket:[" + column + "]") > 0) {
-      ports.insert(static_cast<std::uint16_t>(
-          std::stoul(local.substr(local.find(':') + 1), nullptr, 16)));
+    if (std::filesystem::read_symlink(file.path(), error) ==
+        "socket:[" + inode + "]") {
+      return true;
     }
   }
-  return ports;
+  return false;
 }
 
 std::size_t EntryProcess::ResidentBytes() const {
--- a/testing/soak/entry_process.h
+++ b/testing/soak/entry_process.h
@@ -4,7 +4,6 @@
 #include <sys/types.h>
 
 #include <cstdint>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -41,8 +40,8 @@
   // process can be started again.
   bool HasExited();
 
-  // The local ports of its TCP connections.
-  std::set<std::uint16_t> LocalPorts() const;
+  // Whether the process opened the TCP connection between two loopback ports.
+  bool OwnsConnection(std::uint16_t from, std::uint16_t to) const;
 
   // The resident memory of the process in bytes; 0 if it isn't running.
   std::size_t ResidentBytes() const;
--- a/testing/soak/server_stand_in.cc
+++ b/testing/soak/server_stand_in.cc
@@ -42,12 +42,13 @@
                              std::string id,
                              std::string service,
                              std::uint16_t port,
+                             std::uint16_t public_port,
                              ServerCounters* counters,
                              std::uint64_t seed)
     : context_(context),
       id_(std::move(id)),
       service_(std::move(service)),
-      port_(port),
+      public_port_(public_port),
       counters_(counters),
       random_(seed),
       http_(
@@ -67,15 +68,16 @@
 }
 
 std::string ServerStandIn::StoreValue(std::uint64_t sequence) const {
-  return nlohmann::json({{"Service", service_},
-                         {"Address", "127.0.0.1:" + std::to_string(port_)},
-                         {"Zone", "here"},
-                         {"Version", "v1"},
-                         {"Slots", kSlots},
-                         {"State", draining_ ? "draining" : "ready"},
-                         {"WarmupLeftMs", 0},
-                         {"Sequence", sequence},
-                         {"born", start_time_ms_}})
+  return nlohmann::json(
+             {{"Service", service_},
+              {"Address", "127.0.0.1:" + std::to_string(public_port_)},
+              {"Zone", "here"},
+              {"Version", "v1"},
+              {"Slots", kSlots},
+              {"State", draining_ ? "draining" : "ready"},
+              {"WarmupLeftMs", 0},
+              {"Sequence", sequence},
+              {"born", start_time_ms_}})
       .dump();
 }
 
--- a/testing/soak/server_stand_in.h
+++ b/testing/soak/server_stand_in.h
@@ -52,10 +52,12 @@
 // the thread of its io_context.
 class ServerStandIn {
  public:
+  // Listens on `port`; instances are told `public_port`, that of its proxy.
   ServerStandIn(asio::io_context* context,
                 std::string id,
                 std::string service,
                 std::uint16_t port,
+                std::uint16_t public_port,
                 ServerCounters* counters,
                 std::uint64_t seed);
 
@@ -81,7 +83,7 @@
   asio::io_context* const context_;
   const std::string id_;
   const std::string service_;
-  const std::uint16_t port_;
+  const std::uint16_t public_port_;
   ServerCounters* const counters_;
   Random random_;
   ServerFault fault_ = ServerFault::kNone;
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -92,7 +92,7 @@
     const auto server_port =
         static_cast<std::uint16_t>(port + kServerBehindProxyOffset);
     servers_.push_back(std::make_unique<ServerStandIn>(
-        &context_, id, service, server_port, &counters_, random_.Next()));
+        &context_, id, service, server_port, port, &counters_, random_.Next()));
     server_proxies_.push_back(
         std::make_unique<TcpProxy>(&context_, port, server_port));
     ++port;
@@ -405,10 +405,10 @@
       " on cut off from all servers, " +
       std::string(NameOf(kProxyModeNames, mode)) +
       (cuts_open ? "" : ", open connections live on"));
-  const auto is_cut = [this](std::uint16_t port) {
+  const auto is_cut = [this](std::uint16_t from, std::uint16_t to) {
     return std::any_of(cut_entries_.begin(), cut_entries_.end(),
                        [&](std::size_t entry) {
-                         return entries_[entry]->LocalPorts().count(port) > 0;
+                         return entries_[entry]->OwnsConnection(from, to);
                        });
   };
   for (const auto& proxy : server_proxies_)
--- a/testing/soak/tcp_proxy.cc
+++ b/testing/soak/tcp_proxy.cc
@@ -123,7 +123,8 @@
 bool TcpProxy::IsCut(const Connection& connection) const {
   asio::error_code error;
   const auto client = connection.client.remote_endpoint(error);
-  return is_cut_ && !error && is_cut_(client.port());
+  return is_cut_ && !error &&
+         is_cut_(client.port(), acceptor_.local_endpoint().port());
 }
 
 void TcpProxy::CutClients(ClientFilter is_cut, ProxyMode mode, bool cuts_open) {
--- a/testing/soak/tcp_proxy.h
+++ b/testing/soak/tcp_proxy.h
@@ -47,9 +47,11 @@
   // Resets all open connections.
   void ResetAll();
 
-  // Separates the clients that `is_cut` tells by their ports: their new
-  // connections get the mode `mode` and, if `cuts_open`, their open ones too.
-  using ClientFilter = std::function<bool(std::uint16_t client_port)>;
+  // Separates the clients that `is_cut` tells by their ports and the proxy's:
+  // their new connections get the mode `mode` and, if `cuts_open`, their open
+  // ones too.
+  using ClientFilter =
+      std::function<bool(std::uint16_t client_port, std::uint16_t proxy_port)>;
   void CutClients(ClientFilter is_cut, ProxyMode mode, bool cuts_open);
   void ReconnectClients();
 
