Callers refused for want of servers come back spread

Cause: a call that no instance could serve was refused with the same time to come back, half a second, for all callers.

Change: it is spread over half of that pause.

Evidence: suites cut-from-servers and cut-from-servers-single pass as before.

--- a/src/dispatch/dispatch_engine_forwarding.cc
+++ b/src/dispatch/dispatch_engine_forwarding.cc
@@ -39,6 +39,9 @@
 constexpr std::size_t kMaxUnreachable = 3;
 constexpr Duration kSubstitutePause = Millis(500);
 
+// The callers of these come back spread over this fraction of the pause.
+constexpr double kRetrySpread = 0.5;
+
 // Whether the coordinator refused the call before it reached any server, for
 // instance since its routes are newer and lack the requested one.
 bool IsRefused(const TargetReply& reply) {
@@ -299,7 +302,8 @@
 void DispatchEngine::RefuseUnreachable(ActiveCall* call, Time now) {
   CallReply reply;
   reply.status = http_status::kUnavailable;
-  reply.retry_after = kSubstitutePause;
+  reply.retry_after =
+      Scaled(kSubstitutePause, 1 + kRetrySpread * random_.Unit());
   call->record.code = ResultCode::kServersUnreachable;
   Finish(call, std::move(reply), now);
 }
