The soak tells cut connections apart at a bounded cost

Cause: each new connection cost a look through the kernel's table of thousands, for each instance that was cut off, on the soak's only thread, which answers for all servers.

Change: the table is read 50 times a second during the cut, and new connections are judged after 40 ms.

--- a/testing/soak/entry_process.cc
+++ b/testing/soak/entry_process.cc
@@ -9,8 +9,8 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 #include <stdexcept>
+#include <string_view>
 #include <system_error>
 #include <utility>
 
@@ -21,29 +21,6 @@
 namespace limpetrudder::testbed {
 namespace {
 
-// Of the table of TCP connections, from 0.
-constexpr int kInodeColumn = 9;
-
-// Returns the inode of the TCP connection between two loopback ports; empty if
-// there is none.
-std::string InodeOfConnection(std::uint16_t from, std::uint16_t to) {
-  char address[40];
-  std::snprintf(address, sizeof(address), ": 0100007F:%04X 0100007F:%04X ",
-                from, to);
-  std::ifstream table("/proc/net/tcp");
-  std::string line;
-  while (std::getline(table, line)) {
-    if (line.find(address) == std::string::npos)
-      continue;
-    std::istringstream columns(line);
-    std::string column;
-    for (int i = 0; i <= kInodeColumn; ++i)
-      columns >> column;
-    return column;
-  }
-  return "";
-}
-
 std::string LoopbackAddress(std::uint16_t port) {
   return "127.0.0.1:" + std::to_string(port);
 }
@@ -120,19 +97,38 @@
   return true;
 }
 
-bool EntryProcess::OwnsConnection(std::uint16_t from, std::uint16_t to) const {
-  const std::string inode = InodeOfConnection(from, to);
-  if (inode.empty())
-    return false;
+std::map<std::string, LoopbackConnection> ReadLoopbackConnections() {
+  std::map<std::string, LoopbackConnection> connections;
+  std::ifstream table("/proc/net/tcp");
+  std::string line;
+  while (std::getline(table, line)) {
+    unsigned from = 0;
+    unsigned to = 0;
+    char inode[24] = "0";
+    // The ends, then the inode in the tenth column; 0 once it is closed.
+    if (std::sscanf(
+            line.c_str(),
+            " %*d: 0100007F:%x 0100007F:%x %*s %*s %*s %*s %*s %*s %23s", &from,
+            &to, inode) == 3 &&
+        std::string_view(inode) != "0") {
+      connections["socket:[" + std::string(inode) + "]"] = {
+          static_cast<std::uint16_t>(from), static_cast<std::uint16_t>(to)};
+    }
+  }
+  return connections;
+}
+
+void EntryProcess::AddConnections(
+    const std::map<std::string, LoopbackConnection>& all,
+    std::set<LoopbackConnection>* own) const {
   std::error_code error;
   for (const auto& file : std::filesystem::directory_iterator(
            "/proc/" + std::to_string(pid_) + "/fd", error)) {
-    if (std::filesystem::read_symlink(file.path(), error) ==
-        "socket:[" + inode + "]") {
-      return true;
-    }
+    const auto found =
+        all.find(std::filesystem::read_symlink(file.path(), error).string());
+    if (found != all.end())
+      own->insert(found->second);
   }
-  return false;
 }
 
 std::size_t EntryProcess::ResidentBytes() const {
--- a/testing/soak/entry_process.h
+++ b/testing/soak/entry_process.h
@@ -4,13 +4,22 @@
 #include <sys/types.h>
 
 #include <cstdint>
+#include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "framework/time.h"
 
 namespace limpetrudder::testbed {
 
+// The ports of a TCP connection on the loopback interface, from and to.
+using LoopbackConnection = std::pair<std::uint16_t, std::uint16_t>;
+
+// Returns the open ones by the names that file descriptors give them.
+std::map<std::string, LoopbackConnection> ReadLoopbackConnections();
+
 // Name and loopback ports of one entry instance of a soak run.
 struct EntryOptions {
   std::string name;
@@ -40,8 +49,9 @@
   // process can be started again.
   bool HasExited();
 
-  // Whether the process opened the TCP connection between two loopback ports.
-  bool OwnsConnection(std::uint16_t from, std::uint16_t to) const;
+  // Adds the process's connections among `all` to `own`.
+  void AddConnections(const std::map<std::string, LoopbackConnection>& all,
+                      std::set<LoopbackConnection>* own) const;
 
   // The resident memory of the process in bytes; 0 if it isn't running.
   std::size_t ResidentBytes() const;
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -199,6 +199,7 @@
   Time next_send = SteadyNow();
   Time next_heartbeat = SteadyNow();
   Time next_fault = SteadyNow();
+  Time next_cut_update = SteadyNow();
   for (Time now = SteadyNow(); now < end; now = SteadyNow()) {
     if (now >= next_send) {
       SendNextRequest();
@@ -210,6 +211,10 @@
       next_heartbeat = now + kHeartbeatInterval;
     }
     EndExpiredFaults(now);
+    if (servers_cut_ && now >= next_cut_update) {
+      UpdateCutConnections();
+      next_cut_update = now + kCutDelay / 2;
+    }
     if (with_faults && now >= next_fault) {
       InjectFault();
       next_fault =
@@ -405,11 +410,10 @@
       " on cut off from all servers, " +
       std::string(NameOf(kProxyModeNames, mode)) +
       (cuts_open ? "" : ", open connections live on"));
+  servers_cut_ = true;
+  UpdateCutConnections();
   const auto is_cut = [this](std::uint16_t from, std::uint16_t to) {
-    return std::any_of(cut_entries_.begin(), cut_entries_.end(),
-                       [&](std::size_t entry) {
-                         return entries_[entry]->OwnsConnection(from, to);
-                       });
+    return cut_connections_.count({from, to}) > 0;
   };
   for (const auto& proxy : server_proxies_)
     proxy->CutClients(is_cut, mode, cuts_open);
@@ -418,12 +422,20 @@
   cut_counts_from_ = SteadyNow();
   RunPhase(kServerCutTime - kServerCutAdaptTime, /*with_faults=*/false);
   cut_counts_from_ = kNever;
+  servers_cut_ = false;
   for (const auto& proxy : server_proxies_)
     proxy->ReconnectClients();
   RunPhase(kCallerTimeout, /*with_faults=*/false);
   CheckServerCut();
 }
 
+void Soak::UpdateCutConnections() {
+  const auto all = ReadLoopbackConnections();
+  cut_connections_.clear();
+  for (const std::size_t entry : cut_entries_)
+    entries_[entry]->AddConnections(all, &cut_connections_);
+}
+
 void Soak::CheckServerCut() {
   const auto share = [](const Count& count) {
     return static_cast<double>(count.served) / std::max(1, count.sent);
@@ -439,6 +451,8 @@
                              std::to_string(at_other_entries_.sent) +
                              " at the others";
   Log(counts);
+  if (share(at_other_entries_) < kMinServedRatio)
+    ReportViolation(counts);
   if (share(at_cut_entries_) < kMinServedAtCut * share(at_other_entries_) &&
       failed > max_failed) {
     ReportViolation(counts);
--- a/testing/soak/soak.h
+++ b/testing/soak/soak.h
@@ -97,6 +97,7 @@
   // callers are served.
   void RunServerCut();
   void CheckServerCut();
+  void UpdateCutConnections();
   void InjectFault();
   void InjectEntryFault(EntryProcess* entry);
   void InjectServerFault();
@@ -136,7 +137,9 @@
   int fault_free_sent_ = 0;
   int fault_free_served_ = 0;
   int served_ = 0;
-  std::set<std::size_t> cut_entries_;  // From all servers.
+  std::set<std::size_t> cut_entries_;             // From all servers.
+  bool servers_cut_ = false;                      // For them, now.
+  std::set<LoopbackConnection> cut_connections_;  // Of these instances.
   Time cut_counts_from_ = kNever;
   Count at_cut_entries_;
   Count at_other_entries_;
--- a/testing/soak/tcp_proxy.cc
+++ b/testing/soak/tcp_proxy.cc
@@ -29,21 +29,31 @@
       return;
     Accept();
     auto connection = std::make_shared<Connection>(std::move(socket), context_);
-    connection->cut = IsCut(*connection);
-    if (ModeOf(*connection) == ProxyMode::kRefuse)
-      return Close(connection, /*reset=*/true);
-    connections_.push_back(connection);
-    connection->server.async_connect(
-        Tcp::endpoint(asio::ip::address_v4::loopback(), target_port_),
-        [this, connection](const asio::error_code& connect_error) {
-          if (connect_error)
-            return Close(connection, /*reset=*/true);
-          ReadNext(connection, /*to_server=*/true);
-          ReadNext(connection, /*to_server=*/false);
-        });
+    if (!is_cut_)
+      return Connect(connection);
+    auto timer = std::make_shared<asio::steady_timer>(*context_);
+    timer->expires_after(kCutDelay);
+    timer->async_wait([this, connection, timer](const asio::error_code&) {
+      connection->cut = IsCut(*connection);
+      Connect(connection);
+    });
   });
 }
 
+void TcpProxy::Connect(const ConnectionPtr& connection) {
+  if (ModeOf(*connection) == ProxyMode::kRefuse)
+    return Close(connection, /*reset=*/true);
+  connections_.push_back(connection);
+  connection->server.async_connect(
+      Tcp::endpoint(asio::ip::address_v4::loopback(), target_port_),
+      [this, connection](const asio::error_code& error) {
+        if (error)
+          return Close(connection, /*reset=*/true);
+        ReadNext(connection, /*to_server=*/true);
+        ReadNext(connection, /*to_server=*/false);
+      });
+}
+
 void TcpProxy::ReadNext(const ConnectionPtr& connection, bool to_server) {
   auto& from = to_server ? connection->client : connection->server;
   auto& buffer =
--- a/testing/soak/tcp_proxy.h
+++ b/testing/soak/tcp_proxy.h
@@ -34,6 +34,7 @@
 }};
 
 inline constexpr Duration kProxyDelay = Millis(120);
+inline constexpr Duration kCutDelay = Millis(40);
 
 // A loopback TCP proxy that injects network faults. Runs on the thread of its
 // io_context.
@@ -50,6 +51,7 @@
   // Separates the clients that `is_cut` tells by their ports and the proxy's:
   // their new connections get the mode `mode` and, if `cuts_open`, their open
   // ones too.
+  // A new connection is judged after kCutDelay.
   using ClientFilter =
       std::function<bool(std::uint16_t client_port, std::uint16_t proxy_port)>;
   void CutClients(ClientFilter is_cut, ProxyMode mode, bool cuts_open);
@@ -75,6 +77,7 @@
     return connection.cut ? cut_mode_ : mode_;
   }
   bool IsCut(const Connection& connection) const;
+  void Connect(const ConnectionPtr& connection);
   void ReadNext(const ConnectionPtr& connection, bool to_server);
   void Forward(const ConnectionPtr& connection,
                bool to_server,
