--- a/testing/soak/entry_process.cc
+++ b/testing/soak/entry_process.cc
@@ -21,6 +21,9 @@
 namespace limpetrudder::testbed {
 namespace {
 
+// The state of open connections, and the empty queues that follow it begin so.
+constexpr char kEstablished[] = " 01 0000";
+
 std::string LoopbackAddress(std::uint16_t port) {
   return "127.0.0.1:" + std::to_string(port);
 }
@@ -102,6 +105,9 @@
   std::ifstream table("/proc/net/tcp");
   std::string line;
   while (std::getline(table, line)) {
+    // NOTE Most of the rows are connections that have been closed.
+    if (line.find(kEstablished) == std::string::npos)
+      continue;
     unsigned from = 0;
     unsigned to = 0;
     char inode[24] = "0";
--- a/testing/soak/tcp_proxy.h
+++ b/testing/soak/tcp_proxy.h
@@ -34,7 +34,7 @@
 }};
 
 inline constexpr Duration kProxyDelay = Millis(120);
-inline constexpr Duration kCutDelay = Millis(40);
+inline constexpr Duration kCutDelay = Millis(80);
 
 // A loopback TCP proxy that injects network faults. Runs on the thread of its
 // io_context.
