One function probes a server, one checks whether it survives an answer

Cause: found on rereading: the action of a health probe was composed in four places, the check of a server that has answered in two.

Change: ProbeServer and CheckSurvival; behaviour as before.

--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -206,8 +206,13 @@
                         const std::string& server,
                         Time sent,
                         Time now);
-  // Checks whether a server that has answered the call survives that. Returns
-  // false if none of this instance's servers has.
+  // Checks whether `server`, which has answered the call, survives that.
+  void CheckSurvival(ActiveCall* call,
+                     const std::string& server,
+                     Time sent,
+                     Time now);
+  // Likewise for any server that has answered the call. Returns false if none
+  // of this instance's servers has.
   bool CheckSurvivor(ActiveCall* call, Time now);
   void CheckCrash(CrashCheck check, Time now);
   // Sends the probes that are due.
@@ -368,6 +373,7 @@
   void OrphanAttempt(AttemptId attempt, bool cancel_now, Time now);
   void AbortOrphanedAttempts(Time now);
   void SendProbes(Time now);
+  void ProbeServer(const ServerLoad& server);
   void PingDownCoordinators(Time now);
   void ReportServerState(const ServerLoad& server, ResultCode reason, Time now);
 
--- a/src/dispatch/dispatch_engine_quarantine.cc
+++ b/src/dispatch/dispatch_engine_quarantine.cc
@@ -234,16 +234,24 @@
       Resume(call, now);
     return;
   }
-  if (std::exchange(call->survival_checked, true))
+  if (call->survival_checked)
     return;
+  CheckSurvival(call, server, sent, now);
+  if (call->route->is_scatter())
+    call->suspended_until = now + kMaxSurvivalWait;
+}
+
+void DispatchEngine::CheckSurvival(ActiveCall* call,
+                                   const std::string& server,
+                                   Time sent,
+                                   Time now) {
+  call->survival_checked = true;
   CheckCrash({.server = server,
               .digest = DigestOf(call),
               .sent = sent,
               .due = now + kSurvivalTime,
               .answered = true},
              now);
-  if (call->route->is_scatter())
-    call->suspended_until = now + kMaxSurvivalWait;
 }
 
 bool DispatchEngine::CheckSurvivor(ActiveCall* call, Time now) {
@@ -254,13 +262,7 @@
         sub_query.attempts == 0) {
       continue;
     }
-    call->survival_checked = true;
-    CheckCrash({.server = sub_query.last_server,
-                .digest = DigestOf(call),
-                .sent = now,
-                .due = now + kSurvivalTime,
-                .answered = true},
-               now);
+    CheckSurvival(call, sub_query.last_server, now, now);
     return true;
   }
   return false;
@@ -289,11 +291,8 @@
     }
     check.probed = true;
     const auto server = servers_.Find(check.server);
-    if (!server || !probed.insert(check.server).second)
-      continue;
-    const ServerEntry& entry = server->entry();
-    actions_.emplace_back(ProbeHealth{
-        entry.id, entry.address, servers_.Group(entry.service)->health_path});
+    if (server && probed.insert(check.server).second)
+      ProbeServer(*server);
   }
 }
 
--- a/src/dispatch/dispatch_engine_servers.cc
+++ b/src/dispatch/dispatch_engine_servers.cc
@@ -127,8 +127,7 @@
   // NOTE A server that is down is probed anyway.
   if (!server.down()) {
     probed_servers_.try_emplace(server.entry().id, server.entry().started_ms);
-    actions_.emplace_back(ProbeHealth{server.entry().id, server.entry().address,
-                                      attempt.group->health_path});
+    ProbeServer(server);
   }
 }
 
@@ -288,16 +287,20 @@
       continue;
     }
     if (server->IsProbeDue(now)) {
-      const ServerEntry& entry = server->entry();
-      id->second = entry.started_ms;
-      actions_.emplace_back(ProbeHealth{
-          entry.id, entry.address, servers_.Group(entry.service)->health_path});
+      id->second = server->entry().started_ms;
+      ProbeServer(*server);
       server->OnProbeSent(now);
     }
     ++id;
   }
 }
 
+void DispatchEngine::ProbeServer(const ServerLoad& server) {
+  const ServerEntry& entry = server.entry();
+  actions_.emplace_back(ProbeHealth{
+      entry.id, entry.address, servers_.Group(entry.service)->health_path});
+}
+
 void DispatchEngine::OnProbe(const std::string& id,
                              const ProbeReply& reply,
                              Time now) {
@@ -339,11 +342,8 @@
     actions_.emplace_back(ServerContactChange{true, since_last_response});
   }
   if (contact_.TakeProbe(now)) {
-    if (const auto server = servers_.RandomServer(&random_)) {
-      const ServerEntry& entry = server->entry();
-      actions_.emplace_back(ProbeHealth{
-          entry.id, entry.address, servers_.Group(entry.service)->health_path});
-    }
+    if (const auto server = servers_.RandomServer(&random_))
+      ProbeServer(*server);
   }
   *next = std::min(*next, contact_.NextCheck());
 }
