--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -361,6 +361,13 @@
                {"after_ms", WholeMillis(action.after)}});
 }
 
+void DispatchDuty::Execute(const RequestTrial& action) {
+  CountAndLog(LogLevel::kInfo, "request_trial",
+              {{"request_id", action.request_id},
+               {"digest", action.digest},
+               {"server", action.server}});
+}
+
 void DispatchDuty::Execute(const RequestStandingChange& action) {
   CountAndLog(LogLevel::kWarning, "request_standing",
               {{"digest", action.digest},
--- a/src/app/dispatch_duty.h
+++ b/src/app/dispatch_duty.h
@@ -147,6 +147,7 @@
                    const nlohmann::json& fields);
   void Execute(const ServerStateChange& action);
   void Execute(const AttemptLost& action);
+  void Execute(const RequestTrial& action);
   void Execute(const ExchangeQuarantine& action);
   void Execute(const RequestStandingChange& action);
   void Execute(const BackoffChange& action);
--- a/src/dispatch/dispatch_engine_sub_queries.cc
+++ b/src/dispatch/dispatch_engine_sub_queries.cc
@@ -202,6 +202,10 @@
   actions_.emplace_back(SendToServer{
       id, entry.id, entry.address, call->call.message, call->deadline - now,
       !call->is_idempotent(), detail::MaxBodyBytes(*call->route)});
+  if (call->trial && call->answered == 0) {
+    actions_.emplace_back(
+        RequestTrial{call->call.message->request_id, DigestOf(call), entry.id});
+  }
   if (sub_query.pending_attempts.size() == 1)
     ScheduleHedge(call, &sub_query, *server, now);
 }
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -309,6 +309,13 @@
   Duration after{0};  // Since it was sent.
 };
 
+// A suspected request is sent to one server, to find out whether that crashes.
+struct RequestTrial {
+  std::string request_id;
+  std::string digest;  // Of the request.
+  std::string server;
+};
+
 // The standing of a request changed.
 struct RequestStandingChange {
   std::string digest;
@@ -385,6 +392,7 @@
                                     ServerStateChange,
                                     AttemptLost,
                                     ExchangeQuarantine,
+                                    RequestTrial,
                                     RequestStandingChange,
                                     BackoffChange,
                                     RateLimitChange,
--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -354,6 +354,7 @@
   server->crashing.clear();
   server->crashed = true;
   ++server->crashes;
+  crash_times_.push_back(now_);
   max_shards_down_ = std::max(max_shards_down_, CountShardsDown());
   At(now_ + options_.restart_time, [this, server] {
     server->crashed = false;
@@ -471,12 +472,22 @@
   const std::size_t other = IndexOf(exchange.instance);
   const Duration network_time =
       NetworkTime(options_.instances[instance], options_.instances[other]);
-  At(now_ + network_time, [this, instance, other, network_time, exchange] {
+  const auto delay = [this, network_time] {
+    return network_time + Scaled(options_.exchange_delay, random_.Unit());
+  };
+  const auto is_lost = [this] {
+    return random_.Unit() < options_.exchange_loss;
+  };
+  if (is_lost())
+    return;
+  At(now_ + delay(), [this, instance, other, delay, is_lost, exchange] {
     if (frozen_.count(other) > 0)
       return;
     engines_[other]->OnQuarantineNotices(exchange.notices, now_);
     RunEngine(other);
-    At(now_ + network_time,
+    if (is_lost())
+      return;
+    At(now_ + delay(),
        [this, instance, notices = engines_[other]->QuarantineNotices(now_)] {
          engines_[instance]->OnQuarantineNotices(notices, now_);
          RunEngine(instance);
@@ -571,6 +582,8 @@
     refused.outcome = AttemptOutcome::kNotSent;
     return Reply(instance, std::move(refused), network_time);
   }
+  if (IsDeadly(request.message->target))
+    deadly_arrivals_.push_back(now_);
   ++server.arrivals;
   server.arrival_times.push_back(now_);
   ++server.arrivals_from[instance];
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -122,6 +122,10 @@
     // The share of the requests of death that are answered shortly before the
     // server crashes.
     double answered_before_crash = 0;
+    // The share of the messages about suspected requests that are lost, and the
+    // most by which the others are delayed, each by another time.
+    double exchange_loss = 0;
+    Duration exchange_delay{0};
   };
 
   // A request with this target crashes each server that runs it.
@@ -162,6 +166,9 @@
   // Number of requests that all servers ran, and of their crashes.
   int runs() const;
   int crashes() const;
+  // Times at which servers were sent a request of death, and of all crashes.
+  const std::vector<Time>& deadly_arrivals() const { return deadly_arrivals_; }
+  const std::vector<Time>& crash_times() const { return crash_times_; }
   // The highest number of shards of which all servers were down at a time.
   std::size_t max_shards_down() const { return max_shards_down_; }
 
@@ -176,6 +183,7 @@
   SessionServer& server(std::size_t shard, std::size_t replica);
   SessionServer& single(std::size_t index);
   std::vector<SessionServer*> shard_servers();
+  std::size_t instance_count() const { return engines_.size(); }
   DispatchEngine& engine(std::size_t instance) { return *engines_[instance]; }
 
   // Adds or changes, or removes, a server's entry at all instances.
@@ -290,6 +298,8 @@
   int contact_losses_ = 0;
   int exchanges_ = 0;
   std::size_t max_shards_down_ = 0;
+  std::vector<Time> deadly_arrivals_;
+  std::vector<Time> crash_times_;
   int data_centre_changes_ = 0;
   std::vector<FetchRoutes> fetches_;
 };
--- a/src/dispatch/tests/request_of_death_test.cc
+++ b/src/dispatch/tests/request_of_death_test.cc
@@ -93,6 +93,122 @@
 
 TEST_SUITE_END();
 
+TEST_SUITE_BEGIN("request-of-death-retried");
+
+// The users' bound: once a request has crashed three servers, and
+// kContactTime has passed, it may reach this many more, from all instances
+// together.
+constexpr int kMaxLateArrivals = 3;
+constexpr Duration kContactTime = Seconds(4);
+
+int LateArrivals(const FleetSession& session) {
+  constexpr std::size_t kCrashes = 3;
+  if (session.crash_times().size() < kCrashes)
+    return 0;
+  const Time since = session.crash_times()[kCrashes - 1] + kContactTime;
+  const auto& arrivals = session.deadly_arrivals();
+  return static_cast<int>(
+      std::count_if(arrivals.begin(), arrivals.end(),
+                    [since](Time arrival) { return arrival > since; }));
+}
+
+// Sends a request of death `per_second` times a second to one instance after
+// the other.
+void RepeatRequest(FleetSession* session,
+                   const std::string& target,
+                   int per_second,
+                   Duration duration) {
+  static constexpr std::size_t kStride = 7;
+  const std::size_t instances = session->instance_count();
+  const Time end = session->now() + duration;
+  for (std::size_t next = 0; session->now() < end; next += kStride) {
+    session->SendRequest(target, next % instances);
+    session->Run(Duration(Seconds(1)) / per_second);
+  }
+}
+
+FleetSession::Options RetriedOptions(std::size_t instances) {
+  FleetSession::Options options = FleetSession::SmallFleet(18);
+  const std::vector<std::string> places = options.instances;
+  options.instances.clear();
+  for (std::size_t i = 0; i < instances; ++i)
+    options.instances.push_back(places[i % places.size()]);
+  options.single_servers = 7;
+  options.crashes_if_cancelled = true;
+  return options;
+}
+
+TEST_CASE("A request of death comes at many instances when it may be retried") {
+  double exchange_loss = 0;
+  Duration exchange_delay{0};
+  Duration deadly_work{0};
+  SUBCASE("and verdicts take a network time") {}
+  SUBCASE("and verdicts are late, out of order, and lost half of the time") {
+    exchange_loss = 0.5;
+    exchange_delay = Millis(800);
+  }
+  SUBCASE("and servers take long to crash") { deadly_work = Millis(400); }
+  for (const std::size_t instances : {9U, 76U, 300U}) {
+    for (const char* target :
+         {FleetSession::kDeadlySearch, FleetSession::kDeadlySingle}) {
+      CAPTURE(instances);
+      CAPTURE(target);
+      FleetSession::Options options = RetriedOptions(instances);
+      options.exchange_loss = exchange_loss;
+      options.exchange_delay = exchange_delay;
+      options.deadly_work = deadly_work;
+      FleetSession session(options);
+      RepeatRequest(&session, target, 40, Seconds(20));
+      CHECK(LateArrivals(session) <= kMaxLateArrivals);
+    }
+  }
+}
+
+TEST_CASE("Instances freeze or restart while a request of death is retried") {
+  constexpr std::size_t kInstances = 9;
+  bool restart = false;
+  SUBCASE("some are frozen for seconds") {}
+  SUBCASE("all restart one after the other") { restart = true; }
+  for (std::uint64_t seed = 11; seed < 19; ++seed) {
+    CAPTURE(seed);
+    FleetSession::Options options = RetriedOptions(kInstances);
+    options.seed = seed;
+    FleetSession session(options);
+    const auto repeat = [&session](Duration duration) {
+      RepeatRequest(&session, FleetSession::kDeadlySearch, 40, duration);
+    };
+    repeat(Seconds(4));
+    const std::size_t first = seed % kInstances;
+    const std::size_t count = restart ? kInstances : kInstances / 2;
+    for (std::size_t i = first; i < first + count; ++i) {
+      if (!restart) {
+        session.Freeze(i % kInstances);
+        continue;
+      }
+      session.Restart(i % kInstances);
+      repeat(Millis(500));
+    }
+    repeat(Seconds(3));
+    for (std::size_t i = first; i < first + count; ++i)
+      session.Thaw(i % kInstances);
+    repeat(Seconds(16));
+    CHECK(LateArrivals(session) <= kMaxLateArrivals);
+  }
+}
+
+TEST_CASE("A suspected request comes again after a long time") {
+  FleetSession session(RetriedOptions(9));
+  // Nothing tries it a second time.
+  session.DisconnectCaller(session.SendRequest(FleetSession::kDeadlySearch, 0));
+  session.Crash(&session.server(0, 0));
+  session.SendRequest(FleetSession::kDeadlySearch, 1);
+  session.Run(Seconds(90));
+  RepeatRequest(&session, FleetSession::kDeadlySearch, 40, Seconds(3));
+  CHECK(LateArrivals(session) <= kMaxLateArrivals);
+}
+
+TEST_SUITE_END();
+
 TEST_SUITE_BEGIN("request-of-death-begun");
 
 TEST_CASE("A search crashes all servers that began it, cancelled or not") {
