A suspected request is tried by one of two owners, and claimed before

Cause: a quarantine ends at the same moment at all instances, and each was free to try the request then, as often as it came, until a verdict reached it. The logs show trials at three instances within 0.13 s, two of them at once at one instance. The class: what every instance may do again at one known moment, or while a verdict is on its way.

Change: the two instances with the highest rendezvous scores own a request; the others forward it, to the second one only if the first is down. An owner claims the trial before it is sent and tells the others, so calls at one instance don't overlap either. A trial looks at the standing before each send, runs on if its caller leaves, and is released if it reached no server. The bound holds without any message: owners know their own results.

--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -62,6 +62,7 @@
                &topology_),
       coordinators_(settings_.own, &topology_, &random_),
       placer_(&topology_, &random_),
+      trial_owners_(settings_.own.name),
       exchange_(~settings_.seed) {}
 
 void DispatchEngine::OnRoutes(std::shared_ptr<const RouteTable> routes,
@@ -116,6 +117,7 @@
       peers_.push_back(instance);
   }
   exchange_.SetPeerCount(peers_.size());
+  trial_owners_.SetInstances(instances);
   // NOTE The instance's share of connections and budgets grows with a delay:
   // entries may be missing only because the store was unavailable.
   FleetComposition fleet{0, 0, 0};
@@ -204,6 +206,8 @@
   active->record.routes_version = routes_->version();
   active->trial = !active->is_partial() &&
                   StandingOf(active->call, now) == RequestStanding::kSuspected;
+  if (active->trial && !AssignTrial(active, now))
+    return RefuseUntried(active->call);
   // NOTE A batch is answered with the parts that there are.
   if (active->call.forwarded && !active->is_partial() && LacksServers(*active))
     return Refuse(active->call, http_status::kUnavailable,
@@ -215,6 +219,8 @@
 }
 
 void DispatchEngine::StartLocally(ActiveCall* call, Time now) {
+  if (!call->trial_owner.empty())
+    return RefuseSuspected(call, now);
   if (contact_.lost())
     return RefuseUnreachable(call, now);
   if (call->route->is_scatter() && !call->is_partial() &&
@@ -244,6 +250,8 @@
   const auto call = calls_.find(attempt.call);
   if (attempt.call != 0 && call != calls_.end())
     OnSubQueryReply(call->second.get(), attempt, &reply, reply_class, now);
+  else if (!attempt.trial_digest.empty())
+    OnOrphanedTrialReply(attempt, reply, now);
   DispatchQueued(attempt.group, now);
 }
 
--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -23,6 +23,7 @@
 #include "dispatch/internal/server_placer.h"
 #include "dispatch/internal/server_table.h"
 #include "dispatch/internal/topology.h"
+#include "dispatch/internal/trial_owners.h"
 #include "dispatch/internal/weighted_split.h"
 #include "framework/random.h"
 #include "limits/retry_budget.h"
@@ -127,6 +128,7 @@
     const Route* route = nullptr;
     Time sent{};
     bool late_recorded = false;   // In the server's pacer.
+    std::string trial_digest;     // Set if it is the trial of a request.
     std::int64_t started_ms = 0;  // Start of the server process.
 
     // Whether the server process that got the request is still the current
@@ -178,6 +180,25 @@
   // Refuses a call whose request may not be sent to servers now. Returns
   // whether it did.
   bool RefuseQuarantined(const CallRequest& call, Time now);
+  // Sets who is to try the call's request, which is suspected. Returns false if
+  // nobody may try it now; it is refused then.
+  bool AssignTrial(ActiveCall* call, Time now);
+  // Whether `instance`, another one, can try the call's request.
+  bool MayOwnTrial(const ActiveCall& call, const std::string& instance) const;
+  void RefuseUntried(const CallRequest& call);
+  void RefuseSuspected(ActiveCall* call, Time now);
+  // The instance that was to try the call's request was lost, so that it may
+  // have run.
+  void GiveUpLostTrial(ActiveCall* call, Time now);
+  // Claims the trial of the call's request, at all instances. Returns false if
+  // it may not be tried.
+  bool ClaimTrial(ActiveCall* call, Time now);
+  // Whether the call was a trial that somebody else may make by now.
+  bool MayNotTry(const ActiveCall& call, Time now) const;
+  // The result of a trial whose call has ended.
+  void OnOrphanedTrialReply(const PendingAttempt& attempt,
+                            const TargetReply& reply,
+                            Time now);
   // Sends one sub-query of the call, to learn whether its server answers.
   void StartTrial(ActiveCall* call, Time now);
   // Starts a sub-query, or retries it if it had attempts.
@@ -403,6 +424,7 @@
   std::map<std::string, Time> substitutes_paused_;
   std::deque<LeavingNotice> leaving_notices_;
   detail::RequestQuarantine quarantine_;
+  detail::TrialOwners trial_owners_;
   std::vector<CrashCheck> crash_checks_;
   std::vector<InstanceEntry> peers_;  // The other live instances.
   detail::QuarantineExchange exchange_;
--- a/src/dispatch/dispatch_engine_answers.cc
+++ b/src/dispatch/dispatch_engine_answers.cc
@@ -167,6 +167,8 @@
 }
 
 void DispatchEngine::ReleaseCall(ActiveCall* call, Time now, bool cancel_now) {
+  if (call->trial_claimed_at != Time::min() && !call->may_have_run())
+    quarantine_.ReleaseTrial(call->digest, call->trial_claimed_at);
   if (call->coordinator_attempt != 0)
     OrphanAttempt(call->coordinator_attempt, cancel_now, now);
   for (const auto& batch : call->batches) {
@@ -175,8 +177,11 @@
   }
   for (std::size_t i = 0; i < call->sub_queries.size(); ++i) {
     Dequeue(*call, i);
-    for (const AttemptId id : call->sub_queries[i].pending_attempts)
-      OrphanAttempt(id, cancel_now, now);
+    for (const AttemptId id : call->sub_queries[i].pending_attempts) {
+      // NOTE The result of a trial concerns other callers as well.
+      const bool is_trial = !attempts_.at(id).trial_digest.empty();
+      OrphanAttempt(id, cancel_now && !is_trial, now);
+    }
   }
   wakeups_.erase({call->wake_at, call->call.id});
   calls_.erase(call->call.id);
--- a/src/dispatch/dispatch_engine_forwarding.cc
+++ b/src/dispatch/dispatch_engine_forwarding.cc
@@ -87,6 +87,10 @@
   const Route& route = *call->route;
   if (call->call.forwarded)
     return nullptr;
+  if (call->trial) {
+    return AssignTrial(call, now) ? coordinators_.Find(call->trial_owner)
+                                  : nullptr;
+  }
   if (!call->unreachable_from.empty() || LacksServers(*call)) {
     const auto paused = substitutes_paused_.find(route.name);
     if (call->unreachable_from.size() >= kMaxUnreachable ||
@@ -96,7 +100,7 @@
     return coordinators_.ChooseSubstitute(call->region_filter,
                                           call->unreachable_from, now);
   }
-  if (call->trial || !route.is_scatter())
+  if (!route.is_scatter())
     return nullptr;
   return coordinators_.Choose(route, call->region_filter,
                               profiles_.SizesOf(route), &servers_, now);
@@ -207,6 +211,13 @@
                                        bool repeated,
                                        Time now) {
   call->coordinator_attempt = 0;
+  if (!call->trial_owner.empty()) {
+    if (repeated)
+      return GiveUpLostTrial(call, now);
+    return RefuseSuspected(call, now);
+  }
+  if (call->trial && !ClaimTrial(call, now))
+    return RefuseSuspected(call, now);
   StartSubQueries(call, repeated, now);
   Advance(call, now);
 }
@@ -292,6 +303,8 @@
                                           const ServerLoad& instance,
                                           Time now) {
   call->coordinator_attempt = 0;
+  if (!call->trial_owner.empty())
+    return RefuseSuspected(call, now);
   call->unreachable_from.push_back(instance.entry().data_centre);
   if (TryForward(call, now))
     return ScheduleWakeup(call, now);
--- a/src/dispatch/dispatch_engine_quarantine.cc
+++ b/src/dispatch/dispatch_engine_quarantine.cc
@@ -52,30 +52,87 @@
 }
 
 bool DispatchEngine::RefuseQuarantined(const CallRequest& call, Time now) {
-  const RequestStanding standing = StandingOf(call, now);
-  // NOTE The instance that delegated a batch has cleared its request.
-  const bool is_batch = !call.only_shards.empty();
-  if (standing == RequestStanding::kClear ||
-      (is_batch && standing == RequestStanding::kSuspected)) {
+  if (StandingOf(call, now) != RequestStanding::kQuarantined)
     return false;
-  }
   const Time next = quarantine_.NextSend(detail::DigestOf(*call.message), now);
-  if (next <= now)
-    return false;
-  if (standing == RequestStanding::kQuarantined) {
-    Refuse(call, http_status::kUnavailable, ResultCode::kRequestQuarantined,
-           next - now);
-  } else {
-    Refuse(call, http_status::kUnavailable, ResultCode::kRequestSuspected,
-           std::min(next - now, kTrialRetryAfter));
+  Refuse(call, http_status::kUnavailable, ResultCode::kRequestQuarantined,
+         next - now);
+  return true;
+}
+
+bool DispatchEngine::AssignTrial(ActiveCall* call, Time now) {
+  const std::string& digest = DigestOf(call);
+  const auto owners =
+      trial_owners_.OwnersOf(digest, quarantine_.FailedTrials(digest));
+  call->trial_owner = owners.front();
+  for (const std::string& owner : owners) {
+    const bool is_own = owner == settings_.own.name;
+    if (!is_own && (call->call.forwarded || !MayOwnTrial(*call, owner)))
+      continue;
+    call->trial_owner = is_own ? "" : owner;
+    return !is_own || quarantine_.NextSend(digest, now) <= now;
   }
+  return false;
+}
+
+bool DispatchEngine::MayOwnTrial(const ActiveCall& call,
+                                 const std::string& instance) const {
+  const auto load = coordinators_.Find(instance);
+  return load && !load->down() &&
+         call.region_filter.Allows(load->entry().data_centre);
+}
+
+void DispatchEngine::RefuseUntried(const CallRequest& call) {
+  Refuse(call, http_status::kUnavailable, ResultCode::kRequestSuspected,
+         kTrialRetryAfter);
+}
+
+void DispatchEngine::RefuseSuspected(ActiveCall* call, Time now) {
+  CallReply reply;
+  reply.status = http_status::kUnavailable;
+  reply.retry_after = kTrialRetryAfter;
+  call->record.code = ResultCode::kRequestSuspected;
+  Finish(call, std::move(reply), now);
+}
+
+void DispatchEngine::GiveUpLostTrial(ActiveCall* call, Time now) {
+  CallReply reply;
+  reply.status = http_status::kBadGateway;
+  reply.retry_after = kTrialRetryAfter;
+  call->record.code = ResultCode::kPeerUnreachable;
+  Finish(call, std::move(reply), now);
+}
+
+bool DispatchEngine::ClaimTrial(ActiveCall* call, Time now) {
+  if (!quarantine_.ClaimTrial(DigestOf(call), now))
+    return false;
+  call->trial_claimed_at = now;
+  SendNotices(exchange_.OnOwnChange(), now);
   return true;
 }
 
+bool DispatchEngine::MayNotTry(const ActiveCall& call, Time now) const {
+  return call.trial && call.answered == 0 &&
+         !quarantine_.HoldsTrial(call.digest, call.trial_claimed_at, now);
+}
+
+void DispatchEngine::OnOrphanedTrialReply(const PendingAttempt& attempt,
+                                          const TargetReply& reply,
+                                          Time now) {
+  CrashCheck check{attempt.server->entry().id, attempt.trial_digest,
+                   attempt.sent, now};
+  if (reply.outcome == AttemptOutcome::kNotSent || reply.not_executed)
+    return;
+  check.answered = reply.outcome == AttemptOutcome::kAnswered;
+  if (check.answered)
+    check.due = now + kSurvivalTime;
+  CheckCrash(std::move(check), now);
+}
+
 void DispatchEngine::StartTrial(ActiveCall* call, Time now) {
   const std::size_t count = call->sub_queries.size();
   const std::size_t first = random_.Below(count);
-  for (std::size_t i = 0; i < count; ++i) {
+  for (std::size_t i = 0; i < count && !MayNotTry(*call, now); ++i) {
     const std::size_t index = (first + i) % count;
     SubQuery& sub_query = call->sub_queries[index];
     if (sub_query.state != detail::SubQueryState::kOpen ||
@@ -161,7 +218,7 @@
 void DispatchEngine::OnCrashConfirmed(ActiveCall* call, Time now) {
   call->suspended_until = kNever;
   CancelAttempts(call, now);
-  if (call->is_partial() || call->trial) {
+  if (call->is_partial() || call->trial || !ClaimTrial(call, now)) {
     FailOpenSubQueries(call);
   } else {
     call->trial = true;
--- a/src/dispatch/dispatch_engine_sub_queries.cc
+++ b/src/dispatch/dispatch_engine_sub_queries.cc
@@ -148,6 +148,8 @@
 
 void DispatchEngine::TrySend(ActiveCall* call, std::size_t index, Time now) {
   SubQuery& sub_query = call->sub_queries[index];
+  if (MayNotTry(*call, now))
+    return FailSubQuery(call, index, ResultCode::kRequestSuspected);
   const auto reserved = std::exchange(sub_query.reserved, nullptr);
   if (reserved && reserved->AcceptsRequests(now)) {
     return Send(call, index, reserved, now);
@@ -203,6 +205,7 @@
       id, entry.id, entry.address, call->call.message, call->deadline - now,
       !call->is_idempotent(), detail::MaxBodyBytes(*call->route)});
   if (call->trial && call->answered == 0) {
+    attempts_[id].trial_digest = DigestOf(call);
     actions_.emplace_back(
         RequestTrial{call->call.message->request_id, DigestOf(call), entry.id});
   }
@@ -295,6 +298,13 @@
     const detail::QueuedSubQuery first = *group->queue.begin();
     ActiveCall* call = calls_.at(first.call).get();
     SubQuery& sub_query = call->sub_queries[first.sub_query];
+    if (MayNotTry(*call, now)) {
+      group->queue.erase(group->queue.begin());
+      sub_query.queued = false;
+      FailSubQuery(call, first.sub_query, ResultCode::kRequestSuspected);
+      Advance(call, now);
+      continue;
+    }
     const detail::PlacementRequest request{
         call->route, profiles_.TimesOf(*call->route), &call->region_filter,
         &sub_query.tried_servers, /*first_in_queue=*/true};
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -164,6 +164,7 @@
   Duration age{0};              // Since it was suspected or cleared.
   Duration quarantine_left{0};  // If it is quarantined.
   std::uint32_t quarantines = 0;
+  std::optional<Duration> trial_age;  // Of a trial without a result.
 };
 
 // A server's answer to a health probe.
--- a/src/dispatch/internal/active_call.h
+++ b/src/dispatch/internal/active_call.h
@@ -89,6 +89,9 @@
   // Servers may crash under it, so it is sent to one of them at a time until
   // one has answered.
   bool trial = false;
+  Time trial_claimed_at = Time::min();
+  // The instance that is to try it; empty: this one.
+  std::string trial_owner;
   std::optional<TargetReply> final_reply;  // Used for calls to one server.
   CallRecord record;
 
--- a/src/dispatch/internal/request_quarantine.cc
+++ b/src/dispatch/internal/request_quarantine.cc
@@ -28,6 +28,11 @@
   return cleared_at < SuspectedSince() && now - SuspectedSince() < duration;
 }
 
+bool RequestQuarantine::Row::IsBeingTried(Time now) const {
+  return tried_at >= SuspectedSince() && tried_at > cleared_at &&
+         now - tried_at < kTrialClaim;
+}
+
 RequestStanding RequestQuarantine::StandingOf(const Row& row, Time now) {
   if (now < row.until)
     return RequestStanding::kQuarantined;
@@ -50,13 +55,47 @@
     case RequestStanding::kClear:
       return now;
     case RequestStanding::kSuspected:
-      return std::max(now, found->second.suspected_at + kTrial);
+      return found->second.IsBeingTried(now)
+                 ? found->second.tried_at + kTrialClaim
+                 : now;
     case RequestStanding::kQuarantined:
       return found->second.until;
   }
   return now;
 }
 
+std::uint32_t RequestQuarantine::FailedTrials(const std::string& digest) const {
+  const auto found = rows_.find(digest);
+  return found == rows_.end() ? 0 : found->second.quarantines;
+}
+
+bool RequestQuarantine::ClaimTrial(const std::string& digest, Time now) {
+  const auto found = rows_.find(digest);
+  if (found == rows_.end() ||
+      StandingOf(found->second, now) != RequestStanding::kSuspected ||
+      found->second.IsBeingTried(now)) {
+    return false;
+  }
+  Row& row = found->second;
+  row.claimed_at = row.tried_at = row.changed_at = now;
+  return true;
+}
+
+void RequestQuarantine::ReleaseTrial(const std::string& digest, Time claimed) {
+  const auto found = rows_.find(digest);
+  if (found != rows_.end() && found->second.claimed_at == claimed)
+    found->second.claimed_at = found->second.tried_at = Time::min();
+}
+
+bool RequestQuarantine::HoldsTrial(const std::string& digest,
+                                   Time claimed,
+                                   Time now) const {
+  const auto found = rows_.find(digest);
+  return found != rows_.end() && found->second.claimed_at == claimed &&
+         now - claimed < kTrialClaim &&
+         StandingOf(found->second, now) == RequestStanding::kSuspected;
+}
+
 bool RequestQuarantine::IsTrial(const std::string& digest,
                                 Time sent,
                                 Time now) const {
@@ -140,6 +179,10 @@
     return false;
   const Time since = now - notice.age;
   const auto found = rows_.find(notice.digest);
+  if (notice.trial_age && found != rows_.end()) {
+    Time& tried_at = found->second.tried_at;
+    tried_at = std::max(tried_at, now - *notice.trial_age);
+  }
   const Row known = found == rows_.end() ? Row{} : found->second;
   if (notice.standing == RequestStanding::kClear) {
     if (known.cleared_at >= since || known.suspected_at > since)
@@ -163,6 +206,8 @@
   if (notice.standing == RequestStanding::kQuarantined)
     row.until = now + std::min(notice.quarantine_left, kMaxQuarantine);
   row.quarantines = std::max(row.quarantines, notice.quarantines);
+  if (notice.trial_age)
+    row.tried_at = std::max(row.tried_at, now - *notice.trial_age);
   row.changed_at = now;
   return true;
 }
@@ -198,6 +243,8 @@
                                                         : row.suspected_at);
   if (notice.standing == RequestStanding::kQuarantined)
     notice.quarantine_left = row.until - now;
+  if (row.IsBeingTried(now))
+    notice.trial_age = now - row.tried_at;
   return notice;
 }
 
--- a/src/dispatch/internal/request_quarantine.h
+++ b/src/dispatch/internal/request_quarantine.h
@@ -16,9 +16,11 @@
 // Remembers requests under which servers crashed, by their digests, and decides
 // which of them are quarantined. A crash makes a request suspected, whether it
 // caused the crash or was only in flight at the server. A suspected request is
-// tried at one server at a time. If that one crashes too, the request is
-// quarantined; if it answers anything at all and survives that, the request is
-// cleared, since a request of death crashes every server that runs it.
+// tried at one server. A trial is claimed before it is sent, at all instances:
+// while it runs nobody else tries the request. If its server crashes too, the
+// request is quarantined; if it answers anything at all and survives that, the
+// request is cleared, since a request of death crashes every server that runs
+// it.
 //
 // Applies when servers crash, one after the other, under a request that comes
 // again and again. Holds no clock and does no I/O. Not thread safe.
@@ -40,15 +42,28 @@
   static constexpr Duration kSuspicion = Seconds(60);
   static constexpr Duration kLaterSuspicion = Seconds(3600);
 
-  // While an instance tries a suspected request, the others don't.
-  static constexpr Duration kTrial = Seconds(1);
+  // A trial without a result keeps others from being made for this long.
+  static constexpr Duration kTrialClaim = Seconds(3);
 
   RequestStanding StandingOf(const std::string& digest, Time now) const;
 
-  // Returns when the request may be sent to a server again; `now` if it may be
-  // sent now.
+  // Returns when the request may be tried again; `now` if that may be now.
   Time NextSend(const std::string& digest, Time now) const;
 
+  // Returns how many trials of the request are known to have failed.
+  std::uint32_t FailedTrials(const std::string& digest) const;
+
+  // Claims the trial of a suspected request for a call that is about to be
+  // sent. Returns false if it is quarantined or somebody's trial has no result
+  // yet.
+  bool ClaimTrial(const std::string& digest, Time now);
+
+  // A trial that was claimed at `claimed` reached no server.
+  void ReleaseTrial(const std::string& digest, Time claimed);
+
+  // Whether a trial that was claimed at `claimed` may still be sent.
+  bool HoldsTrial(const std::string& digest, Time claimed, Time now) const;
+
   // Returns whether an attempt that was sent at `sent` is a trial: the request
   // was suspected already.
   bool IsTrial(const std::string& digest, Time sent, Time now) const;
@@ -91,6 +106,8 @@
     Time suspected_at{};
     Time until = Time::min();  // End of the quarantine.
     std::uint32_t quarantines = 0;
+    Time tried_at = Time::min();    // The latest trial of any instance.
+    Time claimed_at = Time::min();  // The latest one of this instance.
     Time cleared_at = Time::min();
     Time changed_at{};
 
@@ -98,6 +115,8 @@
     Time SuspectedSince() const { return std::max(suspected_at, until); }
     // Whether it is suspected, confirmed or not, and isn't quarantined.
     bool IsSuspected(Time now) const;
+    // Whether a trial may have no result yet.
+    bool IsBeingTried(Time now) const;
   };
 
   static RequestStanding StandingOf(const Row& row, Time now);
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -271,6 +271,7 @@
 
   Options options_;
   Random random_;
+  Random exchange_random_;  // Leaves the sequence of `random_` as it is.
   Time now_ = Time(Seconds(1000));
   std::multimap<Time, std::function<void()>> events_;
   std::map<std::string, std::string> regions_;  // By data centre.
--- a/src/net/quarantine_codec.cc
+++ b/src/net/quarantine_codec.cc
@@ -55,9 +55,13 @@
       !IsDigest(digest->get_ref<const std::string&>())) {
     return std::nullopt;
   }
-  return QuarantineNotice{digest->get<std::string>(), *value, Millis(*age),
+  QuarantineNotice notice{digest->get<std::string>(), *value, Millis(*age),
                           Millis(*left),
                           static_cast<std::uint32_t>(*quarantines)};
+  // Earlier builds send none.
+  if (const auto trial_age = ReadMillis(row, "trial_age_ms"))
+    notice.trial_age = Millis(*trial_age);
+  return notice;
 }
 
 }  // namespace
@@ -72,6 +76,10 @@
          {"left_ms",
           std::max<std::int64_t>(0, WholeMillis(notice.quarantine_left))},
          {"quarantines", notice.quarantines}});
+    if (notice.trial_age) {
+      rows.back()["trial_age_ms"] =
+          std::max<std::int64_t>(0, WholeMillis(*notice.trial_age));
+    }
   }
   return rows.dump();
 }
