An instance that starts or stood still asks what is quarantined first

What callers saw: instances that restart or thaw ran a quarantined request at servers once more.

Cause: an instance that has just started, or that was frozen while others told of a verdict, knows of no quarantine. It asked three others at its start, but served before they had answered; after a freeze it didn't ask at all.

Change: until another instance has answered, whatever it knows, requests are refused as not ready (not run, 0.1 s to come back), for half a second at most. Asked again each 0.1 s. An engine that wasn't run for a second counts as starting.

--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -163,7 +163,9 @@
       return engine_.OnPing(probe.name, DecodeProbeReply(response).healthy,
                             now);
     case ProbeKind::kExchange:
-      return engine_.OnQuarantineNotices(DecodeExchangeReply(response), now);
+      if (const auto notices = DecodeExchangeReply(response))
+        engine_.OnQuarantineNotices(*notices, now);
+      return;
   }
 }
 
--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -31,6 +31,9 @@
 // By then a starting instance has read the configuration and the servers.
 constexpr Duration kRetryAfterStart = Millis(500);
 
+// By then another instance has told it which requests are quarantined.
+constexpr Duration kRetryUninformed = Millis(100);
+
 // Whether the route includes all of the shards.
 bool IncludesAll(const Route& route, const std::vector<std::string>& shards) {
   const std::unordered_set<std::string_view> named(route.shards.begin(),
@@ -162,6 +165,9 @@
   if (!routes_)
     return Refuse(call, http_status::kUnavailable, ResultCode::kNotReady,
                   kRetryAfterStart);
+  if (!exchange_.IsInformed(now))
+    return Refuse(call, http_status::kUnavailable, ResultCode::kNotReady,
+                  kRetryUninformed);
   // NOTE The forwarding instance coordinates the query itself rather than have
   // it answered under older routes.
   if (call.forwarded && call.routes_version > routes_->version())
--- a/src/dispatch/dispatch_engine_quarantine.cc
+++ b/src/dispatch/dispatch_engine_quarantine.cc
@@ -390,6 +390,7 @@
 void DispatchEngine::OnQuarantineNotices(
     const std::vector<QuarantineNotice>& notices,
     Time now) {
+  exchange_.OnHeard();
   bool changed = false;
   for (const QuarantineNotice& notice : notices) {
     if (!quarantine_.Apply(notice, now))
--- a/src/dispatch/internal/quarantine_exchange.cc
+++ b/src/dispatch/internal/quarantine_exchange.cc
@@ -6,6 +6,14 @@
 
 namespace limpetrudder::detail {
 
+bool QuarantineExchange::IsInformed(Time now) const {
+  return peer_count_ == 0 || (informed_ && !StoodStill(now));
+}
+
+bool QuarantineExchange::StoodStill(Time now) const {
+  return ticked_at_ && now - *ticked_at_ > kMaxTickGap;
+}
+
 std::vector<std::size_t> QuarantineExchange::OnToldChange() {
   return peer_count_ > kMaxDirect ? Choose(kRelayed)
                                   : std::vector<std::size_t>();
@@ -14,7 +22,22 @@
 std::vector<std::size_t> QuarantineExchange::Tick(bool has_notices,
                                                   Time now,
                                                   Time* next) {
-  if (peer_count_ > 0 && !std::exchange(asked_, true)) {
+  if (StoodStill(now)) {
+    informed_ = false;
+    asking_since_.reset();
+  }
+  ticked_at_ = now;
+  if (peer_count_ == 0)
+    return {};
+  *next = std::min(*next, now + kMaxTickGap / 2);
+  if (!asking_since_)
+    asking_since_ = next_ask_ = now;
+  informed_ |= now - *asking_since_ >= kMaxAsking;
+  if (!informed_) {
+    *next = std::min(*next, std::max(next_ask_, now + kAskInterval));
+    if (now < next_ask_)
+      return {};
+    next_ask_ = now + kAskInterval;
     next_ = now + kInterval;
     return Choose(kAskedAtStart);
   }
--- a/src/dispatch/internal/quarantine_exchange.h
+++ b/src/dispatch/internal/quarantine_exchange.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "framework/random.h"
@@ -14,8 +15,10 @@
 // requests under which servers crash. A change is sent to many at once, and in
 // large fleets passed on by each of those, so that all know it within a few
 // network times. Exchanges with one instance a second reach those that were
-// missed. An instance that starts asks a few others. Without notices there are
-// no messages. Holds no clock and does no I/O. Not thread safe.
+// missed. An instance that starts, or that stood still for a while, asks a few
+// others and takes no requests until one has answered, since it may get one
+// that the others have quarantined. Without notices there are no further
+// messages. Holds no clock and does no I/O. Not thread safe.
 class QuarantineExchange {
  public:
   // A change is sent to this many instances, and by each of them to some more
@@ -25,12 +28,26 @@
   static constexpr std::size_t kAskedAtStart = 3;
   static constexpr Duration kInterval = Seconds(1);
 
+  // An instance that has heard nobody asks again at this interval, and then
+  // goes on without: the others may all be lost.
+  static constexpr Duration kAskInterval = Millis(100);
+  static constexpr Duration kMaxAsking = Millis(500);
+
+  // An instance that didn't run for longer than this may have missed messages.
+  static constexpr Duration kMaxTickGap = Seconds(1);
+
   explicit QuarantineExchange(std::uint64_t seed) : random_(seed) {}
 
   // Sets the number of other live instances. They are referred to by their
   // index.
   void SetPeerCount(std::size_t count) { peer_count_ = count; }
 
+  // Another instance told what it knows, be that nothing.
+  void OnHeard() { informed_ = true; }
+
+  // Whether this instance knows what the others knew when it started.
+  bool IsInformed(Time now) const;
+
   // Each returns the instances to exchange notices with: after a change that
   // this instance or another one found out, and at `now`.
   std::vector<std::size_t> OnOwnChange() { return Choose(kMaxDirect); }
@@ -38,11 +55,15 @@
   std::vector<std::size_t> Tick(bool has_notices, Time now, Time* next);
 
  private:
+  bool StoodStill(Time now) const;
   std::vector<std::size_t> Choose(std::size_t max_count);
 
   Random random_;
   std::size_t peer_count_ = 0;
-  bool asked_ = false;
+  bool informed_ = false;
+  std::optional<Time> ticked_at_;
+  std::optional<Time> asking_since_;
+  Time next_ask_{};
   Time next_{};
 };
 
--- a/src/dispatch/tests/request_quarantine_test.cc
+++ b/src/dispatch/tests/request_quarantine_test.cc
@@ -294,6 +294,7 @@
   void Tell(std::size_t from, std::size_t to) {
     if (nodes_[from].cut || nodes_[to].cut)
       return;
+    nodes_[to].exchange.OnHeard();
     bool changed = false;
     for (const auto& notice : nodes_[from].quarantine.Notices(now_))
       changed = nodes_[to].quarantine.Apply(notice, now_) || changed;
--- a/src/net/quarantine_codec.cc
+++ b/src/net/quarantine_codec.cc
@@ -119,12 +119,12 @@
   return request;
 }
 
-std::vector<QuarantineNotice> DecodeExchangeReply(
+std::optional<std::vector<QuarantineNotice>> DecodeExchangeReply(
     const PoolResponse& response) {
-  if (response.outcome != AttemptOutcome::kAnswered ||
-      response.status != http_status::kOk) {
-    return {};
-  }
+  if (response.outcome != AttemptOutcome::kAnswered)
+    return std::nullopt;
+  if (response.status != http_status::kOk)
+    return std::vector<QuarantineNotice>();
   return DecodeNotices(response.body);
 }
 
--- a/src/net/quarantine_codec.h
+++ b/src/net/quarantine_codec.h
@@ -2,6 +2,7 @@
 #define NET_QUARANTINE_CODEC_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,8 +28,10 @@
                            std::uint64_t id);
 
 // Decodes the other instance's response; one without notices, as of an instance
-// that doesn't know the protocol, yields none. Thread safe.
-std::vector<QuarantineNotice> DecodeExchangeReply(const PoolResponse& response);
+// that doesn't know the protocol, yields none. Returns nothing if there was no
+// response. Thread safe.
+std::optional<std::vector<QuarantineNotice>> DecodeExchangeReply(
+    const PoolResponse& response);
 
 }  // namespace limpetrudder
 
--- a/src/net/tests/quarantine_codec_test.cc
+++ b/src/net/tests/quarantine_codec_test.cc
@@ -7,8 +7,11 @@
 
 TEST_CASE("Notices of requests under which servers crashed") {
   const QuarantineNotice notice{"0123456789abcdef0123456789abcdef",
-                                RequestStanding::kQuarantined, Millis(1500),
-                                Seconds(600), 2};
+                                RequestStanding::kQuarantined,
+                                Millis(1500),
+                                Seconds(600),
+                                2,
+                                std::nullopt};
 
   SUBCASE("survive encoding and decoding") {
     const auto decoded = DecodeNotices(EncodeNotices({notice}));
@@ -39,7 +42,20 @@
     response.outcome = AttemptOutcome::kAnswered;
     response.status = 404;
     response.body = EncodeNotices({notice});
-    CHECK(DecodeExchangeReply(response).empty());
+    const auto notices = DecodeExchangeReply(response);
+    REQUIRE(notices);
+    CHECK(notices->empty());
+  }
+  SUBCASE("are unknown if there was no reply") {
+    PoolResponse response;
+    response.outcome = AttemptOutcome::kNotSent;
+    CHECK_FALSE(DecodeExchangeReply(response));
+  }
+  SUBCASE("tell of a trial without a result") {
+    QuarantineNotice tried = notice;
+    tried.trial_age = Millis(250);
+    CHECK(DecodeNotices(EncodeNotices({tried})).at(0).trial_age == Millis(250));
+    CHECK_FALSE(DecodeNotices(EncodeNotices({notice})).at(0).trial_age);
   }
 }
 
