A suspected request is tried before it goes to all shards, however late it comes

What callers would see: a request under which servers crashed, and that nobody tried afterwards, was forgotten after a minute at all instances; its next arrival crashed a server of each shard again. After two failed trials it was tried anew after 10, 20, 40, 60 minutes, and forgotten an hour later.

Change: suspicions last twelve hours or until a server answers the request; after a second failed trial the quarantine is twelve hours (was 20 minutes and more), so that three retries aren't exceeded. Doubts without a crash still end after a minute. What was told for a minute is told every 30 s from then on, instead of each second.

--- a/src/dispatch/internal/quarantine_exchange.cc
+++ b/src/dispatch/internal/quarantine_exchange.cc
@@ -19,7 +19,7 @@
                                   : std::vector<std::size_t>();
 }
 
-std::vector<std::size_t> QuarantineExchange::Tick(bool has_notices,
+std::vector<std::size_t> QuarantineExchange::Tick(NoticeState notices,
                                                   Time now,
                                                   Time* next) {
   if (StoodStill(now)) {
@@ -41,11 +41,14 @@
     next_ = now + kInterval;
     return Choose(kAskedAtStart);
   }
-  if (!has_notices)
+  if (notices == NoticeState::kNone)
     return {};
+  const Duration interval =
+      notices == NoticeState::kRecent ? kInterval : kSlowInterval;
+  next_ = std::min(next_, now + interval);
   std::vector<std::size_t> chosen;
   if (now >= next_) {
-    next_ = now + kInterval;
+    next_ = now + interval;
     chosen = Choose(1);
   }
   *next = std::min(*next, next_);
--- a/src/dispatch/internal/quarantine_exchange.h
+++ b/src/dispatch/internal/quarantine_exchange.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <vector>
 
+#include "dispatch/internal/request_quarantine.h"
 #include "framework/random.h"
 #include "framework/time.h"
 
@@ -14,11 +15,11 @@
 // Decides with which of the other instances this one exchanges notices of
 // requests under which servers crash. A change is sent to many at once, and in
 // large fleets passed on by each of those, so that all know it within a few
-// network times. Exchanges with one instance a second reach those that were
-// missed. An instance that starts, or that stood still for a while, asks a few
-// others and takes no requests until one has answered, since it may get one
-// that the others have quarantined. Without notices there are no further
-// messages. Holds no clock and does no I/O. Not thread safe.
+// network times. Exchanges with one instance a second, later every half minute,
+// reach those that were missed. An instance that starts, or that stood still
+// for a while, asks a few others and takes no requests until one has answered,
+// since it may get one that the others have quarantined. Without notices there
+// are no further messages. Holds no clock and does no I/O. Not thread safe.
 class QuarantineExchange {
  public:
   // A change is sent to this many instances, and by each of them to some more
@@ -27,6 +28,7 @@
   static constexpr std::size_t kRelayed = 8;
   static constexpr std::size_t kAskedAtStart = 3;
   static constexpr Duration kInterval = Seconds(1);
+  static constexpr Duration kSlowInterval = Seconds(30);
 
   // An instance that has heard nobody asks again at this interval, and then
   // goes on without: the others may all be lost.
@@ -52,7 +54,7 @@
   // this instance or another one found out, and at `now`.
   std::vector<std::size_t> OnOwnChange() { return Choose(kMaxDirect); }
   std::vector<std::size_t> OnToldChange();
-  std::vector<std::size_t> Tick(bool has_notices, Time now, Time* next);
+  std::vector<std::size_t> Tick(NoticeState notices, Time now, Time* next);
 
  private:
   bool StoodStill(Time now) const;
--- a/src/dispatch/internal/request_quarantine.cc
+++ b/src/dispatch/internal/request_quarantine.cc
@@ -9,23 +9,26 @@
 
 // Returns the duration of a quarantine after `earlier` ones of the request.
 Duration QuarantineTime(std::uint32_t earlier) {
-  constexpr std::uint32_t kMaxDoublings = 3;
-  if (earlier == 0)
-    return RequestQuarantine::kFirstQuarantine;
-  return std::min(RequestQuarantine::kMaxQuarantine,
-                  RequestQuarantine::kSecondQuarantine *
-                      (1 << std::min(earlier - 1, kMaxDoublings)));
+  switch (earlier) {
+    case 0:
+      return RequestQuarantine::kFirstQuarantine;
+    case 1:
+      return RequestQuarantine::kSecondQuarantine;
+    default:
+      return RequestQuarantine::kLastQuarantine;
+  }
 }
 
 // Notices of other instances that are as old as this say nothing new.
 constexpr Duration kMaxNoticeAge =
-    RequestQuarantine::kMaxQuarantine + RequestQuarantine::kLaterSuspicion;
+    RequestQuarantine::kLastQuarantine + RequestQuarantine::kSuspicion;
 
 }  // namespace
 
 bool RequestQuarantine::Row::IsSuspected(Time now) const {
-  const Duration duration = quarantines > 0 ? kLaterSuspicion : kSuspicion;
-  return cleared_at < SuspectedSince() && now - SuspectedSince() < duration;
+  const Duration duration = confirmed ? kSuspicion : kUnconfirmedTime;
+  return suspected_at != Time{} && cleared_at < SuspectedSince() &&
+         now - SuspectedSince() < duration;
 }
 
 bool RequestQuarantine::Row::IsBeingTried(Time now) const {
@@ -151,6 +154,7 @@
   if (!row.IsSuspected(now)) {
     row.suspected_at = now;
   } else if (sent >= row.SuspectedSince()) {
+    row.suspected_at = now;
     row.until = now + QuarantineTime(row.quarantines++);
   } else if (was_confirmed) {
     return false;
@@ -204,7 +208,7 @@
   row.confirmed = true;
   row.suspected_at = since;
   if (notice.standing == RequestStanding::kQuarantined)
-    row.until = now + std::min(notice.quarantine_left, kMaxQuarantine);
+    row.until = now + std::min(notice.quarantine_left, kLastQuarantine);
   row.quarantines = std::max(row.quarantines, notice.quarantines);
   if (notice.trial_age)
     row.tried_at = std::max(row.tried_at, now - *notice.trial_age);
@@ -215,20 +219,26 @@
 void RequestQuarantine::RemoveExpired(Time now) {
   std::erase_if(rows_, [now](const auto& row) {
     return now >= row.second.until && !row.second.IsSuspected(now) &&
-           now - row.second.changed_at >= kSuspicion;
+           now - row.second.changed_at >= kRecent;
   });
 }
 
 bool RequestQuarantine::HasNotice(const Row& row, Time now) {
   // NOTE A request that was cleared may still be suspected elsewhere.
   return row.confirmed && (StandingOf(row, now) != RequestStanding::kClear ||
-                           now - row.changed_at < kSuspicion);
+                           now - row.changed_at < kRecent);
 }
 
-bool RequestQuarantine::HasNotices(Time now) const {
-  return std::any_of(rows_.begin(), rows_.end(), [now](const auto& row) {
-    return HasNotice(row.second, now);
-  });
+NoticeState RequestQuarantine::StateOfNotices(Time now) const {
+  NoticeState state = NoticeState::kNone;
+  for (const auto& [digest, row] : rows_) {
+    if (!HasNotice(row, now))
+      continue;
+    if (now - row.changed_at < kRecent)
+      return NoticeState::kRecent;
+    state = NoticeState::kOld;
+  }
+  return state;
 }
 
 QuarantineNotice RequestQuarantine::NoticeOf(const std::string& digest,
--- a/src/dispatch/internal/request_quarantine.h
+++ b/src/dispatch/internal/request_quarantine.h
@@ -13,6 +13,8 @@
 
 namespace limpetrudder::detail {
 
+enum class NoticeState { kNone, kOld, kRecent };
+
 // Remembers requests under which servers crashed, by their digests, and decides
 // which of them are quarantined. A crash makes a request suspected, whether it
 // caused the crash or was only in flight at the server. A suspected request is
@@ -32,15 +34,22 @@
   static constexpr std::size_t kMaxNotices = 32;
 
   // The first quarantine is short, since the trial's server may have crashed
-  // under another request: many crash at about the same time then. The time of
-  // the second one is doubled with each further one.
+  // under another request: many crash at about the same time then. A request
+  // that has crashed the servers of two trials gets hardly another one.
   static constexpr Duration kFirstQuarantine = Seconds(5);
   static constexpr Duration kSecondQuarantine = Seconds(600);
-  static constexpr Duration kMaxQuarantine = Seconds(3600);
+  static constexpr Duration kLastQuarantine = Seconds(12 * 3600);
+
+  // How long a request stays suspected after a crash or a quarantine. Until
+  // then it is tried at one server before it goes to all shards again.
+  static constexpr Duration kSuspicion = Seconds(12 * 3600);
+
+  // How long it is in doubt while no crash is known.
+  static constexpr Duration kUnconfirmedTime = Seconds(60);
 
-  // How long a suspicion lasts: after a crash, and after a quarantine.
-  static constexpr Duration kSuspicion = Seconds(60);
-  static constexpr Duration kLaterSuspicion = Seconds(3600);
+  // How long it is told that a request was cleared; also the time for which
+  // changes are told every second.
+  static constexpr Duration kRecent = Seconds(60);
 
   // A trial without a result keeps others from being made for this long.
   static constexpr Duration kTrialClaim = Seconds(3);
@@ -97,13 +106,15 @@
   void RemoveExpired(Time now);
 
   bool empty() const { return rows_.empty(); }
-  bool HasNotices(Time now) const;
+  // Whether other instances have to know anything, and whether that changed
+  // lately.
+  NoticeState StateOfNotices(Time now) const;
 
  private:
   struct Row {
     // A crash was seen; otherwise servers only broke off.
     bool confirmed = false;
-    Time suspected_at{};
+    Time suspected_at{};       // Time{}: never.
     Time until = Time::min();  // End of the quarantine.
     std::uint32_t quarantines = 0;
     Time tried_at = Time::min();    // The latest trial of any instance.
