An instance without servers goes on asking those that may serve its callers

Cause (one of two, the other one follows): three refusals by instances that reach too few servers themselves made all calls of the route be refused for half a second, also where an instance that hadn't refused was back, or silent for a tenth of a second only. An instance that still has a few connections said it was alive and took batches that it couldn't serve, which failed searches at the instances that could. Frozen ones that are back were pinged after 0.5 to 4 s.

Change: a refusal concerns the instance that refused, for 0.5 s, doubled up to 2 s; a silent instance is the last resort; batches of which most shards are down here are refused before anything is sent; while calls find no substitute those that are down are pinged each 0.1 s.

A session's frozen instance gets what was sent to it when it runs again, as real ones do.

--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -81,7 +81,6 @@
   profiles_.RetainOnly(*routes_);
   split_.RetainOnly(*routes_);
   admission_.RetainOnly(*routes_);
-  substitutes_paused_.clear();
   Tick(now);
 }
 
@@ -214,8 +213,7 @@
                   StandingOf(active->call, now) == RequestStanding::kSuspected;
   if (active->trial && !AssignTrial(active, now))
     return RefuseUntried(active->call);
-  // NOTE A batch is answered with the parts that there are.
-  if (active->call.forwarded && !active->is_partial() && LacksServers(*active))
+  if (active->call.forwarded && LacksServers(*active))
     return Refuse(active->call, http_status::kUnavailable,
                   ResultCode::kServersUnreachable, std::nullopt);
   calls_[active->call.id] = std::move(owned);
@@ -294,6 +292,7 @@
   SendProbes(now);
   PingDownCoordinators(now);
   Time next = kNever;
+  PingSubstitutes(now, &next);
   MonitorCoordinators(now, &next);
   CheckServerContact(now, &next);
   ProbeForCrashes(now, &next);
--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -396,6 +396,8 @@
   void SendProbes(Time now);
   void ProbeServer(const ServerLoad& server);
   void PingDownCoordinators(Time now);
+  // Pings instances that are down while calls need one of them.
+  void PingSubstitutes(Time now, Time* next);
   void ReportServerState(const ServerLoad& server, ResultCode reason, Time now);
 
   const DispatchSettings settings_;
@@ -419,9 +421,8 @@
   std::map<std::string, std::int64_t> probed_servers_;
   std::set<std::string> backing_off_servers_;
   detail::ServerContact contact_;
-  // By route: until then its calls aren't forwarded for want of servers, since
-  // other instances reach too few of them as well.
-  std::map<std::string, Time> substitutes_paused_;
+  Time substitute_wanted_until_{};
+  Time next_substitute_ping_{};
   std::deque<LeavingNotice> leaving_notices_;
   detail::RequestQuarantine quarantine_;
   detail::TrialOwners trial_owners_;
--- a/src/dispatch/dispatch_engine_forwarding.cc
+++ b/src/dispatch/dispatch_engine_forwarding.cc
@@ -34,12 +34,17 @@
 
 // A call for which this instance reaches too few servers is refused once this
 // many other instances, in different data centres if possible, have refused it
-// for the same reason. The servers themselves are down then, so further calls
-// of its route are refused at once for kSubstitutePause.
+// for the same reason.
 constexpr std::size_t kMaxUnreachable = 3;
-constexpr Duration kSubstitutePause = Millis(500);
+constexpr Duration kUnreachableRetryAfter = Millis(500);
 
-// The callers of these come back spread over this fraction of the pause.
+// While calls find no instance to serve them, those that are down are pinged at
+// this interval, a few at a time, since one that was frozen may be back.
+constexpr Duration kSubstitutePingInterval = Millis(100);
+constexpr Duration kSubstituteWantedTime = Seconds(1);
+constexpr std::size_t kMaxSubstitutePings = 8;
+
+// The callers of these come back spread over this fraction of the time.
 constexpr double kRetrySpread = 0.5;
 
 // Whether the coordinator refused the call before it reached any server, for
@@ -70,6 +75,13 @@
   const auto all_down = [&](const std::string& service) {
     return detail::AreAllDown(*servers_.Group(service), call.region_filter);
   };
+  if (call.is_partial()) {
+    // NOTE A batch is answered with the parts that there are, unless this
+    // instance is the likely reason for those that there aren't.
+    const auto& shards = call.call.only_shards;
+    const auto down = std::count_if(shards.begin(), shards.end(), all_down);
+    return 2 * static_cast<std::size_t>(down) > shards.size();
+  }
   if (route.is_scatter()) {
     const auto down =
         std::count_if(route.shards.begin(), route.shards.end(), all_down);
@@ -92,13 +104,13 @@
                                   : nullptr;
   }
   if (!call->unreachable_from.empty() || LacksServers(*call)) {
-    const auto paused = substitutes_paused_.find(route.name);
-    if (call->unreachable_from.size() >= kMaxUnreachable ||
-        (paused != substitutes_paused_.end() && now < paused->second)) {
+    if (call->unreachable_from.size() >= kMaxUnreachable)
       return nullptr;
-    }
-    return coordinators_.ChooseSubstitute(call->region_filter,
-                                          call->unreachable_from, now);
+    auto substitute = coordinators_.ChooseSubstitute(
+        call->region_filter, call->unreachable_from, now);
+    if (!substitute)
+      substitute_wanted_until_ = now + kSubstituteWantedTime;
+    return substitute;
   }
   if (!route.is_scatter())
     return nullptr;
@@ -281,8 +293,11 @@
     OnLeaving(leaving, now);
   if (reply->outcome == AttemptOutcome::kAnswered) {
     coordinator.OnAlive(now);
-    if (reply->servers_unreachable && coordinator.OnUnreachable(now))
-      ReportServerState(coordinator, ResultCode::kServersUnreachable, now);
+    if (reply->servers_unreachable) {
+      coordinators_.OnServersUnreachable(coordinator.entry().id, now);
+      if (coordinator.OnUnreachable(now))
+        ReportServerState(coordinator, ResultCode::kServersUnreachable, now);
+    }
   } else if (reply->outcome == AttemptOutcome::kNotSent) {
     if (coordinator.OnUnreachable(now))
       ReportServerState(coordinator, ResultCode::kPeerUnreachable, now);
@@ -308,7 +323,6 @@
   call->unreachable_from.push_back(instance.entry().data_centre);
   if (TryForward(call, now))
     return ScheduleWakeup(call, now);
-  substitutes_paused_[call->route->name] = now + kSubstitutePause;
   RefuseUnreachable(call, now);
 }
 
@@ -316,7 +330,7 @@
   CallReply reply;
   reply.status = http_status::kUnavailable;
   reply.retry_after =
-      Scaled(kSubstitutePause, 1 + kRetrySpread * random_.Unit());
+      Scaled(kUnreachableRetryAfter, 1 + kRetrySpread * random_.Unit());
   call->record.code = ResultCode::kServersUnreachable;
   Finish(call, std::move(reply), now);
 }
@@ -472,6 +486,24 @@
   down_coordinators_.erase(name);
 }
 
+void DispatchEngine::PingSubstitutes(Time now, Time* next) {
+  if (now >= substitute_wanted_until_ || down_coordinators_.empty())
+    return;
+  if (now >= next_substitute_ping_) {
+    next_substitute_ping_ = now + kSubstitutePingInterval;
+    std::vector<std::string> names(down_coordinators_.begin(),
+                                   down_coordinators_.end());
+    const std::size_t first = random_.Below(names.size());
+    const std::size_t count = std::min(names.size(), kMaxSubstitutePings);
+    for (std::size_t i = 0; i < count; ++i) {
+      const std::string& name = names[(first + i) % names.size()];
+      if (const auto coordinator = coordinators_.Find(name))
+        actions_.emplace_back(PingInstance{name, coordinator->entry().address});
+    }
+  }
+  *next = std::min(*next, next_substitute_ping_);
+}
+
 void DispatchEngine::PingDownCoordinators(Time now) {
   for (auto name = down_coordinators_.begin();
        name != down_coordinators_.end();) {
--- a/src/dispatch/internal/coordinator_set.cc
+++ b/src/dispatch/internal/coordinator_set.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace limpetrudder::detail {
@@ -57,6 +58,11 @@
 // no other one has been heard lately.
 constexpr int kMinDownInstances = 2;
 
+// An instance that reaches too few servers isn't asked again for a time that
+// doubles while it still doesn't.
+constexpr Duration kMinLacksServersTime = Millis(500);
+constexpr Duration kMaxLacksServersTime = Seconds(2);
+
 // The interval between pings to a silent data centre doubles with each.
 constexpr Duration kMinTrialInterval = Millis(300);
 constexpr Duration kMaxTrialInterval = Millis(2400);
@@ -222,14 +228,19 @@
     const std::vector<std::string>& avoided,
     Time now) {
   const std::set<std::string> silent = SilentDataCentres(now);
-  std::pair<bool, double> min_cost{true, std::numeric_limits<double>::max()};
+  std::tuple min_cost{true, true, std::numeric_limits<double>::max()};
   std::shared_ptr<ServerLoad> best;
   for (const auto& [name, coordinator] : coordinators_) {
     const std::string& data_centre = coordinator.instance.data_centre;
-    if (!IsAvailable(*coordinator.load, now) || !filter.Allows(data_centre) ||
-        silent.count(data_centre) > 0) {
+    if (!coordinator.load->usable() ||
+        coordinator.load->in_flight() >= kMaxInFlight ||
+        !filter.Allows(data_centre) || silent.count(data_centre) > 0 ||
+        now < coordinator.lacks_servers_until) {
       continue;
     }
+    // NOTE An instance that is silent may be busy only; it is given up soon if
+    // it isn't.
+    const bool is_silent = !IsAvailable(*coordinator.load, now);
     const bool is_avoided =
         std::find(avoided.begin(), avoided.end(), data_centre) != avoided.end();
     const double calls = 1 + coordinator.load->in_flight();
@@ -238,7 +249,7 @@
          calls * kHopCoreMillis / coordinator.instance.cores) *
         (1 + kJitter * random_->Unit()) *
         (1 + coordinator.load->FailureRatio(now));
-    const std::pair cost{is_avoided, millis};
+    const std::tuple cost{is_silent, is_avoided, millis};
     if (cost < min_cost) {
       min_cost = cost;
       best = coordinator.load;
@@ -247,6 +258,20 @@
   return best;
 }
 
+void CoordinatorSet::OnServersUnreachable(const std::string& name, Time now) {
+  const auto found = coordinators_.find(name);
+  if (found == coordinators_.end())
+    return;
+  Coordinator& coordinator = found->second;
+  const bool is_first =
+      now - coordinator.lacks_servers_until > kMaxLacksServersTime;
+  coordinator.lacks_servers_for =
+      is_first
+          ? kMinLacksServersTime
+          : std::min(2 * coordinator.lacks_servers_for, kMaxLacksServersTime);
+  coordinator.lacks_servers_until = now + coordinator.lacks_servers_for;
+}
+
 bool CoordinatorSet::WasHeardLately(const ServerLoad& load, Time now) {
   return now - load.last_response() <= kHeardLately;
 }
--- a/src/dispatch/internal/coordinator_set.h
+++ b/src/dispatch/internal/coordinator_set.h
@@ -69,6 +69,10 @@
       const std::vector<std::string>& avoided,
       Time now);
 
+  // The instance refused a call since it reaches too few servers itself. It is
+  // no substitute for a while, though it is alive.
+  void OnServersUnreachable(const std::string& name, Time now);
+
   // Whether the coordinator has responded to anything lately. Any other one may
   // be gone.
   static bool WasHeardLately(const ServerLoad& load, Time now);
@@ -105,6 +109,8 @@
     std::shared_ptr<ServerLoad> load;
     bool ping_pending = false;
     Time pinged_at{};
+    Time lacks_servers_until{};
+    Duration lacks_servers_for{0};
   };
 
   // The share of a route's shards whose nearest usable server is in another
--- a/src/dispatch/tests/cut_from_servers_test.cc
+++ b/src/dispatch/tests/cut_from_servers_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <set>
 #include <string>
 #include <vector>
@@ -91,6 +92,43 @@
   }
 }
 
+TEST_CASE("The only instances that reach all servers were frozen") {
+  FleetSession session(FleetSession::SmallFleet(18));
+  const std::set<std::size_t> cut = {0, 1, 3, 4, 6, 7};
+  const auto run = [&session, &cut](Duration duration) {
+    std::vector<CallId> calls[2];
+    const Time end = session.now() + duration;
+    for (std::size_t next = 0; session.now() < end; ++next) {
+      calls[cut.count(next % 8)].push_back(session.Search(next % 8));
+      session.Run(Millis(8));
+    }
+    session.Run(Seconds(3));
+    const auto share = [&session](const std::vector<CallId>& all) {
+      const auto served =
+          std::count_if(all.begin(), all.end(), [&session](CallId call) {
+            return session.answer(call).reply.status == 200;
+          });
+      return static_cast<double>(served) / static_cast<double>(all.size());
+    };
+    return Served{share(calls[1]), share(calls[0])};
+  };
+  run(Seconds(2));
+  for (const std::size_t instance : cut)
+    session.CutFromServers(instance, ServerCut::kRefuseMost);
+  run(Seconds(1));
+  session.Freeze(2);
+  session.Freeze(5);
+  for (std::size_t i = 0; i < 375; ++i) {
+    session.Search(i % 8);
+    session.Run(Millis(8));
+  }
+  session.Thaw(2);
+  session.Thaw(5);
+  const Served served = run(Seconds(2));
+  CHECK(served.others >= 0.95);
+  CHECK(served.cut >= 1 - kMaxFailed);
+}
+
 TEST_CASE("Instances that are cut off blame no request for it") {
   for (const ServerCut kind : kCuts) {
     CAPTURE(static_cast<int>(kind));
--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -239,8 +239,14 @@
   CallRequest call;
   call.id = id;
   call.message = std::move(message);
-  engines_[instance]->OnCall(std::move(call), now_);
-  RunEngine(instance);
+  const auto deliver = [this, instance, call = std::move(call)] {
+    engines_[instance]->OnCall(call, now_);
+    RunEngine(instance);
+  };
+  if (frozen_.count(instance) > 0)
+    held_events_[instance].emplace_back(deliver);
+  else
+    deliver();
   return id;
 }
 
@@ -377,6 +383,25 @@
   events_.emplace(time, std::move(event));
 }
 
+void FleetSession::AtInstance(Time time,
+                              std::size_t instance,
+                              std::function<void()> event) {
+  At(time, [this, instance, event = std::move(event)] {
+    if (frozen_.count(instance) > 0)
+      held_events_[instance].push_back(event);
+    else
+      event();
+  });
+}
+
+void FleetSession::Thaw(std::size_t instance) {
+  if (frozen_.erase(instance) == 0)
+    return;
+  for (const auto& event : std::exchange(held_events_[instance], {}))
+    event();
+  RunEngine(instance);
+}
+
 void FleetSession::Run(Duration duration) {
   const Time end = now_ + duration;
   while (true) {
@@ -483,18 +508,18 @@
   };
   if (is_lost())
     return;
-  At(now_ + delay(), [this, instance, other, delay, is_lost, exchange] {
-    if (frozen_.count(other) > 0)
-      return;
+  const Time arrival = now_ + delay();
+  AtInstance(arrival, other, [this, instance, other, delay, is_lost, exchange] {
     engines_[other]->OnQuarantineNotices(exchange.notices, now_);
     RunEngine(other);
     if (is_lost())
       return;
-    At(now_ + delay(),
-       [this, instance, notices = engines_[other]->QuarantineNotices(now_)] {
-         engines_[instance]->OnQuarantineNotices(notices, now_);
-         RunEngine(instance);
-       });
+    AtInstance(
+        now_ + delay(), instance,
+        [this, instance, notices = engines_[other]->QuarantineNotices(now_)] {
+          engines_[instance]->OnQuarantineNotices(notices, now_);
+          RunEngine(instance);
+        });
   });
 }
 
@@ -518,6 +543,13 @@
   cuts_[instance] = cut;
   if (cut == ServerCut::kRefuseNew)
     return;
+  if (cut == ServerCut::kRefuseMost) {
+    std::size_t next = 0;
+    std::erase_if(connections_, [&](const auto& connection) {
+      return connection.first.first == instance && next++ % 4 > 0;
+    });
+    return;
+  }
   std::erase_if(connections_, [instance](const auto& connection) {
     return connection.first.first == instance;
   });
@@ -558,7 +590,10 @@
   const SessionServer& server = servers_.at(request.server);
   const bool opens = OpensConnection(instance, request);
   const auto cut = cuts_.find(instance);
-  if (cut != cuts_.end() && (opens || cut->second != ServerCut::kRefuseNew)) {
+  const bool keeps_open =
+      cut != cuts_.end() && (cut->second == ServerCut::kRefuseNew ||
+                             cut->second == ServerCut::kRefuseMost);
+  if (cut != cuts_.end() && (opens || !keeps_open)) {
     if (cut->second == ServerCut::kHang)
       return;
     constexpr Duration kConnectTimeout = Millis(400);
@@ -673,13 +708,14 @@
 void FleetSession::Reply(std::size_t instance,
                          TargetReply reply,
                          Duration network_time) {
-  At(now_ + network_time, [this, instance, process = restarts_[instance],
-                           reply = std::move(reply)]() mutable {
-    if (frozen_.count(instance) > 0 || restarts_[instance] != process)
-      return;
-    engines_[instance]->OnReply(std::move(reply), now_);
-    RunEngine(instance);
-  });
+  AtInstance(now_ + network_time, instance,
+             [this, instance, process = restarts_[instance],
+              reply = std::move(reply)] {
+               if (restarts_[instance] != process)
+                 return;
+               engines_[instance]->OnReply(reply, now_);
+               RunEngine(instance);
+             });
 }
 
 void FleetSession::Forward(std::size_t instance, const ForwardCall& forward) {
@@ -688,9 +724,7 @@
   forwarded_to_.insert(options_.instances[other]);
   const Duration network_time =
       NetworkTime(options_.instances[instance], options_.instances[other]);
-  At(now_ + network_time, [this, instance, other, forward] {
-    if (frozen_.count(other) > 0)
-      return;
+  AtInstance(now_ + network_time, other, [this, instance, other, forward] {
     const CallId id = next_call_++;
     calls_[id] = {other, instance, forward.attempt, true, {}, now_};
     forwarded_[{instance, forward.attempt}] = id;
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -63,6 +63,7 @@
   kHang,            // Nothing is delivered, and no connection times out.
   kRefuse,          // Open connections are reset, new ones refused.
   kRefuseNew,       // Open connections live on, new ones are refused.
+  kRefuseMost,      // Likewise, but they are open to a quarter of the servers.
   kReset,           // All connections are reset, new ones once they are open.
 };
 
@@ -196,9 +197,10 @@
   void Restrict(std::uint64_t version, AllowedRegions allowed_regions);
   // Puts routes into force at all instances.
   void Announce(const std::shared_ptr<const RouteTable>& routes);
-  // Stops an instance: it no longer answers anything, pings included.
+  // Stops an instance: it no longer answers anything, pings included. What is
+  // sent to it meanwhile arrives when it runs again.
   void Freeze(std::size_t instance) { frozen_.insert(instance); }
-  void Thaw(std::size_t instance) { frozen_.erase(instance); }
+  void Thaw(std::size_t instance);
   // Separates an instance from all servers, not from callers and instances.
   void CutFromServers(std::size_t instance,
                       ServerCut cut = ServerCut::kConnectTimeout);
@@ -241,6 +243,8 @@
   };
 
   void At(Time time, std::function<void()> event);
+  // Likewise, for an event at an instance.
+  void AtInstance(Time time, std::size_t instance, std::function<void()> event);
   void RunEngine(std::size_t instance);
   void Execute(std::size_t instance, DispatchAction action);
   void Deliver(std::size_t instance, const SendToServer& attempt);
@@ -284,6 +288,7 @@
   std::map<CallId, SessionAnswer> answers_;
   std::vector<CallerOutcome> callers_;
   std::set<std::size_t> frozen_;
+  std::map<std::size_t, std::vector<std::function<void()>>> held_events_;
   std::map<std::size_t, ServerCut> cuts_;
   // Open connections of each instance to each server.
   std::map<std::pair<std::size_t, std::string>, int> connections_;
