A server that refuses a connection isn't down while requests run on others

Cause: one refused connection marked its server as down, also while other requests ran there, so that the connections that were left weren't used any more.

Change: with requests in flight, an answer within 0.5 s and no connection broken since, a refused connection limits the connections, as a rejected one does; otherwise the server is down.

--- a/src/dispatch/dispatch_engine_servers.cc
+++ b/src/dispatch/dispatch_engine_servers.cc
@@ -219,7 +219,7 @@
     }
     case ReplyClass::kRejected:
       if (reply.outcome == AttemptOutcome::kNotSent) {
-        if (server.OnUnreachable(now))
+        if (server.OnConnectionFailed(now))
           ReportServerState(server, ResultCode::kConnectFailed, now);
         OnPossibleRestart(attempt, now);
       } else if (reply.misdirected) {
@@ -233,6 +233,8 @@
     case ReplyClass::kLost:
       if (reply.outcome == AttemptOutcome::kConnectionRejected)
         server.OnConnectionRejected(now);
+      else if (reply.outcome == AttemptOutcome::kBroken)
+        server.OnConnectionBroken(now);
       else
         server.OnFailed(now);
       if (reply.outcome == AttemptOutcome::kBroken)
--- a/src/dispatch/internal/server_load.cc
+++ b/src/dispatch/internal/server_load.cc
@@ -28,6 +28,10 @@
 constexpr double kHighRatio = 2;
 constexpr Duration kPauseMergeTime = Millis(50);
 
+// A server with requests in flight that has responded within this time keeps
+// their connections open, though it may refuse new ones.
+constexpr Duration kConnectionsOpenTime = Millis(500);
+
 constexpr std::uint32_t kUnansweredBeforeDown = 2;
 constexpr Duration kMinProbeInterval = Millis(500);
 constexpr Duration kMaxProbeInterval = Seconds(4);
@@ -134,6 +138,7 @@
   consecutive_unanswered_ = 0;
   consecutive_downs_ = 0;
   consecutive_rejected_connections_ = 0;
+  connection_broken_ = false;
   slowness_.Add(ratio, now);
   rejects_.Add(0, now);
   failures_.Add(0, now);
@@ -157,6 +162,11 @@
   failures_.Add(1, now);
 }
 
+void ServerLoad::OnConnectionBroken(Time now) {
+  OnFailed(now);
+  connection_broken_ = true;
+}
+
 bool ServerLoad::OnUnanswered(double ratio, Duration elapsed, Time now) {
   if (ratio > slowness_.Value(now))
     slowness_.Add(ratio, now);
@@ -195,6 +205,15 @@
   return std::min(share, connection_limit_ + growth);
 }
 
+bool ServerLoad::OnConnectionFailed(Time now) {
+  const bool keeps_open = in_flight_ > 0 && !connection_broken_ &&
+                          now - last_response_ <= kConnectionsOpenTime;
+  if (!keeps_open)
+    return OnUnreachable(now);
+  OnConnectionRejected(now);
+  return false;
+}
+
 bool ServerLoad::OnUnreachable(Time now) {
   if (down_)
     return false;
--- a/src/dispatch/internal/server_load.h
+++ b/src/dispatch/internal/server_load.h
@@ -83,13 +83,17 @@
   void OnLoad(const LoadReport& report, Time now);
   void OnRejected(Time now);
   void OnFailed(Time now);
+  // A connection with a request on it was closed by the server.
+  void OnConnectionBroken(Time now);
 
   // A request was given up after `elapsed` without an answer; `ratio` is
   // `elapsed` relative to the usual latency. Returns whether this marked the
   // server as down.
   bool OnUnanswered(double ratio, Duration elapsed, Time now);
-  // No connection could be opened. Returns whether this marked the server as
-  // down.
+  // No connection to it could be opened. Returns whether this marked the server
+  // as down; it isn't while requests run on connections that it keeps open.
+  bool OnConnectionFailed(Time now);
+  // It can't be reached. Returns whether this marked it as down.
   bool OnUnreachable(Time now);
 
   // The server reset a connection that had just been opened. This happens in
@@ -162,6 +166,7 @@
   Time last_response_{};
   Time silent_since_{};
   Time next_probe_ = kNever;
+  bool connection_broken_ = false;      // Since the last answer.
   std::uint32_t connection_limit_ = 0;  // 0: the whole share.
   std::uint32_t consecutive_rejected_connections_ = 0;
   Time connection_rejected_at_{};
--- a/src/dispatch/tests/cut_from_servers_test.cc
+++ b/src/dispatch/tests/cut_from_servers_test.cc
@@ -163,6 +163,22 @@
   }
 }
 
+TEST_CASE("No instance can open connections, and those that are open live on") {
+  FleetSession::Options options = FleetSession::SmallFleet(18);
+  FleetSession session(options);
+  session.RunLoad(120, Seconds(3));
+  for (std::size_t instance = 0; instance < 8; ++instance)
+    session.CutFromServers(instance, ServerCut::kRefuseNew);
+  session.RunCallers(120, Seconds(10));
+  session.Run(Seconds(3));
+  const auto& callers = session.callers();
+  const auto served = std::count_if(
+      callers.begin(), callers.end(),
+      [](const CallerOutcome& caller) { return caller.status == 200; });
+  CHECK(static_cast<double>(served) >=
+        (1 - kMaxFailed) * static_cast<double>(callers.size()));
+}
+
 TEST_CASE("No instance reaches a server") {
   FleetSession session(FleetSession::SmallFleet(18));
   for (std::size_t instance = 0; instance < 8; ++instance)
--- a/src/dispatch/tests/server_load_test.cc
+++ b/src/dispatch/tests/server_load_test.cc
@@ -116,6 +116,27 @@
       CHECK(server.ConnectionLimit(4, At(800)) == 0);
     }
   }
+  SUBCASE("a connection that can't be opened") {
+    server.OnSent(At(0));
+    server.OnAnswer(1, At(10));
+
+    SUBCASE("limits new ones while a request runs on an open one") {
+      CHECK_FALSE(server.OnConnectionFailed(At(20)));
+      CHECK_FALSE(server.down());
+      CHECK(server.ConnectionLimit(4, At(30)) <= 1);
+    }
+    SUBCASE("means that the server is down if no request runs") {
+      server.OnRequestEnded();
+      CHECK(server.OnConnectionFailed(At(20)));
+    }
+    SUBCASE("means that it is down if an open one broke off") {
+      server.OnConnectionBroken(At(15));
+      CHECK(server.OnConnectionFailed(At(20)));
+    }
+    SUBCASE("means that it is down if nothing was heard lately") {
+      CHECK(server.OnConnectionFailed(At(900)));
+    }
+  }
   SUBCASE("a new process under the same id resets the slowness") {
     for (std::int64_t i = 0; i < 3; ++i)
       server.OnAnswer(6, At(i * 100));
