Entries of servers whose address isn't IP:PORT are refused

An address such as 10.1.2.3:65536 was taken: the port was cut to 16 bits, so that requests went to port 0 or another server's port, which answers 421. The pool doesn't cut a port to 16 bits any more either.

--- a/src/net/target_pool.cc
+++ b/src/net/target_pool.cc
@@ -11,6 +11,7 @@
 
 #include "framework/clock.h"
 #include "framework/logger.h"
+#include "framework/read_number.h"
 #include "framework/result_code.h"
 #include "net/http_text.h"
 #include "net/internal/response_reader.h"
@@ -53,8 +54,10 @@
     return {};
   }
   const auto ip = asio::ip::make_address(address.substr(0, colon), *error);
-  const int port = std::atoi(address.c_str() + colon + 1);
-  return {ip, static_cast<std::uint16_t>(port)};
+  std::uint16_t port = 0;
+  if (!ReadNumber(std::string_view(address).substr(colon + 1), &port))
+    *error = asio::error::invalid_argument;
+  return {ip, port};
 }
 
 }  // namespace
