--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -224,7 +224,7 @@
 
 void DispatchEngine::StartLocally(ActiveCall* call, Time now) {
   if (!call->trial_owner.empty())
-    return RefuseSuspected(call, now);
+    return EndUntried(call, /*may_have_run=*/false, now);
   if (contact_.lost())
     return RefuseUnreachable(call, now);
   if (call->route->is_scatter() && !call->is_partial() &&
--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -186,10 +186,9 @@
   // Whether `instance`, another one, can try the call's request.
   bool MayOwnTrial(const ActiveCall& call, const std::string& instance) const;
   void RefuseUntried(const CallRequest& call);
-  void RefuseSuspected(ActiveCall* call, Time now);
-  // The instance that was to try the call's request was lost, so that it may
-  // have run.
-  void GiveUpLostTrial(ActiveCall* call, Time now);
+  // Ends a call whose request can't be tried now. `may_have_run`: the instance
+  // that was to try it was lost.
+  void EndUntried(ActiveCall* call, bool may_have_run, Time now);
   // Claims the trial of the call's request, at all instances. Returns false if
   // it may not be tried.
   bool ClaimTrial(ActiveCall* call, Time now);
@@ -388,6 +387,12 @@
   CallReply ComposeAnswer(ActiveCall* call) const;
   CallReply ComposeFailure(ActiveCall* call, Time now);
   void Finish(ActiveCall* call, CallReply reply, Time now);
+  // Finishes the call without an answer of servers.
+  void EndWithout(ActiveCall* call,
+                  int status,
+                  ResultCode code,
+                  Duration retry_after,
+                  Time now);
   void ReleaseCall(ActiveCall* call, Time now, bool cancel_now);
   // Detaches an attempt from its call. It goes on for a while unless
   // `cancel_now`, since its answer still shows the state of the server.
--- a/src/dispatch/dispatch_engine_answers.cc
+++ b/src/dispatch/dispatch_engine_answers.cc
@@ -137,6 +137,18 @@
   Finish(call, std::move(reply), now);
 }
 
+void DispatchEngine::EndWithout(ActiveCall* call,
+                                int status,
+                                ResultCode code,
+                                Duration retry_after,
+                                Time now) {
+  CallReply reply;
+  reply.status = status;
+  reply.retry_after = retry_after;
+  call->record.code = code;
+  Finish(call, std::move(reply), now);
+}
+
 void DispatchEngine::Finish(ActiveCall* call, CallReply reply, Time now) {
   if (call->call.forwarded) {
     reply.newer_routes = NewerRoutesFor(call->call);
--- a/src/dispatch/dispatch_engine_forwarding.cc
+++ b/src/dispatch/dispatch_engine_forwarding.cc
@@ -223,13 +223,10 @@
                                        bool repeated,
                                        Time now) {
   call->coordinator_attempt = 0;
-  if (!call->trial_owner.empty()) {
-    if (repeated)
-      return GiveUpLostTrial(call, now);
-    return RefuseSuspected(call, now);
-  }
+  if (!call->trial_owner.empty())
+    return EndUntried(call, /*may_have_run=*/repeated, now);
   if (call->trial && !ClaimTrial(call, now))
-    return RefuseSuspected(call, now);
+    return EndUntried(call, /*may_have_run=*/false, now);
   StartSubQueries(call, repeated, now);
   Advance(call, now);
 }
@@ -319,7 +316,7 @@
                                           Time now) {
   call->coordinator_attempt = 0;
   if (!call->trial_owner.empty())
-    return RefuseSuspected(call, now);
+    return EndUntried(call, /*may_have_run=*/false, now);
   call->unreachable_from.push_back(instance.entry().data_centre);
   if (TryForward(call, now))
     return ScheduleWakeup(call, now);
@@ -327,12 +324,9 @@
 }
 
 void DispatchEngine::RefuseUnreachable(ActiveCall* call, Time now) {
-  CallReply reply;
-  reply.status = http_status::kUnavailable;
-  reply.retry_after =
-      Scaled(kUnreachableRetryAfter, 1 + kRetrySpread * random_.Unit());
-  call->record.code = ResultCode::kServersUnreachable;
-  Finish(call, std::move(reply), now);
+  EndWithout(call, http_status::kUnavailable, ResultCode::kServersUnreachable,
+             Scaled(kUnreachableRetryAfter, 1 + kRetrySpread * random_.Unit()),
+             now);
 }
 
 void DispatchEngine::OnForwardedCallReply(ActiveCall* call,
--- a/src/dispatch/dispatch_engine_quarantine.cc
+++ b/src/dispatch/dispatch_engine_quarantine.cc
@@ -87,20 +87,14 @@
          kTrialRetryAfter);
 }
 
-void DispatchEngine::RefuseSuspected(ActiveCall* call, Time now) {
-  CallReply reply;
-  reply.status = http_status::kUnavailable;
-  reply.retry_after = kTrialRetryAfter;
-  call->record.code = ResultCode::kRequestSuspected;
-  Finish(call, std::move(reply), now);
-}
-
-void DispatchEngine::GiveUpLostTrial(ActiveCall* call, Time now) {
-  CallReply reply;
-  reply.status = http_status::kBadGateway;
-  reply.retry_after = kTrialRetryAfter;
-  call->record.code = ResultCode::kPeerUnreachable;
-  Finish(call, std::move(reply), now);
+void DispatchEngine::EndUntried(ActiveCall* call, bool may_have_run, Time now) {
+  if (may_have_run) {
+    EndWithout(call, http_status::kBadGateway, ResultCode::kPeerUnreachable,
+               kTrialRetryAfter, now);
+  } else {
+    EndWithout(call, http_status::kUnavailable, ResultCode::kRequestSuspected,
+               kTrialRetryAfter, now);
+  }
 }
 
 bool DispatchEngine::ClaimTrial(ActiveCall* call, Time now) {
--- a/src/dispatch/internal/request_quarantine.h
+++ b/src/dispatch/internal/request_quarantine.h
@@ -35,7 +35,7 @@
 
   // The first quarantine is short, since the trial's server may have crashed
   // under another request: many crash at about the same time then. A request
-  // that has crashed the servers of two trials gets hardly another one.
+  // whose trials have failed twice may reach few more servers at all.
   static constexpr Duration kFirstQuarantine = Seconds(5);
   static constexpr Duration kSecondQuarantine = Seconds(600);
   static constexpr Duration kLastQuarantine = Seconds(12 * 3600);
--- a/src/dispatch/internal/trial_owners.h
+++ b/src/dispatch/internal/trial_owners.h
@@ -10,8 +10,9 @@
 
 namespace limpetrudder::detail {
 
-// Decides which instances may try a suspected request: those with the highest
-// rendezvous scores for it, which each instance computes from the live ones.
+// Decides which instances may try a suspected request: those that come
+// first in a rendezvous hash of it, which each instance computes from the live
+// ones.
 // The others forward it to the first owner, or to the next one if that is lost.
 //
 // A quarantine ends at the same moment everywhere, and a verdict takes a
