--- a/src/dispatch/internal/request_quarantine.h
+++ b/src/dispatch/internal/request_quarantine.h
@@ -38,11 +38,11 @@
   // whose trials have failed twice may reach few more servers at all.
   static constexpr Duration kFirstQuarantine = Seconds(5);
   static constexpr Duration kSecondQuarantine = Seconds(600);
-  static constexpr Duration kLastQuarantine = Seconds(12 * 3600);
+  static constexpr Duration kLastQuarantine = std::chrono::hours(12);
 
   // How long a request stays suspected after a crash or a quarantine. Until
   // then it is tried at one server before it goes to all shards again.
-  static constexpr Duration kSuspicion = Seconds(12 * 3600);
+  static constexpr Duration kSuspicion = std::chrono::hours(12);
 
   // How long it is in doubt while no crash is known.
   static constexpr Duration kUnconfirmedTime = Seconds(60);
