The owner of a trial is chosen once a call

Change: the second choice is made only after an owner was silent, and names aren't copied. The comment on the bound says what it covers.

--- a/src/dispatch/dispatch_engine_forwarding.cc
+++ b/src/dispatch/dispatch_engine_forwarding.cc
@@ -99,10 +99,8 @@
   const Route& route = *call->route;
   if (call->call.forwarded)
     return nullptr;
-  if (call->trial) {
-    return AssignTrial(call, now) ? coordinators_.Find(call->trial_owner)
-                                  : nullptr;
-  }
+  if (call->trial)
+    return coordinators_.Find(call->trial_owner);
   if (!call->unreachable_from.empty() || LacksServers(*call)) {
     if (call->unreachable_from.size() >= kMaxUnreachable)
       return nullptr;
@@ -185,6 +183,8 @@
   ++call->silent_candidates;
   if (candidate->OnUnreachable(now))
     ReportServerState(*candidate, ResultCode::kPeerUnreachable, now);
+  if (call->trial && !AssignTrial(call, now))
+    return EndUntried(call, /*may_have_run=*/false, now);
   if (TryForward(call, now))
     return ScheduleWakeup(call, now);
   StartLocally(call, now);
--- a/src/dispatch/internal/trial_owners.cc
+++ b/src/dispatch/internal/trial_owners.cc
@@ -1,6 +1,7 @@
 #include "dispatch/internal/trial_owners.h"
 
 #include <algorithm>
+#include <string_view>
 
 #include "framework/hash.h"
 
@@ -18,7 +19,7 @@
     const std::string& digest,
     std::uint32_t failed_trials) const {
   const std::uint64_t seed = Hash64(digest);
-  std::vector<std::pair<std::uint64_t, std::string>> scores;
+  std::vector<std::pair<std::uint64_t, std::string_view>> scores;
   scores.reserve(instances_.size());
   for (const std::string& name : instances_)
     scores.emplace_back(Hash64(name, seed), name);
@@ -29,7 +30,7 @@
                     scores.end());
   std::vector<std::string> owners;
   for (std::size_t i = 0; i < count; ++i)
-    owners.push_back(std::move(scores[i].second));
+    owners.emplace_back(scores[i].second);
   return owners;
 }
 
--- a/src/dispatch/internal/trial_owners.h
+++ b/src/dispatch/internal/trial_owners.h
@@ -10,16 +10,15 @@
 
 namespace limpetrudder::detail {
 
-// Decides which instances may try a suspected request: those that come
-// first in a rendezvous hash of it, which each instance computes from the live
-// ones.
-// The others forward it to the first owner, or to the next one if that is lost.
+// Decides which instances may try a suspected request: the first ones in a
+// rendezvous hash of it, which each instance computes from the live ones. The
+// others forward it to the first owner, or to the next one if that is lost.
 //
 // A quarantine ends at the same moment everywhere, and a verdict takes a
 // network time, so instances that each try the request for themselves crash as
-// many servers. Owners know the results of their own trials, so all instances
-// together make as many trials as there are owners at most, even if no claim
-// and no result reaches anybody.
+// many servers. Owners know the results of their own trials, so instances that
+// know of a suspicion make as many trials together as there are owners at most,
+// even if no claim and no result reaches anybody.
 //
 // Not thread safe.
 class TrialOwners {
