One branch for a broken connection, one reading of a trial's age

Cause: RecordReply asked twice in a row for the same outcome, and Apply computed the time of another instance's trial in two places. Behaviour as before.

--- a/src/dispatch/dispatch_engine_servers.cc
+++ b/src/dispatch/dispatch_engine_servers.cc
@@ -231,14 +231,14 @@
       return;
     case ReplyClass::kFailed:
     case ReplyClass::kLost:
-      if (reply.outcome == AttemptOutcome::kConnectionRejected)
+      if (reply.outcome == AttemptOutcome::kConnectionRejected) {
         server.OnConnectionRejected(now);
-      else if (reply.outcome == AttemptOutcome::kBroken)
+      } else if (reply.outcome == AttemptOutcome::kBroken) {
         server.OnConnectionBroken(now);
-      else
-        server.OnFailed(now);
-      if (reply.outcome == AttemptOutcome::kBroken)
         OnPossibleRestart(attempt, now);
+      } else {
+        server.OnFailed(now);
+      }
       return;
   }
 }
--- a/src/dispatch/internal/request_quarantine.cc
+++ b/src/dispatch/internal/request_quarantine.cc
@@ -183,10 +183,10 @@
     return false;
   const Time since = now - notice.age;
   const auto found = rows_.find(notice.digest);
-  if (notice.trial_age && found != rows_.end()) {
-    Time& tried_at = found->second.tried_at;
-    tried_at = std::max(tried_at, now - *notice.trial_age);
-  }
+  const Time tried_at =
+      notice.trial_age ? now - *notice.trial_age : Time::min();
+  if (found != rows_.end())
+    found->second.tried_at = std::max(found->second.tried_at, tried_at);
   const Row known = found == rows_.end() ? Row{} : found->second;
   if (notice.standing == RequestStanding::kClear) {
     if (known.cleared_at >= since || known.suspected_at > since)
@@ -210,8 +210,7 @@
   if (notice.standing == RequestStanding::kQuarantined)
     row.until = now + std::min(notice.quarantine_left, kLastQuarantine);
   row.quarantines = std::max(row.quarantines, notice.quarantines);
-  if (notice.trial_age)
-    row.tried_at = std::max(row.tried_at, now - *notice.trial_age);
+  row.tried_at = std::max(row.tried_at, tried_at);
   row.changed_at = now;
   return true;
 }
