--- a/src/dispatch/tests/cut_from_servers_test.cc
+++ b/src/dispatch/tests/cut_from_servers_test.cc
@@ -17,33 +17,41 @@
   double others = 0;
 };
 
+// Sends requests to one instance after the other for `duration`. `cut` are
+// those that are cut off.
+Served ServeFor(FleetSession* session,
+                const std::set<std::size_t>& cut,
+                const std::string& target,
+                Duration gap,
+                Duration duration) {
+  std::vector<CallId> calls[2];
+  const Time end = session->now() + duration;
+  for (std::size_t next = 0; session->now() < end; ++next) {
+    const std::size_t instance = next % 8;
+    calls[cut.count(instance)].push_back(
+        session->SendRequest(target, instance));
+    session->Run(gap);
+  }
+  session->Run(Seconds(3));
+  const auto share = [session](const std::vector<CallId>& all) {
+    double served = 0;
+    for (const CallId call : all)
+      served += session->answer(call).reply.status == 200 ? 1 : 0;
+    return served / static_cast<double>(all.size());
+  };
+  return {share(calls[1]), share(calls[0])};
+}
+
 Served ServeWhileCut(FleetSession* session,
                      const std::set<std::size_t>& cut,
                      const std::string& target,
                      ServerCut kind = ServerCut::kConnectTimeout) {
-  const auto run = [&](Duration duration) {
-    std::vector<CallId> calls[2];
-    const Time end = session->now() + duration;
-    for (std::size_t next = 0; session->now() < end; ++next) {
-      const std::size_t instance = next % 8;
-      calls[cut.count(instance)].push_back(
-          session->SendRequest(target, instance));
-      session->Run(Millis(15));
-    }
-    session->Run(Seconds(3));
-    const auto share = [session](const std::vector<CallId>& all) {
-      double served = 0;
-      for (const CallId call : all)
-        served += session->answer(call).reply.status == 200 ? 1 : 0;
-      return served / static_cast<double>(all.size());
-    };
-    return Served{share(calls[1]), share(calls[0])};
-  };
+  constexpr Duration kGap = Millis(15);
   for (const std::size_t instance : cut)
     session->CutFromServers(instance, kind);
   // The users' shortest time from which instances have to serve again.
-  run(Seconds(4));
-  return run(Seconds(6));
+  ServeFor(session, cut, target, kGap, Seconds(4));
+  return ServeFor(session, cut, target, kGap, Seconds(6));
 }
 
 // The users' bound of the failures at instances that are cut off.
@@ -95,22 +103,9 @@
 TEST_CASE("The only instances that reach all servers were frozen") {
   FleetSession session(FleetSession::SmallFleet(18));
   const std::set<std::size_t> cut = {0, 1, 3, 4, 6, 7};
+  constexpr Duration kGap = Millis(8);
   const auto run = [&session, &cut](Duration duration) {
-    std::vector<CallId> calls[2];
-    const Time end = session.now() + duration;
-    for (std::size_t next = 0; session.now() < end; ++next) {
-      calls[cut.count(next % 8)].push_back(session.Search(next % 8));
-      session.Run(Millis(8));
-    }
-    session.Run(Seconds(3));
-    const auto share = [&session](const std::vector<CallId>& all) {
-      const auto served =
-          std::count_if(all.begin(), all.end(), [&session](CallId call) {
-            return session.answer(call).reply.status == 200;
-          });
-      return static_cast<double>(served) / static_cast<double>(all.size());
-    };
-    return Served{share(calls[1]), share(calls[0])};
+    return ServeFor(&session, cut, "/all/x", kGap, duration);
   };
   run(Seconds(2));
   for (const std::size_t instance : cut)
@@ -120,7 +115,7 @@
   session.Freeze(5);
   for (std::size_t i = 0; i < 375; ++i) {
     session.Search(i % 8);
-    session.Run(Millis(8));
+    session.Run(kGap);
   }
   session.Thaw(2);
   session.Thaw(5);
@@ -164,8 +159,7 @@
 }
 
 TEST_CASE("No instance can open connections, and those that are open live on") {
-  FleetSession::Options options = FleetSession::SmallFleet(18);
-  FleetSession session(options);
+  FleetSession session(FleetSession::SmallFleet(18));
   session.RunLoad(120, Seconds(3));
   for (std::size_t instance = 0; instance < 8; ++instance)
     session.CutFromServers(instance, ServerCut::kRefuseNew);
