--- a/src/dispatch/tests/cut_from_servers_test.cc
+++ b/src/dispatch/tests/cut_from_servers_test.cc
@@ -104,7 +104,7 @@
   FleetSession session(FleetSession::SmallFleet(18));
   const std::set<std::size_t> cut = {0, 1, 3, 4, 6, 7};
   constexpr Duration kGap = Millis(8);
-  const auto run = [&session, &cut](Duration duration) {
+  const auto run = [&session, &cut, kGap](Duration duration) {
     return ServeFor(&session, cut, "/all/x", kGap, duration);
   };
   run(Seconds(2));
