Hedges are sent for the stragglers of a search, not for all of its parts

Cause: a hedge was due after two high work times, whatever had become of the search's other parts. Change: it is held until half of the parts have an answer, or until a server nearby could just meet the target, so that a data centre whose servers all pause is still bridged; and while queues are forming.

--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -332,6 +332,10 @@
                      const ServerLoad& first,
                      Time now);
   void TryHedge(ActiveCall* call, std::size_t index, Time now);
+  // Whether a hedge of the sub-query would help too little as yet.
+  bool HoldsHedge(const ActiveCall& call,
+                  const SubQuery& sub_query,
+                  Time now) const;
   void Enqueue(ActiveCall* call, std::size_t index, Time now);
   void Dequeue(const ActiveCall& call, std::size_t index);
   void DispatchQueued(detail::ServerGroup* group, Time now);
--- a/src/dispatch/dispatch_engine_sub_queries.cc
+++ b/src/dispatch/dispatch_engine_sub_queries.cc
@@ -21,7 +21,8 @@
 // Attempts for one sub-query, including rejected ones.
 constexpr std::uint32_t kMaxAttempts = 4;
 
-// A hedge is postponed by this if the chosen server is unresponsive as well.
+// A hedge that can't be sent yet, for instance since the chosen server is
+// unresponsive as well, is postponed by this.
 constexpr Duration kHedgeRetry = Millis(15);
 
 // Whether the connection ended before the answer did, as when a server crashes.
@@ -244,6 +245,20 @@
     return;
   inputs.time_to_target = call->answer_by - now;
   sub_query->hedge_at = now + detail::HedgeDelay(inputs);
+  sub_query->hedge_by =
+      now + detail::LatestHedge(inputs.work, inputs.time_to_target);
+}
+
+bool DispatchEngine::HoldsHedge(const ActiveCall& call,
+                                const SubQuery& sub_query,
+                                Time now) const {
+  if (!call.route->is_scatter())
+    return false;
+  // NOTE More requests would only lengthen the queues.
+  if (admission_.AreQueuesForming(*call.route, now))
+    return true;
+  return now < sub_query.hedge_by &&
+         !detail::IsStraggler(call.answered, call.sub_queries.size());
 }
 
 void DispatchEngine::TryHedge(ActiveCall* call, std::size_t index, Time now) {
@@ -256,6 +271,10 @@
   if (sub_query.pending_attempts.size() != 1 ||
       sub_query.runs >= call->route->max_attempts)
     return;
+  if (HoldsHedge(*call, sub_query, now)) {
+    sub_query.hedge_at = now + kHedgeRetry;
+    return;
+  }
   const detail::WorkTimes work = profiles_.TimesOf(*call->route);
   const detail::PlacementRequest request{
       call->route, work, &call->region_filter, &sub_query.tried_servers};
--- a/src/dispatch/internal/active_call.h
+++ b/src/dispatch/internal/active_call.h
@@ -32,6 +32,7 @@
   Duration queued_for{0};  // Before the attempt.
   bool delegated = false;  // To another instance.
   Time hedge_at = kNever;
+  Time hedge_by{};  // The hedge isn't held any longer.
   std::string signature;
   std::string body;
   ResultCode code = ResultCode::kOk;  // Why the last attempt failed.
--- a/src/dispatch/internal/hedge_policy.cc
+++ b/src/dispatch/internal/hedge_policy.cc
@@ -13,6 +13,10 @@
 // servers may be busy.
 constexpr int kQueueReserveDivisor = 2;
 
+// This fraction of a call's sub-queries has an answer before the others are
+// stragglers.
+constexpr std::size_t kStragglerDivisor = 2;
+
 }  // namespace
 
 Duration HedgeDelay(const HedgeInputs& inputs) {
@@ -25,4 +29,12 @@
   return std::clamp(latest, min_delay, max_delay);
 }
 
+Duration LatestHedge(const WorkTimes& work, Duration time_to_target) {
+  return time_to_target - work.high - work.median;
+}
+
+bool IsStraggler(std::size_t answered, std::size_t total) {
+  return answered * kStragglerDivisor >= total;
+}
+
 }  // namespace limpetrudder::detail
--- a/src/dispatch/internal/hedge_policy.h
+++ b/src/dispatch/internal/hedge_policy.h
@@ -1,6 +1,8 @@
 #ifndef DISPATCH_INTERNAL_HEDGE_POLICY_H_
 #define DISPATCH_INTERNAL_HEDGE_POLICY_H_
 
+#include <cstddef>
+
 #include "dispatch/internal/route_profiles.h"
 #include "framework/time.h"
 
@@ -20,6 +22,17 @@
 // target. Applies when servers pause for longer than the target. Thread safe.
 Duration HedgeDelay(const HedgeInputs& inputs);
 
+// Returns how long a hedge may be held at most: a server nearby can still meet
+// the target then, and most servers that crash under a request have done so. It
+// is negative if there is too little time already. Thread safe.
+Duration LatestHedge(const WorkTimes& work, Duration time_to_target);
+
+// Returns whether a sub-query without an answer is behind the others of its
+// call, of which `answered` of `total` have one. If most are still open, the
+// servers aren't the reason: the queues are long, or the request itself slows
+// or crashes the servers that run it. Thread safe.
+bool IsStraggler(std::size_t answered, std::size_t total);
+
 }  // namespace limpetrudder::detail
 
 #endif  // DISPATCH_INTERNAL_HEDGE_POLICY_H_
--- a/src/dispatch/tests/parts_test.cc
+++ b/src/dispatch/tests/parts_test.cc
@@ -109,6 +109,20 @@
   }
 }
 
+TEST_CASE("A sub-query without an answer is hedged") {
+  SUBCASE("as a straggler, once half of its call's sub-queries have one") {
+    CHECK_FALSE(IsStraggler(0, 1));
+    CHECK_FALSE(IsStraggler(9, 20));
+    CHECK(IsStraggler(10, 20));
+    CHECK(IsStraggler(1, 2));
+  }
+  SUBCASE("otherwise as late as a hedge can meet the latency target") {
+    const WorkTimes work{Millis(20), Millis(40)};
+    CHECK(LatestHedge(work, Millis(250)) == Millis(190));
+    CHECK(LatestHedge(work, Millis(50)) < Millis(0));
+  }
+}
+
 class AnswerFixture {
  public:
   AnswerFixture() {
--- a/src/dispatch/tests/search_test.cc
+++ b/src/dispatch/tests/search_test.cc
@@ -114,6 +114,13 @@
     CHECK(answer.reply.missing_parts == 0);
     CHECK(answer.record.took < Millis(185));
   }
+  SUBCASE("is bridged as well if all servers of a data centre pause") {
+    for (std::size_t shard = 0; shard < 20; ++shard)
+      session.server(shard, 0).paused_until = session.now() + Seconds(1);
+    const SessionAnswer& answer = session.SearchNow();
+    CHECK(answer.reply.status == 200);
+    CHECK(answer.record.took < Millis(200));
+  }
   SUBCASE("is avoided by the queries after the first one") {
     session.server(7, 0).paused_until = session.now() + Millis(250);
     session.Search();
