Soak: instances don't inherit its sockets

Cause: posix_spawn passes all open sockets on, so that each instance held those of the soak's servers, proxies and callers. What the soak closed or reset stayed open at instances started later. Change: descriptors from 3 on are closed in the new process.

--- a/testing/soak/entry_process.cc
+++ b/testing/soak/entry_process.cc
@@ -66,6 +66,8 @@
   posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+  // NOTE The soak couldn't close or reset a socket that a process has as well.
+  posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
   const std::string& binary = binaries_[next_binary_++ % binaries_.size()];
   const char* arguments[] = {binary.c_str(), "entry", "--settings",
                              settings.c_str(), nullptr};
