Soak: a request of death comes again while an instance restarts

A search that ends each server that runs it comes twenty times a second to all instances for eight seconds; one instance restarts. Its servers are down for three seconds, then a new process.

--- a/testing/soak/server_stand_in.cc
+++ b/testing/soak/server_stand_in.cc
@@ -16,6 +16,9 @@
 constexpr int kMaxWaiting = 30;
 constexpr int kRecordCount = 8;
 
+// How long a server runs a request of death before it crashes.
+constexpr Duration kCrashDelay = Millis(15);
+
 // The Retry-After of kBackoff, and how many requests of each instance may
 // arrive before a refusal takes effect: the refused one and two that are
 // already on their way.
@@ -107,6 +110,12 @@
     ++counters_->arrivals_during_backoff;
 }
 
+void ServerStandIn::Crash() {
+  auto timer = std::make_shared<asio::steady_timer>(*context_);
+  timer->expires_after(kCrashDelay);
+  timer->async_wait([this, timer](const asio::error_code&) { on_crash_(); });
+}
+
 void ServerStandIn::OnRequest(const ServerRequest& request, Responder respond) {
   ServerResponse response;
   response.content_type = "application/octet-stream";
@@ -139,6 +148,10 @@
     return respond(std::move(response));
   }
   ++counters_->runs[request_id + "@" + service_];
+  if (request.path.ends_with(kDeadlyPath)) {
+    counters_->deadly_arrivals.push_back(SteadyNow());
+    return Crash();
+  }
   response.status = fault_ == ServerFault::kFail ? 500 : 200;
   response.headers.push_back(
       {"Server-Stamp", PartSignature(service_, request_id)});
--- a/testing/soak/server_stand_in.h
+++ b/testing/soak/server_stand_in.h
@@ -2,10 +2,13 @@
 #define TESTING_SOAK_SERVER_STAND_IN_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include <asio.hpp>
 
@@ -34,6 +37,9 @@
     {ServerFault::kBackoff, "backoff"},
 }};
 
+// A request with this last part of its path crashes each server that runs it.
+inline constexpr char kDeadlyPath[] = "deadly";
+
 // Counts the requests that reached all stand-in servers together.
 struct ServerCounters {
   // Executions by "REQUEST_ID@SERVICE".
@@ -45,6 +51,7 @@
   // Arrivals at servers in backoff beyond those that each instance may send
   // before it learns of the backoff.
   std::uint64_t arrivals_during_backoff = 0;
+  std::vector<Time> deadly_arrivals;  // Times of requests of death.
 };
 
 // A small stand-in for one server. Its signature and records are computed from
@@ -69,6 +76,12 @@
   void SetFault(ServerFault fault, int instances);
   void SetDraining(bool draining);
   bool draining() const { return draining_; }
+  // Sets the handler that is called when a request of death crashes the server.
+  void SetCrashHandler(std::function<void()> handler) {
+    on_crash_ = std::move(handler);
+  }
+  // The server is a new process from now on.
+  void Restart() { ++start_time_ms_; }
   // Requests that arrive later than `deadline` while the server drains are
   // counted in arrivals_after_drain.
   void SetDrainDeadline(Time deadline) { drain_deadline_ = deadline; }
@@ -79,6 +92,8 @@
  private:
   void OnRequest(const ServerRequest& request, Responder respond);
   void CountBackoffArrival();
+  // Calls the crash handler a little later.
+  void Crash();
 
   asio::io_context* const context_;
   const std::string id_;
@@ -94,6 +109,7 @@
   int instances_ = 0;
   Time backoff_start_{};
   int backoff_arrivals_ = 0;
+  std::function<void()> on_crash_;
   HttpServer http_;
 };
 
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -56,6 +56,17 @@
 constexpr int kMaxFailedAtCut = 10;
 constexpr int kMaxFailedAtCutDivisor = 50;
 
+// A request of death comes at this interval. Once it has crashed three servers,
+// and kContactTime has passed, it may reach servers three times more. Servers
+// start again after kServerRestartTime. Its first quarantine and the trial
+// after it have ended by the end.
+constexpr Duration kDeadlyInterval = Millis(50);
+constexpr Duration kContactTime = Seconds(4);
+constexpr Duration kServerRestartTime = Seconds(3);
+constexpr Duration kDeadlyTime = Seconds(8);
+constexpr std::size_t kCrashesBeforeBound = 3;
+constexpr int kMaxLateArrivals = 3;
+
 std::vector<std::string> SplitList(std::string_view text) {
   std::vector<std::string> items;
   for (std::size_t at = 0; at < text.size();) {
@@ -93,6 +104,8 @@
         static_cast<std::uint16_t>(port + kServerBehindProxyOffset);
     servers_.push_back(std::make_unique<ServerStandIn>(
         &context_, id, service, server_port, port, &counters_, random_.Next()));
+    servers_.back()->SetCrashHandler(
+        [this, index = servers_.size() - 1] { CrashServer(index); });
     server_proxies_.push_back(
         std::make_unique<TcpProxy>(&context_, port, server_port));
     ++port;
@@ -181,6 +194,7 @@
   last_fault_end_ = SteadyNow();
   RunPhase(kRecoveryTime, /*with_faults=*/false);
   RunServerCut();
+  RunRequestOfDeath();
   RunPhase(kFinalPhase + kRecoveryTime, /*with_faults=*/false);
   RunPhase(kCallerTimeout, /*with_faults=*/false);
   CheckServerCounters();
@@ -210,6 +224,10 @@
       RestartExited();
       next_heartbeat = now + kHeartbeatInterval;
     }
+    if (now >= next_deadly_) {
+      SendRequest(next_deadly_entry_++ % entries_.size(), Kind::kDeadlySearch);
+      next_deadly_ = now + kDeadlyInterval;
+    }
     EndExpiredFaults(now);
     if (servers_cut_ && now >= next_cut_update) {
       UpdateCutConnections();
@@ -236,6 +254,20 @@
   }
 }
 
+std::string Soak::PathOf(Kind kind) {
+  switch (kind) {
+    case Kind::kSearch:
+      return "/search/x";
+    case Kind::kRead:
+      return "/read/x";
+    case Kind::kWrite:
+      return "/write/x";
+    case Kind::kDeadlySearch:
+      return std::string("/search/") + kDeadlyPath;
+  }
+  return "";
+}
+
 void Soak::SendNextRequest() {
   const std::size_t entry = random_.Below(entries_.size());
   const std::uint64_t choice = random_.Below(10);
@@ -265,11 +297,12 @@
   Count& count =
       cut_entries_.count(entry) > 0 ? at_cut_entries_ : at_other_entries_;
   count.sent += pending.during_cut ? 1 : 0;
+  pending.during_deadly = kind != Kind::kDeadlySearch &&
+                          !pending.cancels_early &&
+                          SteadyNow() >= deadly_counts_from_;
+  during_deadly_.sent += pending.during_deadly ? 1 : 0;
   if (kind == Kind::kWrite)
     write_ids_.insert(pending.request_id);
-  const char* path = kind == Kind::kSearch ? "/search/x"
-                     : kind == Kind::kRead ? "/read/x"
-                                           : "/write/x";
   PoolRequest request;
   request.id = id;
   request.server = process.options().name;
@@ -277,7 +310,7 @@
       "127.0.0.1:" + std::to_string(process.options().caller_port);
   request.echo = pending.request_id;
   request.bytes =
-      std::string(kind == Kind::kWrite ? "POST " : "GET ") + path +
+      std::string(kind == Kind::kWrite ? "POST " : "GET ") + PathOf(kind) +
       " HTTP/1.1\r\nHost: " + kHost + "\r\nRequest-Id: " + pending.request_id +
       "\r\nTimeout-Ms: " + std::to_string(WholeMillis(kCallerTimeout)) +
       "\r\n" +
@@ -317,6 +350,7 @@
   Count& count = cut_entries_.count(pending.entry) > 0 ? at_cut_entries_
                                                        : at_other_entries_;
   count.served += pending.during_cut ? 1 : 0;
+  during_deadly_.served += pending.during_deadly ? 1 : 0;
   if (pending.fault_free && !pending.cancels_early)
     ++fault_free_served_;
   if (pending.kind == Kind::kSearch)
@@ -459,6 +493,56 @@
   }
 }
 
+void Soak::RunRequestOfDeath() {
+  const std::size_t restarted = options_.seed % entries_.size();
+  Log("a request of death; " + entries_[restarted]->options().name +
+      " restarts meanwhile");
+  next_deadly_ = SteadyNow();
+  deadly_counts_from_ = SteadyNow() + kContactTime;
+  EndFaultAfter(kDeadlyTime, [] {});
+  RunPhase(kDeadlyTime / 4, /*with_faults=*/false);
+  entries_[restarted]->Signal(SIGTERM);
+  RunPhase(kDeadlyTime - kDeadlyTime / 4, /*with_faults=*/false);
+  next_deadly_ = kNever;
+  deadly_counts_from_ = kNever;
+  RunPhase(kCallerTimeout, /*with_faults=*/false);
+  CheckRequestOfDeath();
+}
+
+void Soak::CrashServer(std::size_t index) {
+  if (!crashed_servers_.insert(index).second)
+    return;
+  crash_times_.push_back(SteadyNow());
+  Log(servers_[index]->id() + " crashes");
+  server_proxies_[index]->Shut();
+  EndFaultAfter(kServerRestartTime, [this, index] {
+    crashed_servers_.erase(index);
+    servers_[index]->Restart();
+    server_proxies_[index]->Open();
+  });
+}
+
+void Soak::CheckRequestOfDeath() {
+  const auto& arrivals = counters_.deadly_arrivals;
+  std::ptrdiff_t late = 0;
+  if (crash_times_.size() >= kCrashesBeforeBound) {
+    const Time since = crash_times_[kCrashesBeforeBound - 1] + kContactTime;
+    late = std::count_if(arrivals.begin(), arrivals.end(),
+                         [since](Time arrival) { return arrival > since; });
+  }
+  const std::string counts =
+      "a request of death reached servers " + std::to_string(arrivals.size()) +
+      " times, " + std::to_string(late) + " of these late; " +
+      std::to_string(during_deadly_.served) + " of " +
+      std::to_string(during_deadly_.sent) + " sound requests served meanwhile";
+  Log(counts);
+  if (late > kMaxLateArrivals || arrivals.empty() ||
+      during_deadly_.served <
+          kMinServedRatio * static_cast<double>(during_deadly_.sent)) {
+    ReportViolation(counts);
+  }
+}
+
 void Soak::CheckServerCounters() {
   for (const auto& [key, runs] : counters_.runs) {
     const std::string request_id = key.substr(0, key.find('@'));
--- a/testing/soak/soak.h
+++ b/testing/soak/soak.h
@@ -51,7 +51,7 @@
   std::vector<std::string> Run();
 
  private:
-  enum class Kind { kSearch, kRead, kWrite };
+  enum class Kind { kSearch, kRead, kWrite, kDeadlySearch };
 
   struct PendingRequest {
     Kind kind = Kind::kSearch;
@@ -63,6 +63,9 @@
     // Sent while some instances have been cut off from the servers for long
     // enough.
     bool during_cut = false;
+    // Sent while a request of death comes again and again, later than
+    // kContactTime after it first came.
+    bool during_deadly = false;
     std::shared_ptr<asio::steady_timer> timer;
   };
 
@@ -83,6 +86,7 @@
   void RunPhase(Duration duration, bool with_faults);
   // Writes the servers' values into the store and checks the instances' memory.
   void Heartbeat();
+  static std::string PathOf(Kind kind);
   void SendNextRequest();
   void SendRequest(std::size_t entry, Kind kind);
   void OnResponse(PoolResponse response);
@@ -98,6 +102,11 @@
   void RunServerCut();
   void CheckServerCut();
   void UpdateCutConnections();
+  // Sends a request of death again and again to all instances, of which one
+  // restarts meanwhile, and checks how often it reaches servers.
+  void RunRequestOfDeath();
+  void CheckRequestOfDeath();
+  void CrashServer(std::size_t index);
   void InjectFault();
   void InjectEntryFault(EntryProcess* entry);
   void InjectServerFault();
@@ -143,6 +152,12 @@
   Time cut_counts_from_ = kNever;
   Count at_cut_entries_;
   Count at_other_entries_;
+  Time next_deadly_ = kNever;  // Time of the next request of death.
+  Time deadly_counts_from_ = kNever;
+  std::size_t next_deadly_entry_ = 0;
+  Count during_deadly_;
+  std::vector<Time> crash_times_;
+  std::set<std::size_t> crashed_servers_;
   int fault_count_ = 0;
 };
 
--- a/testing/soak/tcp_proxy.cc
+++ b/testing/soak/tcp_proxy.cc
@@ -16,9 +16,19 @@
                    std::uint16_t port,
                    std::uint16_t target_port)
     : context_(context),
+      endpoint_(asio::ip::address_v4::loopback(), port),
       target_port_(target_port),
-      acceptor_(*context,
-                Tcp::endpoint(asio::ip::address_v4::loopback(), port)) {
+      acceptor_(*context, endpoint_) {
+  Accept();
+}
+
+void TcpProxy::Shut() {
+  acceptor_.close();
+  ResetAll();
+}
+
+void TcpProxy::Open() {
+  acceptor_ = Tcp::acceptor(*context_, endpoint_);
   Accept();
 }
 
--- a/testing/soak/tcp_proxy.h
+++ b/testing/soak/tcp_proxy.h
@@ -48,6 +48,11 @@
   // Resets all open connections.
   void ResetAll();
 
+  // As if the server's process had ended: resets all open connections, and new
+  // ones are refused until Open().
+  void Shut();
+  void Open();
+
   // Separates the clients that `is_cut` tells by their ports and the proxy's:
   // their new connections get the mode `mode` and, if `cuts_open`, their open
   // ones too.
@@ -86,6 +91,7 @@
   static void Close(const ConnectionPtr& connection, bool reset);
 
   asio::io_context* const context_;
+  const Tcp::endpoint endpoint_;
   const std::uint16_t target_port_;
   Tcp::acceptor acceptor_;
   ProxyMode mode_ = ProxyMode::kPass;
