No cancellation takes the result of a trial

The server crashed later nevertheless, nobody was told, and after three seconds somebody tried the request again. Optional parts that are cut when pacing begins had the same hole in landed code (not seen). Change: OrphanAttempt never cancels the attempt of a trial, whoever asks; a failed search is completed first and released then, as any other call. Conclusion: one rule where attempts are detached instead of one at each caller of it.

--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -393,6 +393,8 @@
   // Finishes a call that can't be answered any more.
   void EndFailed(ActiveCall* call, Time now);
   void Finish(ActiveCall* call, CallReply reply, Time now);
+  // Sends and records the answer. The call must be released afterwards.
+  void Complete(ActiveCall* call, CallReply reply, Time now);
   // Finishes the call without an answer of servers.
   void EndWithout(ActiveCall* call,
                   int status,
@@ -401,7 +403,8 @@
                   Time now);
   void ReleaseCall(ActiveCall* call, Time now, bool cancel_now);
   // Detaches an attempt from its call. It goes on for a while unless
-  // `cancel_now`, since its answer still shows the state of the server.
+  // `cancel_now`, since its answer still shows the state of the server. A trial
+  // always does.
   void OrphanAttempt(AttemptId attempt, bool cancel_now, Time now);
   void AbortOrphanedAttempts(Time now);
   void SendProbes(Time now);
--- a/src/dispatch/dispatch_engine_answers.cc
+++ b/src/dispatch/dispatch_engine_answers.cc
@@ -31,13 +31,11 @@
 }
 
 void DispatchEngine::EndFailed(ActiveCall* call, Time now) {
-  CallReply reply = ComposeFailure(call, now);
+  Complete(call, ComposeFailure(call, now), now);
   // NOTE What it left in the servers' queues would make other searches fail.
-  if (call->route->is_scatter() &&
-      admission_.AreQueuesForming(*call->route, now)) {
-    CancelAttempts(call, now);
-  }
-  Finish(call, std::move(reply), now);
+  ReleaseCall(call, now,
+              /*cancel_now=*/call->route->is_scatter() &&
+                  admission_.AreQueuesForming(*call->route, now));
 }
 
 void DispatchEngine::GiveUp(ActiveCall* call, Time now) {
@@ -160,6 +158,11 @@
 }
 
 void DispatchEngine::Finish(ActiveCall* call, CallReply reply, Time now) {
+  Complete(call, std::move(reply), now);
+  ReleaseCall(call, now, /*cancel_now=*/false);
+}
+
+void DispatchEngine::Complete(ActiveCall* call, CallReply reply, Time now) {
   if (call->call.forwarded) {
     reply.newer_routes = NewerRoutesFor(call->call);
     reply.leaving_servers = RecentLeavingServers(now);
@@ -185,7 +188,6 @@
   }
   actions_.emplace_back(
       CompleteCall{call->call.id, std::move(reply), std::move(record)});
-  ReleaseCall(call, now, /*cancel_now=*/false);
 }
 
 void DispatchEngine::ReleaseCall(ActiveCall* call, Time now, bool cancel_now) {
@@ -199,11 +201,8 @@
   }
   for (std::size_t i = 0; i < call->sub_queries.size(); ++i) {
     Dequeue(*call, i);
-    for (const AttemptId id : call->sub_queries[i].pending_attempts) {
-      // NOTE The result of a trial concerns other callers as well.
-      const bool is_trial = !attempts_.at(id).trial_digest.empty();
-      OrphanAttempt(id, cancel_now && !is_trial, now);
-    }
+    for (const AttemptId id : call->sub_queries[i].pending_attempts)
+      OrphanAttempt(id, cancel_now, now);
   }
   wakeups_.erase({call->wake_at, call->call.id});
   calls_.erase(call->call.id);
--- a/src/dispatch/dispatch_engine_servers.cc
+++ b/src/dispatch/dispatch_engine_servers.cc
@@ -246,8 +246,10 @@
 void DispatchEngine::OrphanAttempt(AttemptId attempt,
                                    bool cancel_now,
                                    Time now) {
-  attempts_.at(attempt).call = 0;
-  if (cancel_now)
+  PendingAttempt& orphan = attempts_.at(attempt);
+  orphan.call = 0;
+  // NOTE The result of a trial concerns other callers as well.
+  if (cancel_now && orphan.trial_digest.empty())
     orphaned_attempts_.emplace_front(now, attempt);
   else
     orphaned_attempts_.emplace_back(now + kOrphanTime, attempt);
--- a/src/dispatch/tests/request_of_death_test.cc
+++ b/src/dispatch/tests/request_of_death_test.cc
@@ -166,6 +166,30 @@
   }
 }
 
+TEST_CASE("A request of death is tried in overload, and servers crash late") {
+  FleetSession::Options options = RetriedOptions(9);
+  options.servers_report_load = true;
+  options.max_queued = 12;
+  options.crashes_if_cancelled = true;
+  // The caller has its answer before the server of a trial crashes.
+  options.timeout = Millis(600);
+  options.deadly_work = Millis(800);
+  FleetSession session(options);
+  // Half as much again as the servers can run.
+  constexpr int kSearchesPerStep = 3;
+  constexpr Duration kStep = Millis(10);
+  const Time end = session.now() + Seconds(30);
+  for (std::size_t i = 0; session.now() < end; ++i) {
+    for (std::size_t j = 0; j < kSearchesPerStep; ++j)
+      session.Search((i + 3 * j) % session.instance_count());
+    if (i % 5 == 0)
+      session.SendRequest(FleetSession::kDeadlySearch,
+                          i % session.instance_count());
+    session.Run(kStep);
+  }
+  CHECK(LateArrivals(session) <= kMaxLateArrivals);
+}
+
 TEST_CASE("Instances freeze or restart while a request of death is retried") {
   constexpr std::size_t kInstances = 9;
   bool restart = false;
