--- a/src/dispatch/dispatch_engine_sub_queries.cc
+++ b/src/dispatch/dispatch_engine_sub_queries.cc
@@ -245,8 +245,8 @@
     return;
   inputs.time_to_target = call->answer_by - now;
   sub_query->hedge_at = now + detail::HedgeDelay(inputs);
-  sub_query->hedge_by =
-      now + detail::LatestHedge(inputs.work, inputs.time_to_target);
+  sub_query->hedge_held_until =
+      now + detail::MaxHedgeDelay(inputs.work, inputs.time_to_target);
 }
 
 bool DispatchEngine::HoldsHedge(const ActiveCall& call,
@@ -257,7 +257,7 @@
   // NOTE More requests would only lengthen the queues.
   if (admission_.AreQueuesForming(*call.route, now))
     return true;
-  return now < sub_query.hedge_by &&
+  return now < sub_query.hedge_held_until &&
          !detail::IsStraggler(call.answered, call.sub_queries.size());
 }
 
--- a/src/dispatch/internal/active_call.h
+++ b/src/dispatch/internal/active_call.h
@@ -32,7 +32,7 @@
   Duration queued_for{0};  // Before the attempt.
   bool delegated = false;  // To another instance.
   Time hedge_at = kNever;
-  Time hedge_by{};  // The hedge isn't held any longer.
+  Time hedge_held_until{};  // At the latest; see IsStraggler().
   std::string signature;
   std::string body;
   ResultCode code = ResultCode::kOk;  // Why the last attempt failed.
--- a/src/dispatch/internal/hedge_policy.cc
+++ b/src/dispatch/internal/hedge_policy.cc
@@ -29,7 +29,7 @@
   return std::clamp(latest, min_delay, max_delay);
 }
 
-Duration LatestHedge(const WorkTimes& work, Duration time_to_target) {
+Duration MaxHedgeDelay(const WorkTimes& work, Duration time_to_target) {
   return time_to_target - work.high - work.median;
 }
 
--- a/src/dispatch/internal/hedge_policy.h
+++ b/src/dispatch/internal/hedge_policy.h
@@ -22,10 +22,11 @@
 // target. Applies when servers pause for longer than the target. Thread safe.
 Duration HedgeDelay(const HedgeInputs& inputs);
 
-// Returns how long a hedge may be held at most: a server nearby can still meet
-// the target then, and most servers that crash under a request have done so. It
-// is negative if there is too little time already. Thread safe.
-Duration LatestHedge(const WorkTimes& work, Duration time_to_target);
+// Returns the longest wait for a sub-query that isn't a straggler: a hedge at a
+// server nearby can still meet the target then. By that time most servers that
+// crash under a request have done so. Negative if the target is too near.
+// Thread safe.
+Duration MaxHedgeDelay(const WorkTimes& work, Duration time_to_target);
 
 // Returns whether a sub-query without an answer is behind the others of its
 // call, of which `answered` of `total` have one. If most are still open, the
--- a/src/dispatch/internal/query_admission.h
+++ b/src/dispatch/internal/query_admission.h
@@ -58,8 +58,8 @@
     return PressureOf(route, now) > AdmissionRate::kPressureSetpoint;
   }
 
-  // Whether the queues are on the way there, so that requests which can be left
-  // out only add to them.
+  // Whether queues are forming. Requests that can be left out only add to them,
+  // so this is true before queries are refused.
   bool AreQueuesForming(const Route& route, Time now) const {
     return PressureOf(route, now) > AdmissionRate::kPressureSetpoint / 2;
   }
--- a/src/dispatch/tests/parts_test.cc
+++ b/src/dispatch/tests/parts_test.cc
@@ -118,8 +118,8 @@
   }
   SUBCASE("otherwise as late as a hedge can meet the latency target") {
     const WorkTimes work{Millis(20), Millis(40)};
-    CHECK(LatestHedge(work, Millis(250)) == Millis(190));
-    CHECK(LatestHedge(work, Millis(50)) < Millis(0));
+    CHECK(MaxHedgeDelay(work, Millis(250)) == Millis(190));
+    CHECK(MaxHedgeDelay(work, Millis(50)) < Millis(0));
   }
 }
 
