Reread: one path for queued parts that may not be tried, one set of options for eighty instances

DispatchQueued repeated its own end for the parts of a trial that somebody else may make; it is the reason of a placement that isn't available now. The options of the burst with eighty instances stand once. The test of a trial in overload is named after what it guards against; its check is unchanged.

--- a/src/dispatch/dispatch_engine_sub_queries.cc
+++ b/src/dispatch/dispatch_engine_sub_queries.cc
@@ -317,17 +317,14 @@
     const detail::QueuedSubQuery first = *group->queue.begin();
     ActiveCall* call = calls_.at(first.call).get();
     SubQuery& sub_query = call->sub_queries[first.sub_query];
-    if (MayNotTry(*call, now)) {
-      group->queue.erase(group->queue.begin());
-      sub_query.queued = false;
-      FailSubQuery(call, first.sub_query, ResultCode::kRequestSuspected);
-      Advance(call, now);
-      continue;
-    }
     const detail::PlacementRequest request{
         call->route, profiles_.TimesOf(*call->route), &call->region_filter,
         &sub_query.tried_servers, /*first_in_queue=*/true};
-    const detail::Placement placement = placer_.Choose(*group, request, now);
+    const detail::Placement placement =
+        MayNotTry(*call, now)
+            ? detail::Placement{detail::PlacementStatus::kUnavailable, nullptr,
+                                ResultCode::kRequestSuspected}
+            : placer_.Choose(*group, request, now);
     if (placement.status == detail::PlacementStatus::kFull)
       return;
     group->queue.erase(group->queue.begin());
--- a/src/dispatch/tests/overload_test.cc
+++ b/src/dispatch/tests/overload_test.cc
@@ -29,6 +29,12 @@
   return options;
 }
 
+FleetSession::Options EightyInstances() {
+  FleetSession::Options options = OptionsFor(80);
+  options.max_connections = 260;
+  return options;
+}
+
 // The results for callers whose first try was in [from, to).
 struct Outcome {
   int callers = 0;
@@ -119,9 +125,7 @@
     CheckBurst(RunBurst(&session, 4), kCapacity);
   }
   SUBCASE("with eighty instances, each with a tenth of a query in flight") {
-    FleetSession::Options options = OptionsFor(80);
-    options.max_connections = 260;
-    FleetSession session(options);
+    FleetSession session(EightyInstances());
     CheckBurst(RunBurst(&session, 4), kCapacity);
   }
   SUBCASE("when a third of the callers retry at once, three times") {
@@ -150,8 +154,7 @@
   int callers = 0;
   int failed = 0;
   for (std::uint64_t seed = 11; seed < 21; ++seed) {
-    FleetSession::Options options = OptionsFor(80);
-    options.max_connections = 260;
+    FleetSession::Options options = EightyInstances();
     options.seed = seed;
     FleetSession session(options);
     const Burst burst = RunBurst(&session, 4);
--- a/src/dispatch/tests/request_of_death_test.cc
+++ b/src/dispatch/tests/request_of_death_test.cc
@@ -166,7 +166,7 @@
   }
 }
 
-TEST_CASE("A request of death is tried in overload, and servers crash late") {
+TEST_CASE("The result of a trial is known though its call failed in overload") {
   FleetSession::Options options = RetriedOptions(9);
   options.servers_report_load = true;
   options.max_queued = 12;
