Numbers of other instances and targets are read only if they are whole and in range

A feed response of another instance with a revision of 3.9e63 was converted to 64 bits, which is undefined; -1, 0.5 and true were taken as numbers too. Looked for elsewhere: the targets' protocol of serve (versions, ages, waits) had the same conversions; the store's codec and the notices checked. Numbers with a schema are bounded by it.

Ages and waits above a year count as a year, since their product with 1,000 overflowed.

--- a/src/net/feed_codec.cc
+++ b/src/net/feed_codec.cc
@@ -9,6 +9,7 @@
 #include "framework/json_schema.h"
 #include "framework/logger.h"
 #include "framework/read_number.h"
+#include "framework/whole_number.h"
 #include "net/http_text.h"
 
 namespace limpetrudder {
@@ -24,21 +25,73 @@
 // The store's values take up to one megabyte.
 constexpr std::size_t kMaxValueBytes = 8 << 20;
 
+constexpr Duration kMaxAge = Seconds(365LL * 86'400);
+
 // Reads the value of an item; a null value means that the item was deleted.
-// Returns false if a compressed value is corrupt.
+// Returns false if it is missing or corrupt.
 bool ReadValue(const Json& row, std::optional<std::string>* value) {
   if (const auto packed = row.find("packed"); packed != row.end()) {
-    const std::size_t size = row.at("size");
+    const auto size = WholeNumber(row, "size");
+    if (!size || *size > kMaxValueBytes || !packed->is_string())
+      return false;
     const auto bytes = DecodeBase64(packed->get_ref<const std::string&>());
-    if (bytes && size <= kMaxValueBytes)
-      *value = Inflate(*bytes, size);
+    if (bytes)
+      *value = Inflate(*bytes, *size);
     return value->has_value();
   }
-  if (!row.at("value").is_null())
-    *value = row.at("value").get<std::string>();
+  const auto plain = row.find("value");
+  if (plain == row.end() || !(plain->is_null() || plain->is_string()))
+    return false;
+  if (plain->is_string())
+    *value = plain->get<std::string>();
   return true;
 }
 
+std::optional<RawItem> ReadItem(const Json& row) {
+  if (!row.is_object())
+    return std::nullopt;
+  const auto key = row.find("key");
+  const auto revision = WholeNumber(row, "revision");
+  RawItem item;
+  if (key == row.end() || !key->is_string() || !revision ||
+      !ReadValue(row, &item.value)) {
+    return std::nullopt;
+  }
+  item.key = key->get<std::string>();
+  item.revision = *revision;
+  return item;
+}
+
+// Returns nothing if any part of `body` is malformed.
+std::optional<FeedReply> ReadFeedReply(const Json& body) {
+  if (!body.is_object())
+    return std::nullopt;
+  const auto revision = WholeNumber(body, "revision");
+  // Older builds send no era.
+  const auto era = WholeNumber(body, "era");
+  const auto age = WholeMillisField(body, "age_ms", kMaxAge);
+  const auto whole = body.find("whole");
+  const auto items = body.find("items");
+  if (!revision || (!era && body.contains("era")) || !age ||
+      whole == body.end() || !whole->is_boolean() || items == body.end() ||
+      !items->is_array()) {
+    return std::nullopt;
+  }
+  FeedReply reply;
+  reply.status = FeedStatus::kOk;
+  reply.revision = *revision;
+  reply.era = era;
+  reply.whole = whole->get<bool>();
+  reply.age = *age;
+  for (const Json& row : *items) {
+    auto item = ReadItem(row);
+    if (!item)
+      return std::nullopt;
+    reply.items.push_back(*std::move(item));
+  }
+  return reply;
+}
+
 // Returns the number in a query field, or nothing if the field is missing or
 // isn't a number.
 std::optional<std::uint64_t> QueryNumber(const std::string& query,
@@ -53,39 +106,18 @@
 }  // namespace
 
 FeedReply DecodePeerFeedReply(const HttpResponse& response) {
-  FeedReply reply;
   if (response.status != TransferStatus::kAnswered ||
       response.http_status != http_status::kOk) {
-    return reply;
+    return FeedReply();
   }
-  const auto json = ParseJson(response.body);
-  if (!json) {
+  const auto body = ParseJson(response.body);
+  auto reply = body ? ReadFeedReply(body.assume_value()) : std::nullopt;
+  if (!reply) {
     Log(LogLevel::kWarning, "feed_unreadable",
-        {{"message", json.error().message}});
-    return reply;
+        {{"bytes", response.body.size()}});
+    return FeedReply();
   }
-  try {
-    const Json& body = json.assume_value();
-    reply.revision = body.at("revision");
-    if (body.contains("era"))
-      reply.era = body.at("era").get<std::uint64_t>();
-    reply.whole = body.at("whole");
-    reply.age = Millis(body.at("age_ms").get<std::int64_t>());
-    for (const auto& row : body.at("items")) {
-      RawItem item;
-      item.key = row.at("key");
-      item.revision = row.at("revision");
-      if (!ReadValue(row, &item.value)) {
-        Log(LogLevel::kWarning, "feed_unreadable", {{"key", item.key}});
-        return FeedReply();
-      }
-      reply.items.push_back(std::move(item));
-    }
-    reply.status = FeedStatus::kOk;
-  } catch (const Json::exception& error) {
-    Log(LogLevel::kWarning, "feed_unreadable", {{"message", error.what()}});
-  }
-  return reply;
+  return *std::move(reply);
 }
 
 std::string EncodeFeedRequest(const FeedRequest& feed_request) {
--- a/src/net/internal/target_codec.cc
+++ b/src/net/internal/target_codec.cc
@@ -3,16 +3,30 @@
 #include <nlohmann/json.hpp>
 
 #include "framework/http_status.h"
+#include "framework/whole_number.h"
 
 namespace limpetrudder::detail {
 namespace {
 
 using Json = nlohmann::json;
 
+// Longer ages and waits count as this.
+constexpr Duration kMaxMillis = Seconds(365LL * 86'400);
+
+// Returns `value`. Throws as Json does if there is none.
+template <typename T>
+T Require(std::optional<T> value) {
+  if (!value)
+    throw Json::out_of_range::create(401, "not a whole number", nullptr);
+  return *value;
+}
+
 std::vector<Snapshot> ReadHeld(const Json& json) {
   std::vector<Snapshot> held;
-  for (const auto& entry : json)
-    held.push_back({entry.at(0), entry.at(1)});
+  for (const auto& entry : json) {
+    held.push_back(
+        {Require(WholeNumber(entry.at(0))), Require(WholeNumber(entry.at(1)))});
+  }
   return held;
 }
 
@@ -59,8 +73,9 @@
 ShardAnswer ReadShardAnswer(const Json& json) {
   ShardAnswer answer;
   answer.shard = json.at("shard");
-  answer.snapshot = {json.at("map_epoch"), json.at("version")};
-  answer.snapshot_age = Millis(json.at("age_ms").get<std::int64_t>());
+  answer.snapshot = {Require(WholeNumber(json, "map_epoch")),
+                     Require(WholeNumber(json, "version"))};
+  answer.snapshot_age = Require(WholeMillisField(json, "age_ms", kMaxMillis));
   for (const auto& hit : json.at("hits"))
     answer.hits.push_back({hit.at("id"), hit.at("title"), hit.at("score")});
   return answer;
@@ -75,7 +90,8 @@
     result->report = ReadReport(json);
   if (response.http_status != http_status::kOk) {
     result->code = RefusalCode(response.http_status, json);
-    result->retry_after = Millis(json.value("retry_after_ms", std::int64_t{0}));
+    result->retry_after = WholeMillisField(json, "retry_after_ms", kMaxMillis)
+                              .value_or(Millis(0));
     return;
   }
   if (json.at("attempt") != attempt_name) {
--- a/src/net/quarantine_codec.cc
+++ b/src/net/quarantine_codec.cc
@@ -8,6 +8,7 @@
 
 #include "framework/http_status.h"
 #include "framework/logger.h"
+#include "framework/whole_number.h"
 #include "net/http_text.h"
 
 namespace limpetrudder {
@@ -23,12 +24,10 @@
 constexpr std::int64_t kMaxMillis = 86'400'000;
 
 std::optional<std::int64_t> ReadMillis(const Json& row, const char* name) {
-  const auto found = row.find(name);
-  if (found == row.end() || !found->is_number_unsigned() ||
-      found->get<std::uint64_t>() > static_cast<std::uint64_t>(kMaxMillis)) {
+  const auto number = WholeNumber(row, name);
+  if (!number || *number > static_cast<std::uint64_t>(kMaxMillis))
     return std::nullopt;
-  }
-  return found->get<std::int64_t>();
+  return static_cast<std::int64_t>(*number);
 }
 
 bool IsDigest(const std::string& text) {
--- a/src/net/tests/target_codec_test.cc
+++ b/src/net/tests/target_codec_test.cc
@@ -45,6 +45,30 @@
       }
       CHECK(read(500, "<html>").code == ResultCode::kServerFailed);
     }
+    SUBCASE("a number that isn't a whole one in range is malformed") {
+      for (const char* number :
+           {"3e63", "-1", "0.5", "18446744073709551616", "\"3\"", "null"}) {
+        for (const char* field : {"\"map_epoch\":1", "\"version\":3",
+                                  "\"age_ms\":5", "\"held\":[[1,2],[1"}) {
+          CAPTURE(number);
+          CAPTURE(field);
+          std::string body = kValidBody;
+          const std::string text(field);
+          const std::size_t end = body.find(text) + text.size();
+          body.replace(end - 1, 1, number);
+          CHECK(read(200, body).code == ResultCode::kAnswerMalformed);
+        }
+      }
+    }
+    SUBCASE("an age or a wait of millions of years is a long one") {
+      std::string body = kValidBody;
+      body.replace(body.find("\"age_ms\":5"), 10,
+                   "\"age_ms\":18446744073709551615");
+      CHECK(read(200, body).answer.snapshot_age > Seconds(86'400));
+      CHECK(read(429, R"({"error":"shed","state":"serving","held":[],
+                         "retry_after_ms":9223372036854775807})")
+                .retry_after > Seconds(3'600));
+    }
     SUBCASE("a rejection gives its reason") {
       const std::string report = R"(,"state":"serving","held":[]})";
       CHECK(read(409, R"({"error":"version_not_held")" + report).code ==
