A cleared request's notices end a minute after the answer

Cause: an age in a notice is taken at its sender, so the network's time made each clear look newer at its receiver, which counted as a change there and was told for another minute, and so on: exchanges of one a second at each instance never ended after the first request that was cleared. An instance that had forgotten the request learned of it again from one that learned later.

Change: a clear of a request that is cleared here already, or that isn't known here and is older than the minute, changes nothing.

--- a/src/dispatch/internal/request_quarantine.cc
+++ b/src/dispatch/internal/request_quarantine.cc
@@ -189,8 +189,14 @@
     found->second.tried_at = std::max(found->second.tried_at, tried_at);
   const Row known = found == rows_.end() ? Row{} : found->second;
   if (notice.standing == RequestStanding::kClear) {
-    if (known.cleared_at >= since || known.suspected_at > since)
+    // NOTE Network times make old news of it look newer at each instance.
+    const bool is_cleared =
+        known.confirmed && known.cleared_at >= known.SuspectedSince();
+    const bool is_forgotten = found == rows_.end() && notice.age >= kRecent;
+    if (is_cleared || is_forgotten || known.cleared_at >= since ||
+        known.suspected_at > since) {
       return false;
+    }
     Row& row = Add(notice.digest, now);
     row.confirmed = true;
     row.until = Time::min();
--- a/src/dispatch/tests/request_quarantine_test.cc
+++ b/src/dispatch/tests/request_quarantine_test.cc
@@ -12,6 +12,7 @@
 namespace limpetrudder {
 namespace {
 
+using detail::NoticeState;
 using detail::QuarantineExchange;
 using detail::RequestQuarantine;
 
@@ -147,6 +148,34 @@
           RequestStanding::kClear);
     CHECK_FALSE(tell(other, &one, kStart + Millis(100)));
   }
+  SUBCASE(
+      "a request that was cleared is forgotten, though news are on the way") {
+    constexpr Duration kNetworkTime = Millis(20);
+    CHECK(one.OnAnswered("a", kStart + Millis(80)));
+    Time now = kStart + Millis(100);
+    for (; now < kStart + RequestQuarantine::kRecent * 2; now += Seconds(1)) {
+      for (const auto& notice : one.Notices(now))
+        other.Apply(notice, now + kNetworkTime);
+      for (const auto& notice : other.Notices(now + kNetworkTime))
+        one.Apply(notice, now + kNetworkTime * 2);
+    }
+    CHECK(one.StateOfNotices(now) == NoticeState::kNone);
+    CHECK(other.StateOfNotices(now) == NoticeState::kNone);
+    one.RemoveExpired(now);
+    CHECK(one.empty());
+  }
+  SUBCASE("a request that was cleared isn't learned of again once forgotten") {
+    CHECK(one.OnAnswered("a", kStart + Millis(80)));
+    const Time late = kStart + Millis(80) + RequestQuarantine::kRecent;
+    RequestQuarantine third;
+    tell(one, &third, late - Seconds(1));
+    one.RemoveExpired(late);
+    CHECK(one.empty());
+    CHECK_FALSE(tell(third, &one, late + Seconds(1)));
+    CHECK(one.empty());
+    CHECK(tell(third, &other, late + Seconds(1)));
+    CHECK(other.StateOfNotices(late + Seconds(1)) != NoticeState::kNone);
+  }
   SUBCASE("a request that was cleared isn't suspected again by old news") {
     CHECK(one.OnAnswered("a", kStart + Millis(80)));
     RequestQuarantine third;
