Notices of a request are ordered by a count of its changes, not by ages

Cause: an age is taken at the sender, so that a suspicion grew younger by a network time at each instance that passed it on. One that was told shortly before the request was cleared looked newer than the clear, suspected the request again, and was passed on; the clear followed it, without end. Not the cause: configuration between instances.

Change: a notice counts the changes of the standing. The higher count wins, an answer before a crash, then the number of quarantines. Older builds send no count; their suspicions of a cleared request count if they are younger than the answer by more than a second.

--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -165,6 +165,8 @@
   Duration quarantine_left{0};  // If it is quarantined.
   std::uint32_t quarantines = 0;
   std::optional<Duration> trial_age;  // Of a trial without a result.
+  // Counts the changes of the standing; 0 from older builds.
+  std::uint32_t revision = 0;
 };
 
 // A server's answer to a health probe.
--- a/src/dispatch/internal/request_quarantine.cc
+++ b/src/dispatch/internal/request_quarantine.cc
@@ -23,6 +23,9 @@
 constexpr Duration kMaxNoticeAge =
     RequestQuarantine::kLastQuarantine + RequestQuarantine::kSuspicion;
 
+// By how much ages may differ between instances.
+constexpr Duration kAgeError = Seconds(1);
+
 }  // namespace
 
 bool RequestQuarantine::Row::IsSuspected(Time now) const {
@@ -160,6 +163,8 @@
     return false;
   }
   row.changed_at = now;
+  row.cleared = false;
+  ++row.revision;
   return true;
 }
 
@@ -175,49 +180,60 @@
   Row& row = rows_.at(digest);
   row.until = Time::min();
   row.cleared_at = row.changed_at = now;
+  row.cleared = true;
+  ++row.revision;
   return row.confirmed;
 }
 
+bool RequestQuarantine::IsNewer(const QuarantineNotice& notice,
+                                const Row& row,
+                                Time now) {
+  const bool clears = notice.standing == RequestStanding::kClear;
+  if (row.cleared && !clears && now - notice.age > row.cleared_at + kAgeError)
+    return true;
+  const std::uint32_t revision =
+      notice.revision != 0 ? notice.revision : row.revision;
+  // NOTE An answer counts more than a crash found at the same time.
+  return std::make_tuple(revision, clears, notice.quarantines) >
+         std::make_tuple(row.revision, row.cleared, row.quarantines);
+}
+
 bool RequestQuarantine::Apply(const QuarantineNotice& notice, Time now) {
+  const bool clears = notice.standing == RequestStanding::kClear;
   if (notice.age > kMaxNoticeAge)
     return false;
   const Time since = now - notice.age;
   const auto found = rows_.find(notice.digest);
+  // NOTE Whoever has forgotten a request may have found it anew since.
+  if (clears && notice.age >= kRecent &&
+      (found == rows_.end() || since <= found->second.suspected_at)) {
+    return false;
+  }
   const Time tried_at =
       notice.trial_age ? now - *notice.trial_age : Time::min();
-  if (found != rows_.end())
+  if (found != rows_.end()) {
     found->second.tried_at = std::max(found->second.tried_at, tried_at);
-  const Row known = found == rows_.end() ? Row{} : found->second;
-  if (notice.standing == RequestStanding::kClear) {
-    // NOTE Network times make old news of it look newer at each instance.
-    const bool is_cleared =
-        known.confirmed && known.cleared_at >= known.SuspectedSince();
-    const bool is_forgotten = found == rows_.end() && notice.age >= kRecent;
-    if (is_cleared || is_forgotten || known.cleared_at >= since ||
-        known.suspected_at > since) {
+    if (found->second.confirmed && !IsNewer(notice, found->second, now))
       return false;
-    }
-    Row& row = Add(notice.digest, now);
-    row.confirmed = true;
-    row.until = Time::min();
-    row.cleared_at = since;
-    row.changed_at = now;
-    return known.suspected_at > known.cleared_at;
-  }
-  const bool is_newer = !known.confirmed || since > known.cleared_at;
-  if (known.cleared_at >= since || !is_newer ||
-      (known.confirmed && StandingOf(known, now) != RequestStanding::kClear &&
-       notice.quarantines <= known.quarantines)) {
-    return false;
   }
   Row& row = Add(notice.digest, now);
+  const bool was_suspected = row.confirmed && !row.cleared;
+  row.revision = std::max(notice.revision,
+                          row.revision + (row.cleared && !clears ? 1 : 0));
   row.confirmed = true;
+  row.cleared = clears;
+  row.quarantines = std::max(row.quarantines, notice.quarantines);
+  row.changed_at = now;
+  if (clears) {
+    row.until = Time::min();
+    row.cleared_at = std::max(since, row.suspected_at);
+    return was_suspected;
+  }
   row.suspected_at = since;
+  row.cleared_at = std::min(row.cleared_at, since - Duration(1));
   if (notice.standing == RequestStanding::kQuarantined)
     row.until = now + std::min(notice.quarantine_left, kLastQuarantine);
-  row.quarantines = std::max(row.quarantines, notice.quarantines);
   row.tried_at = std::max(row.tried_at, tried_at);
-  row.changed_at = now;
   return true;
 }
 
@@ -260,6 +276,7 @@
     notice.quarantine_left = row.until - now;
   if (row.IsBeingTried(now))
     notice.trial_age = now - row.tried_at;
+  notice.revision = row.revision;
   return notice;
 }
 
--- a/src/dispatch/internal/request_quarantine.h
+++ b/src/dispatch/internal/request_quarantine.h
@@ -96,7 +96,9 @@
   // it of a suspicion that other instances know of.
   bool OnAnswered(const std::string& digest, Time now);
 
-  // Applies what another instance knows. Returns whether anything changed.
+  // Applies what another instance knows, if that is newer by the number of
+  // changes: ages grow by a network time at each instance that passes them on.
+  // Returns whether anything changed.
   bool Apply(const QuarantineNotice& notice, Time now);
 
   // Returns what other instances have to know, latest changes first.
@@ -121,6 +123,9 @@
     Time claimed_at = Time::min();  // The latest one of this instance.
     Time cleared_at = Time::min();
     Time changed_at{};
+    // Counts the changes that instances found out; the latest one cleared it.
+    std::uint32_t revision = 0;
+    bool cleared = false;
 
     // Trials are attempts that were sent after this.
     Time SuspectedSince() const { return std::max(suspected_at, until); }
@@ -130,6 +135,8 @@
     bool IsBeingTried(Time now) const;
   };
 
+  // Returns whether `notice` says something newer than `row`.
+  static bool IsNewer(const QuarantineNotice& notice, const Row& row, Time now);
   static RequestStanding StandingOf(const Row& row, Time now);
   static bool HasNotice(const Row& row, Time now);
   static QuarantineNotice NoticeOf(const std::string& digest,
--- a/src/dispatch/tests/request_quarantine_test.cc
+++ b/src/dispatch/tests/request_quarantine_test.cc
@@ -189,6 +189,89 @@
   }
 }
 
+TEST_CASE("News of a request that is suspected and cleared at once") {
+  // Each instance passes each change on to all others.
+  constexpr std::size_t kInstances = 5;
+  constexpr Duration kNetworkTime = Millis(30);
+  std::vector<RequestQuarantine> instances(kInstances);
+  std::multimap<Time, std::pair<std::size_t, QuarantineNotice>> on_the_way;
+  const auto tell = [&](std::size_t from, Time now) {
+    for (const auto& notice : instances[from].Notices(now)) {
+      for (std::size_t to = 0; to < kInstances; ++to) {
+        if (to != from)
+          on_the_way.emplace(now + kNetworkTime, std::make_pair(to, notice));
+      }
+    }
+  };
+  int changes = 0;
+  const auto deliver_until = [&](Time end) {
+    while (!on_the_way.empty() && on_the_way.begin()->first <= end) {
+      const Time now = on_the_way.begin()->first;
+      const auto [to, notice] = on_the_way.begin()->second;
+      on_the_way.erase(on_the_way.begin());
+      if (instances[to].Apply(notice, now)) {
+        ++changes;
+        tell(to, now);
+      }
+    }
+  };
+  instances[0].OnCrash("a", kStart, kStart + Millis(1));
+  tell(0, kStart + Millis(1));
+  instances[0].OnAnswered("a", kStart + Millis(21));
+  tell(0, kStart + Millis(21));
+  const Time later = kStart + Seconds(3);
+
+  SUBCASE("comes to rest with the answer") {
+    deliver_until(later);
+    CHECK(changes <= 2 * static_cast<int>(kInstances - 1));
+    CHECK(on_the_way.empty());
+    for (const auto& instance : instances)
+      CHECK(instance.StandingOf("a", later) == RequestStanding::kClear);
+  }
+  SUBCASE("doesn't hide that it is suspected again") {
+    deliver_until(kStart + Millis(500));
+    instances[1].OnCrash("a", kStart + Millis(490), kStart + Millis(500));
+    tell(1, kStart + Millis(500));
+    deliver_until(later);
+    CHECK(on_the_way.empty());
+    for (const auto& instance : instances)
+      CHECK(instance.StandingOf("a", later) == RequestStanding::kSuspected);
+  }
+  SUBCASE("that comes from older builds is ordered by its age") {
+    deliver_until(later);
+    QuarantineNotice notice{"a",        RequestStanding::kSuspected,
+                            Seconds(3), Seconds(0),
+                            0,          std::nullopt};
+    CHECK_FALSE(instances[1].Apply(notice, later));
+    notice.age = Millis(100);
+    CHECK(instances[1].Apply(notice, later));
+    CHECK(instances[1].StandingOf("a", later) == RequestStanding::kSuspected);
+    notice.standing = RequestStanding::kClear;
+    notice.age = Millis(50);
+    CHECK(instances[1].Apply(notice, later));
+    CHECK(instances[1].StandingOf("a", later) == RequestStanding::kClear);
+  }
+  SUBCASE("doesn't end an earlier quarantine later at each instance") {
+    deliver_until(later);
+    for (const Time sent : {later, later + Millis(20)})
+      instances[2].OnCrash("a", sent, sent + Millis(10));
+    tell(2, later + Millis(30));
+    const Time end = later + Millis(30) + RequestQuarantine::kFirstQuarantine;
+    deliver_until(later + Seconds(1));
+    for (Time now = later + Seconds(1); now < end; now += Millis(100)) {
+      for (std::size_t i = 0; i < kInstances; ++i)
+        tell(i, now);
+      deliver_until(now + kNetworkTime);
+    }
+    for (const auto& instance : instances) {
+      CHECK(instance.StandingOf("a", end - Millis(100)) ==
+            RequestStanding::kQuarantined);
+      CHECK(instance.StandingOf("a", end + kNetworkTime * 2) ==
+            RequestStanding::kSuspected);
+    }
+  }
+}
+
 TEST_CASE("A flood of requests under which servers crash") {
   RequestQuarantine quarantine;
   const auto quarantine_at = [&quarantine](const char* digest, Time time) {
--- a/src/net/quarantine_codec.cc
+++ b/src/net/quarantine_codec.cc
@@ -57,9 +57,11 @@
   QuarantineNotice notice{digest->get<std::string>(), *value, Millis(*age),
                           Millis(*left),
                           static_cast<std::uint32_t>(*quarantines)};
-  // Earlier builds send none.
+  // Older builds send neither.
   if (const auto trial_age = ReadMillis(row, "trial_age_ms"))
     notice.trial_age = Millis(*trial_age);
+  if (const auto revision = ReadMillis(row, "revision"))
+    notice.revision = static_cast<std::uint32_t>(*revision);
   return notice;
 }
 
@@ -74,7 +76,8 @@
          {"age_ms", std::max<std::int64_t>(0, WholeMillis(notice.age))},
          {"left_ms",
           std::max<std::int64_t>(0, WholeMillis(notice.quarantine_left))},
-         {"quarantines", notice.quarantines}});
+         {"quarantines", notice.quarantines},
+         {"revision", notice.revision}});
     if (notice.trial_age) {
       rows.back()["trial_age_ms"] =
           std::max<std::int64_t>(0, WholeMillis(*notice.trial_age));
--- a/src/net/tests/quarantine_codec_test.cc
+++ b/src/net/tests/quarantine_codec_test.cc
@@ -51,6 +51,14 @@
     response.outcome = AttemptOutcome::kNotSent;
     CHECK_FALSE(DecodeExchangeReply(response));
   }
+  SUBCASE("have a revision, except those of older builds") {
+    QuarantineNotice revised = notice;
+    revised.revision = 7;
+    CHECK(DecodeNotices(EncodeNotices({revised})).at(0).revision == 7);
+    const auto older = DecodeNotices(
+        R"([{"digest":"ab","standing":"suspected","age_ms":1,"left_ms":1,"quarantines":1}])");
+    CHECK(older.at(0).revision == 0);
+  }
   SUBCASE("tell of a trial without a result") {
     QuarantineNotice tried = notice;
     tried.trial_age = Millis(250);
