A change of a suspected request is told alone, and directly in fleets of up to 257

Cause: each change was sent with all that its sender knew, 32 notices at most, answered with as many, and in fleets above 65 passed on eight times by each instance that heard of it: about 1,600 messages a change with 195 instances.

Change: messages of scope kChanges have only what changed and an empty answer; the exchanges of one a second have everything, as before. A header marks them; older builds ignore it and answer with all that they know. An instance that starts isn't informed by a change. 256 instances are told directly, so that only larger fleets pass changes on.

--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -164,7 +164,11 @@
                             now);
     case ProbeKind::kExchange:
       if (const auto notices = DecodeExchangeReply(response))
-        engine_.OnQuarantineNotices(*notices, now);
+        engine_.OnQuarantineNotices(*notices, NoticeScope::kAll, now);
+      return;
+    case ProbeKind::kChange:
+      if (const auto notices = DecodeExchangeReply(response))
+        engine_.OnQuarantineNotices(*notices, NoticeScope::kChanges, now);
       return;
   }
 }
@@ -172,9 +176,12 @@
 void DispatchDuty::OnExchange(const ServerRequest& request,
                               const Responder& respond) {
   const Time now = SteadyNow();
-  engine_.OnQuarantineNotices(DecodeNotices(request.body), now);
+  const NoticeScope scope = DecodeScope(request);
+  engine_.OnQuarantineNotices(DecodeNotices(request.body), scope, now);
   ServerResponse response;
-  response.body = EncodeNotices(engine_.QuarantineNotices(now));
+  response.body = EncodeNotices(scope == NoticeScope::kAll
+                                    ? engine_.QuarantineNotices(now)
+                                    : std::vector<QuarantineNotice>());
   respond(std::move(response));
   RunEngine(now);
 }
@@ -285,7 +292,9 @@
 void DispatchDuty::Execute(const ExchangeQuarantine& action) {
   state_->metrics().Add("quarantine_exchanges");
   SendProbe(EncodeExchange(action, next_probe_id_),
-            {action.instance, ProbeKind::kExchange});
+            {action.instance, action.scope == NoticeScope::kAll
+                                  ? ProbeKind::kExchange
+                                  : ProbeKind::kChange});
 }
 
 void DispatchDuty::SendProbe(PoolRequest request, PendingProbe probe) {
--- a/src/app/dispatch_duty.h
+++ b/src/app/dispatch_duty.h
@@ -104,8 +104,8 @@
     Responder respond;
   };
 
-  // A health probe, a ping or an exchange of notices that has no response yet.
-  enum class ProbeKind { kServer, kInstance, kExchange };
+  // A health probe, a ping or notices that have no response yet.
+  enum class ProbeKind { kServer, kInstance, kExchange, kChange };
   struct PendingProbe {
     std::string name;  // Of the server or instance.
     ProbeKind kind = ProbeKind::kServer;
--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -298,7 +298,8 @@
   ProbeForCrashes(now, &next);
   EndBackoffs(now, &next);
   quarantine_.RemoveExpired(now);
-  SendNotices(exchange_.Tick(quarantine_.StateOfNotices(now), now, &next), now);
+  ExchangeNotices(exchange_.Tick(quarantine_.StateOfNotices(now), now, &next),
+                  now);
   for (auto& change : admission_.TakeChanges(now))
     actions_.emplace_back(std::move(change));
   if (now >= starting_until_) {
--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -85,9 +85,10 @@
   // Applies what another instance told of suspected and quarantined requests:
   // in its answer to an ExchangeQuarantine, or in one of its own.
   void OnQuarantineNotices(const std::vector<QuarantineNotice>& notices,
+                           NoticeScope scope,
                            Time now);
 
-  // Returns the answer to another instance's ExchangeQuarantine.
+  // Returns the answer to another instance's ExchangeQuarantine of scope kAll.
   std::vector<QuarantineNotice> QuarantineNotices(Time now) const;
 
   // The instance stops and ends at `end`. Refuses calls from now on whose
@@ -241,8 +242,15 @@
   // know changed.
   bool ApplyCrashCheck(const CrashCheck& check, bool crashed, Time now);
   void FinishCrashChecks(const std::string& server, bool crashed, Time now);
-  // Sends all notices to these instances, indices of `peers_`.
-  void SendNotices(const std::vector<std::size_t>& peers, Time now);
+  // Send notices to these instances, indices of `peers_`: all of them, or those
+  // of the requests with these digests.
+  void ExchangeNotices(const std::vector<std::size_t>& peers, Time now);
+  void SendChanges(const std::vector<std::size_t>& peers,
+                   const std::vector<std::string>& digests,
+                   Time now);
+  void SendNotices(const std::vector<std::size_t>& peers,
+                   NoticeScope scope,
+                   const std::vector<QuarantineNotice>& notices);
   void ReportStanding(const std::string& digest,
                       const std::string& server,
                       Time now);
--- a/src/dispatch/dispatch_engine_quarantine.cc
+++ b/src/dispatch/dispatch_engine_quarantine.cc
@@ -101,7 +101,7 @@
   if (!quarantine_.ClaimTrial(DigestOf(call), now))
     return false;
   call->trial_claimed_at = now;
-  SendNotices(exchange_.OnOwnChange(), now);
+  SendChanges(exchange_.OnOwnChange(), {call->digest}, now);
   return true;
 }
 
@@ -358,16 +358,16 @@
       checks.push_back(check);
     return true;
   });
-  bool changed = false;
+  std::vector<std::string> changed;
   for (const CrashCheck& check : checks) {
     if (ApplyCrashCheck(check, crashed, now)) {
       ReportStanding(check.digest, crashed ? server : "", now);
-      changed = true;
+      changed.push_back(check.digest);
     }
     EndSuspensions(check, crashed, now);
   }
-  if (changed)
-    SendNotices(exchange_.OnOwnChange(), now);
+  if (!changed.empty())
+    SendChanges(exchange_.OnOwnChange(), changed, now);
 }
 
 bool DispatchEngine::ApplyCrashCheck(const CrashCheck& check,
@@ -383,17 +383,19 @@
 
 void DispatchEngine::OnQuarantineNotices(
     const std::vector<QuarantineNotice>& notices,
+    NoticeScope scope,
     Time now) {
-  exchange_.OnHeard();
-  bool changed = false;
+  if (scope == NoticeScope::kAll)
+    exchange_.OnHeard();
+  std::vector<std::string> changed;
   for (const QuarantineNotice& notice : notices) {
     if (!quarantine_.Apply(notice, now))
       continue;
     ReportStanding(notice.digest, "", now);
-    changed = true;
+    changed.push_back(notice.digest);
   }
-  if (changed)
-    SendNotices(exchange_.OnToldChange(), now);
+  if (!changed.empty())
+    SendChanges(exchange_.OnToldChange(), changed, now);
 }
 
 std::vector<QuarantineNotice> DispatchEngine::QuarantineNotices(
@@ -401,14 +403,28 @@
   return quarantine_.Notices(now);
 }
 
-void DispatchEngine::SendNotices(const std::vector<std::size_t>& peers,
-                                 Time now) {
+void DispatchEngine::ExchangeNotices(const std::vector<std::size_t>& peers,
+                                     Time now) {
   if (peers.empty())
     return;
   const auto notices = quarantine_.Notices(now);
+  SendNotices(peers, NoticeScope::kAll, notices);
+}
+
+void DispatchEngine::SendChanges(const std::vector<std::size_t>& peers,
+                                 const std::vector<std::string>& digests,
+                                 Time now) {
+  if (!peers.empty())
+    SendNotices(peers, NoticeScope::kChanges,
+                quarantine_.NoticesOf(digests, now));
+}
+
+void DispatchEngine::SendNotices(const std::vector<std::size_t>& peers,
+                                 NoticeScope scope,
+                                 const std::vector<QuarantineNotice>& notices) {
   for (const std::size_t peer : peers) {
     actions_.emplace_back(ExchangeQuarantine{
-        peers_[peer].name, peers_[peer].peer_address, notices});
+        peers_[peer].name, peers_[peer].peer_address, scope, notices});
   }
 }
 
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -169,6 +169,12 @@
   std::uint32_t revision = 0;
 };
 
+// What the notices of a message between instances cover.
+enum class NoticeScope {
+  kAll,      // All that its sender knows. The receiver answers likewise.
+  kChanges,  // What has just changed. The answer is empty.
+};
+
 // A server's answer to a health probe.
 struct ProbeReply {
   bool reachable = true;  // Whether there was any answer.
@@ -277,6 +283,7 @@
 struct ExchangeQuarantine {
   std::string instance;
   std::string address;
+  NoticeScope scope = NoticeScope::kAll;
   std::vector<QuarantineNotice> notices;
 };
 
--- a/src/dispatch/internal/quarantine_exchange.h
+++ b/src/dispatch/internal/quarantine_exchange.h
@@ -24,7 +24,7 @@
  public:
   // A change is sent to this many instances, and by each of them to some more
   // if the fleet is larger than that.
-  static constexpr std::size_t kMaxDirect = 64;
+  static constexpr std::size_t kMaxDirect = 256;
   static constexpr std::size_t kRelayed = 8;
   static constexpr std::size_t kAskedAtStart = 3;
   static constexpr Duration kInterval = Seconds(1);
--- a/src/dispatch/internal/request_quarantine.cc
+++ b/src/dispatch/internal/request_quarantine.cc
@@ -297,4 +297,18 @@
   return notices;
 }
 
+std::vector<QuarantineNotice> RequestQuarantine::NoticesOf(
+    const std::vector<std::string>& digests,
+    Time now) const {
+  std::vector<QuarantineNotice> notices;
+  for (const std::string& digest : digests) {
+    const auto found = rows_.find(digest);
+    if (found != rows_.end() && HasNotice(found->second, now) &&
+        notices.size() < kMaxNotices) {
+      notices.push_back(NoticeOf(digest, found->second, now));
+    }
+  }
+  return notices;
+}
+
 }  // namespace limpetrudder::detail
--- a/src/dispatch/internal/request_quarantine.h
+++ b/src/dispatch/internal/request_quarantine.h
@@ -101,8 +101,12 @@
   // Returns whether anything changed.
   bool Apply(const QuarantineNotice& notice, Time now);
 
-  // Returns what other instances have to know, latest changes first.
+  // Returns what other instances have to know, latest changes first, and what
+  // of that is about these requests.
   std::vector<QuarantineNotice> Notices(Time now) const;
+  std::vector<QuarantineNotice> NoticesOf(
+      const std::vector<std::string>& digests,
+      Time now) const;
 
   // Forgets what is over.
   void RemoveExpired(Time now);
--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -496,6 +496,7 @@
 void FleetSession::Exchange(std::size_t instance,
                             const ExchangeQuarantine& exchange) {
   ++exchanges_;
+  exchanged_notices_ += exchange.notices.size();
   const std::size_t other = IndexOf(exchange.instance);
   const Duration network_time =
       NetworkTime(options_.instances[instance], options_.instances[other]);
@@ -510,14 +511,17 @@
     return;
   const Time arrival = now_ + delay();
   AtInstance(arrival, other, [this, instance, other, delay, is_lost, exchange] {
-    engines_[other]->OnQuarantineNotices(exchange.notices, now_);
+    engines_[other]->OnQuarantineNotices(exchange.notices, exchange.scope,
+                                         now_);
     RunEngine(other);
-    if (is_lost())
+    if (is_lost() || exchange.scope == NoticeScope::kChanges)
       return;
     AtInstance(
         now_ + delay(), instance,
         [this, instance, notices = engines_[other]->QuarantineNotices(now_)] {
-          engines_[instance]->OnQuarantineNotices(notices, now_);
+          exchanged_notices_ += notices.size();
+          engines_[instance]->OnQuarantineNotices(notices, NoticeScope::kAll,
+                                                  now_);
           RunEngine(instance);
         });
   });
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -223,6 +223,8 @@
   int probes() const { return probes_; }
   // Messages between instances about suspected and quarantined requests.
   int exchanges() const { return exchanges_; }
+  // Notices in these messages and in the replies.
+  std::size_t exchanged_notices() const { return exchanged_notices_; }
   // How often data centres came to be regarded as silent, or were heard again.
   int data_centre_changes() const { return data_centre_changes_; }
   // How often pacing of a server began at any instance.
@@ -303,6 +305,7 @@
   int probes_ = 0;
   int contact_losses_ = 0;
   int exchanges_ = 0;
+  std::size_t exchanged_notices_ = 0;
   std::size_t max_shards_down_ = 0;
   std::vector<Time> deadly_arrivals_;
   std::vector<Time> crash_times_;
--- a/src/net/quarantine_codec.cc
+++ b/src/net/quarantine_codec.cc
@@ -20,6 +20,10 @@
 constexpr std::size_t kMaxDigestLength = 64;
 constexpr std::size_t kMaxResponseBytes = 64 << 10;
 
+// Set to this in requests of scope kChanges.
+constexpr char kScopeHeader[] = "Limpet-Notices";
+constexpr char kChangesScope[] = "changes";
+
 // No notice is about a longer time.
 constexpr std::int64_t kMaxMillis = 86'400'000;
 
@@ -116,11 +120,19 @@
   AppendRequestLine(&request.bytes, "POST", kQuarantinePath);
   AppendHeader(&request.bytes, "Host", exchange.address);
   AppendHeader(&request.bytes, "Content-Type", "application/json");
+  if (exchange.scope == NoticeScope::kChanges)
+    AppendHeader(&request.bytes, kScopeHeader, kChangesScope);
   AppendHeader(&request.bytes, "Content-Length", std::to_string(body.size()));
   request.bytes.append("\r\n").append(body);
   return request;
 }
 
+NoticeScope DecodeScope(const ServerRequest& request) {
+  return HeaderValue(request.headers, kScopeHeader) == kChangesScope
+             ? NoticeScope::kChanges
+             : NoticeScope::kAll;
+}
+
 std::optional<std::vector<QuarantineNotice>> DecodeExchangeReply(
     const PoolResponse& response) {
   if (response.outcome != AttemptOutcome::kAnswered)
--- a/src/net/quarantine_codec.h
+++ b/src/net/quarantine_codec.h
@@ -8,12 +8,15 @@
 #include <vector>
 
 #include "dispatch/dispatch_types.h"
+#include "net/http_server.h"
 #include "net/target_pool.h"
 
 namespace limpetrudder {
 
 // The protocol by which instances tell each other of requests under which
-// servers crashed. Request and response carry the same JSON document.
+// servers crashed. Request and response carry the same JSON document. The
+// response to a request of scope kChanges has no notices, except from older
+// builds, which answer all requests with all that they know.
 inline constexpr char kQuarantinePath[] = "/quarantine";
 
 // Encodes notices as a JSON array. Thread safe.
@@ -27,6 +30,9 @@
 PoolRequest EncodeExchange(const ExchangeQuarantine& exchange,
                            std::uint64_t id);
 
+// Returns what the notices of another instance's request cover. Thread safe.
+NoticeScope DecodeScope(const ServerRequest& request);
+
 // Decodes the other instance's response; one without notices, as of an instance
 // that doesn't know the protocol, yields none. Returns nothing if there was no
 // response. Thread safe.
--- a/src/net/tests/quarantine_codec_test.cc
+++ b/src/net/tests/quarantine_codec_test.cc
@@ -59,6 +59,18 @@
         R"([{"digest":"ab","standing":"suspected","age_ms":1,"left_ms":1,"quarantines":1}])");
     CHECK(older.at(0).revision == 0);
   }
+  SUBCASE("are marked if they are changes only") {
+    for (const NoticeScope scope : {NoticeScope::kAll, NoticeScope::kChanges}) {
+      const PoolRequest encoded =
+          EncodeExchange({"b", "10.0.0.2:7000", scope, {notice}}, 1);
+      ServerRequest request;
+      if (encoded.bytes.find("\r\nLimpet-Notices: changes\r\n") !=
+          std::string::npos) {
+        request.headers.push_back({"Limpet-Notices", "changes"});
+      }
+      CHECK(DecodeScope(request) == scope);
+    }
+  }
   SUBCASE("tell of a trial without a result") {
     QuarantineNotice tried = notice;
     tried.trial_age = Millis(250);
