Exchanges about many suspected requests are less frequent

Cause: after a wave each instance sent 32 notices a second for a minute and got as many: 10 KB/s where control may cause 7 KB/s.

Change: one exchange in two seconds above 16 notices. Test "A wave of crashes under many requests in a large fleet" plays 61 requests with 76 and 195 instances and bounds the traffic of a minute by the users' 7 KB/s at each.

Conclusion: the users' bound is kept also in the minute after such a wave.

--- a/src/dispatch/dispatch_engine_quarantine.cc
+++ b/src/dispatch/dispatch_engine_quarantine.cc
@@ -408,6 +408,7 @@
   if (peers.empty())
     return;
   const auto notices = quarantine_.Notices(now);
+  exchange_.OnExchange(notices.size());
   SendNotices(peers, NoticeScope::kAll, notices);
 }
 
--- a/src/dispatch/internal/quarantine_exchange.cc
+++ b/src/dispatch/internal/quarantine_exchange.cc
@@ -44,7 +44,9 @@
   if (notices == NoticeState::kNone)
     return {};
   const Duration interval =
-      notices == NoticeState::kRecent ? kInterval : kSlowInterval;
+      notices == NoticeState::kRecent
+          ? kInterval * static_cast<std::int64_t>(intervals_)
+          : kSlowInterval;
   next_ = std::min(next_, now + interval);
   std::vector<std::size_t> chosen;
   if (now >= next_) {
--- a/src/dispatch/internal/quarantine_exchange.h
+++ b/src/dispatch/internal/quarantine_exchange.h
@@ -30,6 +30,9 @@
   static constexpr Duration kInterval = Seconds(1);
   static constexpr Duration kSlowInterval = Seconds(30);
 
+  // Keeps both directions below the traffic that control may cause.
+  static constexpr std::size_t kNoticesPerInterval = 16;
+
   // An instance that has heard nobody asks again at this interval, and then
   // goes on without: the others may all be lost.
   static constexpr Duration kAskInterval = Millis(100);
@@ -44,6 +47,11 @@
   // index.
   void SetPeerCount(std::size_t count) { peer_count_ = count; }
 
+  // So many notices were exchanged: the more, the later the next exchange.
+  void OnExchange(std::size_t notices) {
+    intervals_ = notices / (kNoticesPerInterval + 1) + 1;
+  }
+
   // Another instance told what it knows, be that nothing.
   void OnHeard() { informed_ = true; }
 
@@ -65,6 +73,7 @@
   bool informed_ = false;
   std::optional<Time> ticked_at_;
   std::optional<Time> asking_since_;
+  std::size_t intervals_ = 1;  // Between exchanges about recent changes.
   Time next_ask_{};
   Time next_{};
 };
--- a/src/dispatch/tests/request_of_death_test.cc
+++ b/src/dispatch/tests/request_of_death_test.cc
@@ -166,6 +166,37 @@
   }
 }
 
+TEST_CASE("A wave of crashes under many requests in a large fleet") {
+  // The users' bound for control at each instance.
+  constexpr double kMaxBytesPerSecond = 7e3;
+  constexpr Duration kPeriod = Seconds(60);
+  // A message with its reply, without notices, and a notice.
+  constexpr double kMessageBytes = 350;
+  constexpr double kNoticeBytes = 160;
+  for (const std::size_t instances : {76U, 195U}) {
+    CAPTURE(instances);
+    FleetSession::Options options = RetriedOptions(instances);
+    options.deadly_work = Millis(70);
+    FleetSession session(options);
+    session.SendRequest(FleetSession::kDeadlySearch, 0);
+    for (std::size_t i = 0; i < 60; ++i) {
+      session.SendRequest("/all/sound-" + std::to_string(i), i % instances);
+      session.Run(Millis(1));
+    }
+    session.Run(kPeriod);
+    CHECK(session.crashes() >= 16);
+    // Each request is suspected, tried and cleared.
+    const int relays = static_cast<int>(instances) * 9;
+    CHECK(session.exchanges() <=
+          61 * 3 * relays + 60 * static_cast<int>(instances));
+    const double bytes =
+        kMessageBytes * session.exchanges() +
+        kNoticeBytes * static_cast<double>(session.exchanged_notices());
+    CHECK(bytes / (ToMillis(kPeriod) / 1000) / static_cast<double>(instances) <=
+          kMaxBytesPerSecond);
+  }
+}
+
 TEST_CASE("The result of a trial is known though its call failed in overload") {
   FleetSession::Options options = RetriedOptions(9);
   options.servers_report_load = true;
