--- a/src/dispatch/tests/request_quarantine_test.cc
+++ b/src/dispatch/tests/request_quarantine_test.cc
@@ -365,7 +365,7 @@
     node.quarantine.OnCrash("deadly", first - Millis(2), first - Millis(1));
     node.quarantine.OnCrash("deadly", now_, now_ + Millis(2));
     now_ += Millis(2);
-    Send(index, node.exchange.OnOwnChange());
+    Send(index, node.exchange.OnOwnChange(), NoticeScope::kChanges);
   }
 
   void Run(Duration duration) {
@@ -374,14 +374,17 @@
       for (std::size_t i = 0; i < nodes_.size(); ++i) {
         Node& node = nodes_[i];
         Time next = kNever;
-        Send(i, node.exchange.Tick(node.quarantine.StateOfNotices(now_), now_,
-                                   &next));
+        Send(i,
+             node.exchange.Tick(node.quarantine.StateOfNotices(now_), now_,
+                                &next),
+             NoticeScope::kAll);
       }
       while (!arrivals_.empty() && arrivals_.begin()->first <= now_) {
-        const auto [from, to] = arrivals_.begin()->second;
+        const auto [from, to, scope] = arrivals_.begin()->second;
         arrivals_.erase(arrivals_.begin());
-        Tell(from, to);
-        Tell(to, from);
+        Tell(from, to, scope);
+        if (scope == NoticeScope::kAll)
+          Tell(to, from, scope);
       }
     }
   }
@@ -401,27 +404,40 @@
   static constexpr Duration kStep = Millis(10);
   static constexpr Duration kNetworkTime = Millis(30);
 
-  void Send(std::size_t from, const std::vector<std::size_t>& peers) {
+  struct Message {
+    std::size_t from = 0;
+    std::size_t to = 0;
+    NoticeScope scope = NoticeScope::kAll;
+  };
+
+  void Send(std::size_t from,
+            const std::vector<std::size_t>& peers,
+            NoticeScope scope) {
     messages_ += peers.size();
     for (const std::size_t peer : peers) {
       const std::size_t to = peer < from ? peer : peer + 1;
-      arrivals_.emplace(now_ + kNetworkTime, std::make_pair(from, to));
+      arrivals_.emplace(now_ + kNetworkTime, Message{from, to, scope});
     }
   }
 
-  void Tell(std::size_t from, std::size_t to) {
+  void Tell(std::size_t from, std::size_t to, NoticeScope scope) {
     if (nodes_[from].cut || nodes_[to].cut)
       return;
-    nodes_[to].exchange.OnHeard();
+    if (scope == NoticeScope::kAll)
+      nodes_[to].exchange.OnHeard();
     bool changed = false;
-    for (const auto& notice : nodes_[from].quarantine.Notices(now_))
+    const RequestQuarantine& teller = nodes_[from].quarantine;
+    for (const auto& notice : scope == NoticeScope::kAll
+                                  ? teller.Notices(now_)
+                                  : teller.NoticesOf({"deadly"}, now_)) {
       changed = nodes_[to].quarantine.Apply(notice, now_) || changed;
+    }
     if (changed)
-      Send(to, nodes_[to].exchange.OnToldChange());
+      Send(to, nodes_[to].exchange.OnToldChange(), NoticeScope::kChanges);
   }
 
   std::vector<Node> nodes_;
-  std::multimap<Time, std::pair<std::size_t, std::size_t>> arrivals_;
+  std::multimap<Time, Message> arrivals_;
   std::size_t messages_ = 0;
   Time now_ = kStart;
 };
