An answer doesn't clear a request that was found anew more than a second after it

Cause: with a count of changes alone, an instance that was cut off and suspects the request for the first time took the others' older clear for newer, and all shards would have got the request again.

Change: a second's difference of ages decides first, both ways; the count within it.

Conclusion: the order stays free of loops as long as ages differ by less than a second.

--- a/src/dispatch/internal/request_quarantine.cc
+++ b/src/dispatch/internal/request_quarantine.cc
@@ -189,8 +189,11 @@
                                 const Row& row,
                                 Time now) {
   const bool clears = notice.standing == RequestStanding::kClear;
-  if (row.cleared && !clears && now - notice.age > row.cleared_at + kAgeError)
+  const Time since = now - notice.age;
+  if (row.cleared && !clears && since > row.cleared_at + kAgeError)
     return true;
+  if (!row.cleared && clears && since + kAgeError < row.suspected_at)
+    return false;
   const std::uint32_t revision =
       notice.revision != 0 ? notice.revision : row.revision;
   // NOTE An answer counts more than a crash found at the same time.
--- a/src/dispatch/tests/request_quarantine_test.cc
+++ b/src/dispatch/tests/request_quarantine_test.cc
@@ -237,6 +237,21 @@
     for (const auto& instance : instances)
       CHECK(instance.StandingOf("a", later) == RequestStanding::kSuspected);
   }
+  SUBCASE("doesn't clear it where it was found anew without them") {
+    RequestQuarantine cut_off;
+    cut_off.OnCrash("a", later - Millis(10), later);
+    deliver_until(later);
+    for (const auto& notice : instances[0].Notices(later))
+      CHECK_FALSE(cut_off.Apply(notice, later + kNetworkTime));
+    for (const auto& notice : cut_off.Notices(later))
+      CHECK(instances[0].Apply(notice, later + kNetworkTime));
+    CHECK(instances[0].StandingOf("a", later + kNetworkTime) ==
+          RequestStanding::kSuspected);
+    for (const auto& notice : instances[0].Notices(later + kNetworkTime))
+      cut_off.Apply(notice, later + kNetworkTime * 2);
+    CHECK(cut_off.StandingOf("a", later + kNetworkTime * 2) ==
+          RequestStanding::kSuspected);
+  }
   SUBCASE("that comes from older builds is ordered by its age") {
     deliver_until(later);
     QuarantineNotice notice{"a",        RequestStanding::kSuspected,
