--- a/src/net/internal/target_codec.cc
+++ b/src/net/internal/target_codec.cc
@@ -11,7 +11,7 @@
 using Json = nlohmann::json;
 
 // Longer ages and waits count as this.
-constexpr Duration kMaxMillis = Seconds(365LL * 86'400);
+constexpr Duration kMaxDuration = Seconds(365LL * 86'400);
 
 // Returns `value`. Throws as Json does if there is none.
 template <typename T>
@@ -75,7 +75,7 @@
   answer.shard = json.at("shard");
   answer.snapshot = {Require(WholeNumber(json, "map_epoch")),
                      Require(WholeNumber(json, "version"))};
-  answer.snapshot_age = Require(WholeMillisField(json, "age_ms", kMaxMillis));
+  answer.snapshot_age = Require(WholeMillisField(json, "age_ms", kMaxDuration));
   for (const auto& hit : json.at("hits"))
     answer.hits.push_back({hit.at("id"), hit.at("title"), hit.at("score")});
   return answer;
@@ -90,7 +90,7 @@
     result->report = ReadReport(json);
   if (response.http_status != http_status::kOk) {
     result->code = RefusalCode(response.http_status, json);
-    result->retry_after = WholeMillisField(json, "retry_after_ms", kMaxMillis)
+    result->retry_after = WholeMillisField(json, "retry_after_ms", kMaxDuration)
                               .value_or(Millis(0));
     return;
   }
--- a/src/net/quarantine_codec.cc
+++ b/src/net/quarantine_codec.cc
@@ -24,12 +24,12 @@
 constexpr char kScopeHeader[] = "Limpet-Notices";
 constexpr char kChangesScope[] = "changes";
 
-// No notice is about a longer time.
-constexpr std::int64_t kMaxMillis = 86'400'000;
+// Bounds times, in milliseconds, and counts.
+constexpr std::int64_t kMaxNumber = 86'400'000;
 
-std::optional<std::int64_t> ReadMillis(const Json& row, const char* name) {
+std::optional<std::int64_t> ReadSmallNumber(const Json& row, const char* name) {
   const auto number = WholeNumber(row, name);
-  if (!number || *number > static_cast<std::uint64_t>(kMaxMillis))
+  if (!number || *number > static_cast<std::uint64_t>(kMaxNumber))
     return std::nullopt;
   return static_cast<std::int64_t>(*number);
 }
@@ -51,9 +51,9 @@
   }
   const auto value =
       ValueOf(kRequestStandingNames, standing->get_ref<const std::string&>());
-  const auto age = ReadMillis(row, "age_ms");
-  const auto left = ReadMillis(row, "left_ms");
-  const auto quarantines = ReadMillis(row, "quarantines");
+  const auto age = ReadSmallNumber(row, "age_ms");
+  const auto left = ReadSmallNumber(row, "left_ms");
+  const auto quarantines = ReadSmallNumber(row, "quarantines");
   if (!value || !age || !left || !quarantines ||
       !IsDigest(digest->get_ref<const std::string&>())) {
     return std::nullopt;
@@ -62,9 +62,9 @@
                           Millis(*left),
                           static_cast<std::uint32_t>(*quarantines)};
   // Older builds send neither.
-  if (const auto trial_age = ReadMillis(row, "trial_age_ms"))
+  if (const auto trial_age = ReadSmallNumber(row, "trial_age_ms"))
     notice.trial_age = Millis(*trial_age);
-  if (const auto revision = ReadMillis(row, "revision"))
+  if (const auto revision = ReadSmallNumber(row, "revision"))
     notice.revision = static_cast<std::uint32_t>(*revision);
   return notice;
 }
