review: end the entry processes also when a script is stopped

Cause: a stand-in that was ended by its time limit or failed left the entry processes that it had started. Change: the rig kills them by their ids on SIGTERM, SIGINT and SIGABRT.

--- a/review/common/rig.h
+++ b/review/common/rig.h
@@ -826,6 +826,33 @@
   return acceptor.local_endpoint().port();
 }
 
+// The running entry processes. They end with the rig, also if it is stopped or
+// fails.
+inline pid_t running_entries[16] = {};
+
+inline void EndEntries(int) {
+  for (const pid_t pid : running_entries) {
+    if (pid > 0)
+      kill(pid, SIGKILL);
+  }
+  _exit(2);
+}
+
+inline void Track(pid_t before, pid_t now) {
+  static const bool installed = [] {
+    for (const int signal : {SIGTERM, SIGINT, SIGABRT, SIGSEGV})
+      ::signal(signal, EndEntries);
+    return true;
+  }();
+  static_cast<void>(installed);
+  for (pid_t& pid : running_entries) {
+    if (pid == before) {
+      pid = now;
+      return;
+    }
+  }
+}
+
 // One entry process of the project, as the platform starts it.
 class Entry {
  public:
@@ -856,6 +883,7 @@
     if (pid_ > 0) {
       kill(pid_, SIGKILL);
       waitpid(pid_, nullptr, 0);
+      Track(pid_, 0);
     }
   }
   void Start() {
@@ -873,6 +901,7 @@
                     const_cast<char* const*>(arguments), environ) != 0)
       throw std::runtime_error("can't start " + binary_);
     posix_spawn_file_actions_destroy(&files);
+    Track(0, pid_);
     record_->Line("start " + name_);
   }
   void Signal(int signal, const char* name) {
@@ -883,6 +912,7 @@
   // Whether the process has ended; takes its exit status.
   bool Ended() {
     if (pid_ > 0 && waitpid(pid_, &status_, WNOHANG) == pid_) {
+      Track(pid_, 0);
       pid_ = 0;
       record_->Line(name_ + " ended, wait status " + std::to_string(status_));
     }
