accounts: the directory of client accounts, and where others find it

Nothing in the code knew who calls. A directory of accounts, found by key (held as a digest, compared in constant time) or by name, is part of each version of the routes; calls carry the account's name and ActiveCall the account. Doubled names and keys, empty keys and names that a header can't hold are refused with a reason, and the others stay in force. Nothing sets them yet.

--- a/scripts/check_layers.sh
+++ b/scripts/check_layers.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 decisions='src/config src/routing src/limits src/query src/once src/membership
-  src/discovery src/dispatch'
+  src/discovery src/dispatch src/accounts'
 forbidden='#include <(asio|restinio|curl|grpc|thread|mutex|condition_variable|future|random|fstream|iostream|sys/|unistd)'
 clocks='(steady_clock|system_clock|high_resolution_clock)::now'
 found=$(grep -rnE "$forbidden|$clocks|std::rand\b|random_device" $decisions \
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "accounts/caller_key.h"
 #include "framework/enum_names.h"
 #include "framework/result_code.h"
 #include "framework/time.h"
@@ -30,6 +31,9 @@
   std::string host;
   std::string target;  // Path and query.
   std::vector<HeaderField> headers;
+  // Headers that name or prove the caller's account. Sent on only while no
+  // accounts are configured.
+  std::vector<HeaderField> credentials;
   std::string body;
 };
 
@@ -37,6 +41,13 @@
   CallId id = 0;
   std::shared_ptr<const RequestMessage> message;
   Duration caller_timeout{0};  // 0: the caller set none.
+  CallerKey key;               // As the caller sent it; not set if forwarded.
+  // The name of the account for which the call is made, empty for none: set by
+  // the engine when the key is checked or, if forwarded, by the instance that
+  // checked it.
+  std::string account;
+  // Whether the account was checked: the configuration in force had accounts.
+  bool account_checked = false;
   bool new_connection = false;
   bool forwarded = false;  // By another instance; not forwarded again.
   // Set if forwarded: the time left until the latency target, the version of
--- a/src/dispatch/internal/active_call.h
+++ b/src/dispatch/internal/active_call.h
@@ -56,6 +56,8 @@
   CallRequest call;
   std::shared_ptr<const RouteTable> table;  // Keeps `route` alive.
   const Route* route = nullptr;
+  // The account for which it is made, null for none; `table` keeps it alive.
+  const ClientAccount* account = nullptr;
   // The regions of `route` and, if it was forwarded or newer routes came into
   // force meanwhile, of the other versions of the route as well.
   RegionFilter region_filter;
@@ -96,6 +98,12 @@
   std::optional<TargetReply> final_reply;  // Used for calls to one server.
   CallRecord record;
 
+  // The account's priority precedes the route's; 0 is the most urgent.
+  std::uint32_t priority() const {
+    return account != nullptr && account->priority ? *account->priority
+                                                   : route->priority;
+  }
+
   bool is_idempotent() const { return route->kind == RequestKind::kIdempotent; }
 
   // Whether it is a batch that another instance delegated.
--- a/src/framework/hash.h
+++ b/src/framework/hash.h
@@ -1,6 +1,7 @@
 #ifndef FRAMEWORK_HASH_H_
 #define FRAMEWORK_HASH_H_
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -11,6 +12,9 @@
 // Thread safe.
 std::uint64_t Hash64(std::string_view text, std::uint64_t seed = 0);
 
+// Returns the SHA-256 of `text`. Thread safe.
+std::array<std::uint8_t, 32> Sha256(std::string_view text);
+
 // Returns the SHA-256 of `text` as 64 lower-case hexadecimal digits.
 // Thread safe.
 std::string Sha256Hex(std::string_view text);
--- a/src/framework/result_code.h
+++ b/src/framework/result_code.h
@@ -102,6 +102,8 @@
   kNoSuchPath = 8003,
   kTransportFailed = 8004,
   kMessageTooLarge = 8005,
+  kAccountUnknown = 8006,
+  kAccountUnconfirmed = 8007,
 
   // app: 9000 to 9999.
   kUsage = 9001,
--- a/src/routing/route_table.cc
+++ b/src/routing/route_table.cc
@@ -20,8 +20,12 @@
 RouteTable::RouteTable(std::uint64_t version,
                        std::vector<Route> routes,
                        std::vector<TargetService> services,
-                       RequestLimits limits)
-    : version_(version), routes_(std::move(routes)), limits_(limits) {
+                       RequestLimits limits,
+                       AccountDirectory accounts)
+    : version_(version),
+      routes_(std::move(routes)),
+      limits_(limits),
+      accounts_(std::move(accounts)) {
   for (const Route& route : routes_)
     hosts_[NormalizeHost(route.host)][route.prefix] = &route;
   for (auto& service : services) {
--- a/src/routing/route_table.h
+++ b/src/routing/route_table.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "accounts/account_directory.h"
 #include "framework/enum_names.h"
 #include "framework/time.h"
 #include "routing/allowed_regions.h"
@@ -46,6 +47,7 @@
   std::uint32_t top_records = 0;  // Records in a merged answer.
   double coverage_floor = 0;      // Smallest ratio of shards in an answer.
   AllowedRegions allowed_regions;
+  bool is_public = false;  // Callers need no account.
 
   bool is_scatter() const { return !shards.empty(); }
 };
@@ -72,7 +74,8 @@
   RouteTable(std::uint64_t version,
              std::vector<Route> routes,
              std::vector<TargetService> services,
-             RequestLimits limits);
+             RequestLimits limits,
+             AccountDirectory accounts = {});
 
   RouteTable(const RouteTable&) = delete;
   RouteTable& operator=(const RouteTable&) = delete;
@@ -86,6 +89,7 @@
   std::uint64_t version() const { return version_; }
   const std::vector<Route>& routes() const { return routes_; }
   const RequestLimits& limits() const { return limits_; }
+  const AccountDirectory& accounts() const { return accounts_; }
 
  private:
   using ByPrefix = std::unordered_map<std::string, const Route*>;
@@ -93,6 +97,7 @@
   const std::uint64_t version_;
   const std::vector<Route> routes_;
   const RequestLimits limits_;
+  const AccountDirectory accounts_;
   std::unordered_map<std::string, ByPrefix> hosts_;
   std::unordered_map<std::string, TargetService> services_;
 };
