accounts: callers name their account by a key, servers get its name

The product knew no client accounts: keys went to servers, unknown and removed ones were served. Now the configuration's accounts are decoded in platform/, a call without a known key is refused with 401 (8006) before anything runs, and each attempt, batch, trial and forwarded call carries the account's name and neither the key nor a name that the caller made up. The account's priority and regions bind; a request of death is told apart by account. Calls whose account was checked have a header of their own between instances, which older builds answer with 404; callers' headers that look like that protocol's are left out. With key_confirmation.strict no key is taken without news of the routes. Logs, metrics and the report show accounts, never keys. Without accounts in the configuration headers pass as before.

--- a/src/app/discovery_duty.cc
+++ b/src/app/discovery_duty.cc
@@ -105,6 +105,10 @@
   dispatch_mailbox_->PostResult(RoutesChanged{std::move(action.routes)});
 }
 
+void DiscoveryDuty::Execute(const RoutesConfirmed& action) {
+  dispatch_mailbox_->PostResult(RoutesStillLatest{action.at});
+}
+
 void DiscoveryDuty::Execute(ServersUpdated action) {
   const auto& updated = action.change.updated;
   for (const auto& entry : updated) {
--- a/src/app/discovery_duty.h
+++ b/src/app/discovery_duty.h
@@ -86,6 +86,7 @@
   void Execute(const RequestFeed& action);
   void Execute(const SendFeedResponse& action);
   void Execute(RoutesUpdated action);
+  void Execute(const RoutesConfirmed& action);
   void Execute(ServersUpdated action);
   void Execute(EvacuationsUpdated action);
   void Execute(InstancesUpdated action);
--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -5,6 +5,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "accounts/largest_accounts.h"
 #include "app/settings.h"
 #include "framework/clock.h"
 #include "framework/http_status.h"
@@ -200,15 +201,28 @@
   const std::uint64_t before = engine_.routes_version();
   const std::uint64_t version = event.routes->version();
   const std::size_t routes = event.routes->routes().size();
+  const std::size_t accounts = event.routes->accounts().size();
+  const bool asks_for_accounts = event.routes->accounts().is_configured();
   const RequestLimits limits = event.routes->limits();
+  const auto table = event.routes;
   engine_.OnRoutes(std::move(event.routes), now);
   if (engine_.routes_version() == before)
     return;
   state_->SetRoutesKnown();
+  std::erase_if(calls_by_account_, [&](const auto& row) {
+    return table->accounts().Find(row.first) == nullptr;
+  });
   caller_server_->SetMessageLimits(limits.max_header_bytes,
                                    limits.max_body_bytes);
-  Log(LogLevel::kInfo, "routes_in_force",
-      {{"version", version}, {"before", before}, {"routes", routes}});
+  nlohmann::json fields = {
+      {"version", version}, {"before", before}, {"routes", routes}};
+  if (asks_for_accounts)
+    fields["accounts"] = accounts;
+  Log(LogLevel::kInfo, "routes_in_force", fields);
+}
+
+void DispatchDuty::On(const RoutesStillLatest& event, Time) {
+  engine_.OnRoutesConfirmed(event.at);
 }
 
 void DispatchDuty::On(const ServersChanged& event, Time now) {
@@ -442,6 +456,15 @@
                           : Json()}});
 }
 
+Json DispatchDuty::AccountMetrics() const {
+  if (calls_by_account_.empty())
+    return nullptr;
+  Json accounts = Json::object();
+  for (const auto& [account, counts] : LargestAccounts(calls_by_account_))
+    accounts[account] = ToJson(counts);
+  return accounts;
+}
+
 void DispatchDuty::RecordCall(const CallRecord& record) {
   Metrics& metrics = state_->metrics();
   metrics.Add("calls");
@@ -458,6 +481,13 @@
                     : (record.status < http_status::kMultipleChoices
                            ? "answered_in_part"
                            : "not_answered"));
+  const bool denied = record.code == ResultCode::kAccountUnknown;
+  if (!record.forwarded && (denied || !record.account.empty())) {
+    calls_by_account_[record.account].Add(record.status, record.code,
+                                          record.late, !whole);
+  }
+  if (denied && !record.forwarded)
+    metrics.Add("calls_denied");
   Json line = {{"request_id", record.request_id},  {"route", record.route},
                {"version", record.routes_version}, {"status", record.status},
                {"ms", ToMillis(record.took)},      {"sends", record.attempts}};
@@ -469,6 +499,8 @@
     line["budget_refusals"] = record.budget_refusals;
     line["failed"] = FailedSubQueries(record);
   }
+  if (!record.account.empty())
+    line["account"] = record.account;
   if (record.forwarded)
     line["forwarded"] = true;
   if (record.late)
--- a/src/app/dispatch_duty.h
+++ b/src/app/dispatch_duty.h
@@ -2,6 +2,7 @@
 #define APP_DISPATCH_DUTY_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -19,6 +20,7 @@
 #include "framework/logger.h"
 #include "net/http_server.h"
 #include "net/target_pool.h"
+#include "report/log_report.h"
 
 namespace limpetrudder {
 
@@ -27,6 +29,10 @@
 struct RoutesChanged {
   std::shared_ptr<const RouteTable> routes;
 };
+// There were no newer routes at `at`.
+struct RoutesStillLatest {
+  Time at{};
+};
 struct ServersChanged {
   DirectoryChange change;
 };
@@ -43,6 +49,7 @@
 struct GiveUpCalls {};
 
 using DispatchEvent = std::variant<RoutesChanged,
+                                   RoutesStillLatest,
                                    ServersChanged,
                                    EvacuationsChanged,
                                    InstancesChanged,
@@ -84,6 +91,10 @@
   // Call on the duty's thread.
   void OnExchange(const ServerRequest& request, const Responder& respond);
 
+  // Returns the counts of the callers' calls of the accounts with the most of
+  // them; null if there are no accounts. Call on the duty's thread.
+  nlohmann::json AccountMetrics() const;
+
   // Whether other instances should forward calls to this one. Call on the
   // duty's thread.
   bool has_server_contact() const { return engine_.has_server_contact(); }
@@ -124,6 +135,7 @@
                        Time now);
 
   void On(RoutesChanged event, Time now);
+  void On(const RoutesStillLatest& event, Time now);
   void On(const ServersChanged& event, Time now);
   void On(const EvacuationsChanged& event, Time now);
   void On(InstancesChanged event, Time now);
@@ -172,6 +184,8 @@
   std::unordered_map<std::uint64_t, std::vector<CallId>> calls_by_connection_;
   std::unordered_map<std::uint64_t, PendingProbe> pending_probes_;
   std::unordered_set<AttemptId> pending_forwards_;
+  // Keyed by name; only accounts of the routes in force, and none.
+  std::map<std::string, CallCounts> calls_by_account_;
   CallId next_call_id_ = 1;
   std::uint64_t next_probe_id_;
 };
--- a/src/app/entry_app.cc
+++ b/src/app/entry_app.cc
@@ -101,6 +101,7 @@
   discovery.own = OwnEntry(settings);
   discovery.regions = settings.regions;
   discovery.decode = DecodeAndLogFault;
+  discovery.confirms_routes = settings.key_confirmation_bound.has_value();
   return discovery;
 }
 
@@ -113,12 +114,13 @@
       feed_client_(&http_client_),
       dispatch_mailbox_(kDispatchQueueCapacity, &dispatch_duty_),
       discovery_mailbox_(kDiscoveryQueueCapacity, &discovery_duty_),
-      dispatch_duty_({OwnEntry(settings_), settings_.regions,
-                      settings_.retry_budget, settings_.warmup,
-                      Hash64(settings_.instance,
-                             static_cast<std::uint64_t>(UnixMillis()))},
-                     MaxBufferedBytes(settings_),
-                     &state_),
+      dispatch_duty_(
+          {OwnEntry(settings_), settings_.regions, settings_.retry_budget,
+           settings_.warmup,
+           Hash64(settings_.instance, static_cast<std::uint64_t>(UnixMillis())),
+           settings_.key_confirmation_bound},
+          MaxBufferedBytes(settings_),
+          &state_),
       discovery_duty_(MakeDiscoverySettings(settings_), MakeTransport()),
       ready_server_(
           MakeServerSettings(settings_.ready_address,
@@ -229,7 +231,10 @@
                           : http_status::kUnavailable;
     response.content_type.clear();
   } else if (request.path == kMetricsPath) {
-    response.body = state_.metrics().Snapshot().dump();
+    nlohmann::json metrics = state_.metrics().Snapshot();
+    if (auto accounts = dispatch_duty_.AccountMetrics(); !accounts.is_null())
+      metrics["accounts"] = std::move(accounts);
+    response.body = metrics.dump();
   } else {
     response.status = http_status::kNotFound;
     response.body = RefusalBody(ResultCode::kNoSuchPath, "no such path");
--- a/src/app/entry_settings.cc
+++ b/src/app/entry_settings.cc
@@ -43,6 +43,14 @@
         "slack": {"type": "number", "minimum": 0, "maximum": 1000000}
       }
     },
+    "key_confirmation": {
+      "type": "object", "additionalProperties": false,
+      "required": ["strict", "bound_ms"],
+      "properties": {
+        "strict": {"type": "boolean"},
+        "bound_ms": {"type": "integer", "minimum": 1, "maximum": 3600000}
+      }
+    },
     "stop_bound_ms": {"type": "integer", "minimum": 0, "maximum": 120000},
     "log_level": {"enum": ["debug", "info", "warning", "error"]}
   }
@@ -66,6 +74,13 @@
     const auto& warmup = json.at("warmup");
     settings.warmup = {warmup.at("overage"), warmup.at("slack")};
   }
+  if (json.contains("key_confirmation")) {
+    const auto& confirmation = json.at("key_confirmation");
+    if (confirmation.at("strict").get<bool>()) {
+      settings.key_confirmation_bound =
+          Millis(confirmation.at("bound_ms").get<std::int64_t>());
+    }
+  }
   settings.stop_bound = Millis(json.at("stop_bound_ms").get<std::int64_t>());
   settings.log_level =
       ValueOf(kLogLevelNames, json.value("log_level", std::string("info")))
--- a/src/app/entry_settings.h
+++ b/src/app/entry_settings.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include <nlohmann/json.hpp>
@@ -32,6 +33,9 @@
   double memory_mb = 256;
   RetryBudgetSettings retry_budget;
   WarmupBounds warmup;
+  // Set if calls of accounts are refused once the instance has had no news of
+  // the configuration for this long.
+  std::optional<Duration> key_confirmation_bound;
   Duration stop_bound{0};  // From the stop signal to the exit.
   LogLevel log_level = LogLevel::kInfo;
 };
--- a/src/app/tests/entry_settings_test.cc
+++ b/src/app/tests/entry_settings_test.cc
@@ -47,6 +47,17 @@
     json["warmup"]["overage"] = 0;
     CHECK(SingleFault(json, "/warmup/overage") == ResultCode::kFieldOutOfRange);
   }
+  SUBCASE("keys have to be confirmed only if the settings say so") {
+    CHECK_FALSE(ReadEntrySettings(json).assume_value().key_confirmation_bound);
+    json["key_confirmation"] = {{"strict", false}, {"bound_ms", 5000}};
+    CHECK_FALSE(ReadEntrySettings(json).assume_value().key_confirmation_bound);
+    json["key_confirmation"]["strict"] = true;
+    CHECK(ReadEntrySettings(json).assume_value().key_confirmation_bound ==
+          Seconds(5));
+    json["key_confirmation"]["bound_ms"] = 0;
+    CHECK(SingleFault(json, "/key_confirmation/bound_ms") ==
+          ResultCode::kFieldOutOfRange);
+  }
   SUBCASE("entry settings without a store address are refused") {
     json.erase("store_address");
     CHECK(SingleFault(json, "") == ResultCode::kFieldMissing);
--- a/src/discovery/discovery_engine.cc
+++ b/src/discovery/discovery_engine.cc
@@ -261,6 +261,16 @@
   actions_.push_back(RoutesUpdated{in_force_.routes});
 }
 
+void DiscoveryEngine::ConfirmRoutes() {
+  const Time at = follower_.last_response();
+  if (!settings_.confirms_routes || !in_force_.routes ||
+      follower_.is_listing() || at <= routes_confirmed_at_) {
+    return;
+  }
+  routes_confirmed_at_ = at;
+  actions_.push_back(RoutesConfirmed{at});
+}
+
 std::vector<InstanceEntry> DiscoveryEngine::FindNewerRoutesCandidates(
     std::uint64_t version) const {
   std::vector<InstanceEntry> candidates;
@@ -394,6 +404,7 @@
     else
       next = std::min(next, held_until_);
   }
+  ConfirmRoutes();
   PublishDirectories();
   ReadStoreIfDue(now, &next);
   RequestFeedIfDue(now, &next);
--- a/src/discovery/discovery_engine.h
+++ b/src/discovery/discovery_engine.h
@@ -30,6 +30,8 @@
   // Decodes an item of the store; returns nothing for an item that discovery
   // doesn't use. Must have no side effects except logs.
   std::function<std::optional<FeedItem>(const RawItem&)> decode;
+  // Whether to tell, with RoutesConfirmed, how old the news is.
+  bool confirms_routes = false;
 };
 
 // Why changes are requested from another instance.
@@ -68,6 +70,11 @@
 struct RoutesUpdated {
   std::shared_ptr<const RouteTable> routes;
 };
+// There were no newer routes than those in force at `at`, as the store said to
+// this instance or to the one whose feed it follows.
+struct RoutesConfirmed {
+  Time at{};
+};
 struct ServersUpdated {
   DirectoryChange change;
   StorePosition position;
@@ -107,6 +114,7 @@
                                      RequestFeed,
                                      SendFeedResponse,
                                      RoutesUpdated,
+                                     RoutesConfirmed,
                                      ServersUpdated,
                                      EvacuationsUpdated,
                                      InstancesUpdated,
@@ -179,6 +187,7 @@
     FeedRequest request;
     Time until{};  // When it is answered even without changes.
   };
+  void ConfirmRoutes();
   void ApplyUpdate(StoreUpdate update, Time now);
   void ApplyListing(std::vector<RawItem> items, Time now);
   void ApplyChange(const RawItem& item, Time now);
@@ -215,6 +224,7 @@
   // position.
   FeedLog log_;
   StoredRoutes in_force_;
+  Time routes_confirmed_at_ = Time::min();
   std::optional<StoredRoutes> held_routes_;
   Time held_until_ = kNever;
   std::size_t first_routes_requests_ = 0;  // Pending ones.
--- a/src/discovery/store_follower.h
+++ b/src/discovery/store_follower.h
@@ -82,6 +82,9 @@
   // The latest era of the store; its items may not be listed yet.
   std::uint64_t era() const { return era_; }
 
+  // Whether a listing isn't complete, so that changes may be missing.
+  bool is_listing() const { return is_listing_; }
+
   // False from a failed call to the store until one succeeds.
   bool is_store_reachable() const { return failures_ == 0; }
 
--- a/src/discovery/tests/discovery_simulation.cc
+++ b/src/discovery/tests/discovery_simulation.cc
@@ -123,6 +123,7 @@
   Node& node = nodes_[instance];
   ++node.incarnation;
   node.routes_version = 0;
+  node.routes_confirmed_at = Time::min();
   node.servers.clear();
   node.evacuated.clear();
   node.draining_or_gone.clear();
@@ -131,6 +132,7 @@
   settings.own = node.entry;
   settings.regions = kRegions;
   settings.decode = Decode;
+  settings.confirms_routes = true;
   node.engine = std::make_unique<DiscoveryEngine>(std::move(settings));
   Tick(instance);
 }
@@ -163,7 +165,8 @@
 }
 
 bool DiscoverySimulation::CanReachStore(int node) const {
-  return !store_down_ && node >= refused_instances_;
+  return !store_down_ && node >= refused_instances_ &&
+         cut_off_.count(node) == 0;
 }
 
 void DiscoverySimulation::Do(int node, const CallStore& action) {
@@ -177,7 +180,7 @@
              Duration delay = kStoreResponseTime / 2;
              if (CanReachStore(node))
                reply = store_.Answer(action.call);
-             else if (store_down_)
+             else if (store_down_ || cut_off_.count(node) > 0)
                delay = kCallTimeout;
              else
                reply.status = FeedStatus::kRefused;
@@ -197,7 +200,7 @@
              Duration delay = kStoreResponseTime / 2;
              if (CanReachStore(node))
                reply = store_.Answer(action.call, now_);
-             else if (store_down_)
+             else if (store_down_ || cut_off_.count(node) > 0)
                delay = kCallTimeout;
              if (nodes_[node].incarnation != incarnation)
                return;
@@ -222,10 +225,13 @@
   const Duration delay =
       DelayBetween(nodes_[node].entry, nodes_[responder].entry);
   const Requester requester{node, nodes_[node].incarnation, action.reason};
-  if (!nodes_[responder].engine) {
-    RunOnNodeAfter(node, 2 * delay, [this, action](Node& at) {
-      at.engine->OnFeedResponse(action.instance.name, action.reason, {}, now_);
-    });
+  const bool is_cut = cut_off_.count(node) + cut_off_.count(responder) > 0;
+  if (!nodes_[responder].engine || is_cut) {
+    RunOnNodeAfter(node, is_cut ? kCallTimeout : 2 * delay,
+                   [this, action](Node& at) {
+                     at.engine->OnFeedResponse(action.instance.name,
+                                               action.reason, {}, now_);
+                   });
     return;
   }
   const std::uint64_t id = next_request_id_++;
@@ -249,6 +255,8 @@
   if (found == requesters_.end())
     return;
   const Requester requester = found->second;
+  if (cut_off_.count(node) + cut_off_.count(requester.node) > 0)
+    return;
   requesters_.erase(found);
   if (nodes_[requester.node].incarnation != requester.incarnation)
     return;
@@ -273,6 +281,13 @@
   at.routes_version = action.routes->version();
 }
 
+void DiscoverySimulation::Do(int node, const RoutesConfirmed& action) {
+  Node& at = nodes_[node];
+  if (action.at <= at.routes_confirmed_at || action.at > now_)
+    violations_.push_back(at.entry.name + ": routes confirmed out of order");
+  at.routes_confirmed_at = action.at;
+}
+
 void DiscoverySimulation::Do(int node, const EvacuationsUpdated& action) {
   nodes_[node].evacuated = action.data_centres;
 }
--- a/src/discovery/tests/discovery_simulation.h
+++ b/src/discovery/tests/discovery_simulation.h
@@ -59,6 +59,13 @@
   // Returns 0 if the instance has no routes or is down.
   std::uint64_t RoutesVersionAt(int instance) const;
   std::uint64_t MinRoutesVersion() const;
+  // The latest time at which the instance's routes were confirmed.
+  Time RoutesConfirmedAt(int instance) const {
+    return nodes_[static_cast<std::size_t>(instance)].routes_confirmed_at;
+  }
+  // Separates an instance from the store and from all other instances.
+  void CutOff(int instance) { cut_off_.insert(instance); }
+  void Reconnect(int instance) { cut_off_.erase(instance); }
   // Returns the number of instances whose entry in the store names its era.
   int RegisteredInstances() const;
   // Returns the number of instances that know of exactly these evacuations.
@@ -82,6 +89,7 @@
     std::uint64_t incarnation = 0;  // Events of earlier ones are discarded.
     Time next_tick{};
     std::uint64_t routes_version = 0;
+    Time routes_confirmed_at = Time::min();
     std::set<std::string> servers;
     std::set<std::string> evacuated;         // Data centres.
     std::set<std::string> draining_or_gone;  // Servers, as known to the node.
@@ -114,6 +122,7 @@
   void Do(int node, const RequestFeed& action);
   void Do(int node, const SendFeedResponse& action);
   void Do(int node, const RoutesUpdated& action);
+  void Do(int node, const RoutesConfirmed& action);
   void Do(int node, const ServersUpdated& action);
   void Do(int node, const EvacuationsUpdated& action);
   template <typename Other>
@@ -134,6 +143,7 @@
   Time now_ = Time(Seconds(1000));
   bool store_down_ = false;
   int refused_instances_ = 0;
+  std::set<int> cut_off_;
   // The sender of a feed request.
   struct Requester {
     int node = 0;
--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -90,6 +90,9 @@
     const Route* route = routes_->Find(message.host, message.target);
     if (route != nullptr)
       call->region_filter.Narrow(route->allowed_regions);
+    const ClientAccount* account = routes_->accounts().Find(call->call.account);
+    if (account != nullptr)
+      call->region_filter.Narrow(account->allowed_regions);
   }
 }
 
@@ -153,6 +156,7 @@
   action.reply.retry_after = retry_after;
   action.reply.newer_routes = NewerRoutesFor(call);
   action.record.request_id = call.message->request_id;
+  action.record.account = call.account;
   action.record.routes_version = routes_version();
   action.record.status = status;
   action.record.code = code;
@@ -181,6 +185,9 @@
   if (NewerRoutesFor(call) > 0 && !IncludesAll(*route, call.only_shards))
     return Refuse(call, http_status::kUnavailable, ResultCode::kRoutesOutdated,
                   std::nullopt);
+  const ClientAccount* account = nullptr;
+  if (!IdentifyAccount(&call, *route, &account, now))
+    return;
   if (call.forwarded && contact_.lost())
     return Refuse(call, http_status::kUnavailable,
                   ResultCode::kServersUnreachable, std::nullopt);
@@ -195,9 +202,12 @@
   active->call = std::move(call);
   active->table = routes_;
   active->route = route;
+  active->account = account;
   active->region_filter = detail::RegionFilter(
       &topology_,
       route->allowed_regions.Intersect(active->call.allowed_regions));
+  if (account != nullptr)
+    active->region_filter.Narrow(account->allowed_regions);
   active->received = now;
   active->deadline = now + timeout;
   const Duration target =
@@ -208,6 +218,7 @@
       std::min(active->deadline, now + std::max(target, Duration(0)));
   active->record.request_id = active->call.message->request_id;
   active->record.route = route->name;
+  active->record.account = active->call.account;
   active->record.routes_version = routes_->version();
   active->trial = !active->is_partial() &&
                   StandingOf(active->call, now) == RequestStanding::kSuspected;
@@ -228,7 +239,7 @@
   if (contact_.lost())
     return RefuseUnreachable(call, now);
   if (call->route->is_scatter() && !call->is_partial() &&
-      !admission_.Admit(*call->route, now)) {
+      !admission_.Admit(*call->route, call->priority(), now)) {
     return RefuseOverloaded(call, now);
   }
   CoordinateLocally(call, /*repeated=*/false, now);
--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -37,6 +37,9 @@
   RetryBudgetSettings retry_budget;
   WarmupBounds warmup;
   std::uint64_t seed = 0;
+  // How old the news may be that the routes in force are the latest, for keys
+  // to be taken; not set: of any age.
+  std::optional<Duration> key_confirmation_bound;
 };
 
 // Routes each caller's request to one server of a service, or fans it out to
@@ -58,6 +61,10 @@
   // one.
   void OnRoutes(std::shared_ptr<const RouteTable> routes, Time now);
 
+  // There were no newer routes than those in force at `at`, by the store or by
+  // an instance that heard it. Used only with a key_confirmation_bound.
+  void OnRoutesConfirmed(Time at);
+
   // Applies added, changed and removed servers.
   void OnServers(const DirectoryChange& change, Time now);
 
@@ -167,6 +174,16 @@
   // Keeps calls that began under earlier routes within the regions that the
   // current ones allow: attempts may still follow for seconds.
   void NarrowActiveCalls();
+  // Sets the account for which the call is made, null for none. Returns false
+  // if it may not be made; it is refused then.
+  bool IdentifyAccount(CallRequest* call,
+                       const Route& route,
+                       const ClientAccount** account,
+                       Time now);
+  // Likewise, for a call whose key another instance has checked.
+  bool AcceptAccount(const CallRequest& call,
+                     const Route& route,
+                     const ClientAccount** account);
   // Returns the current version of the routes if the instance that forwarded
   // the call has an older one, else 0.
   std::uint64_t NewerRoutesFor(const CallRequest& call) const;
@@ -432,6 +449,7 @@
   detail::QueryAdmission admission_;
   detail::ServerPlacer placer_;
   std::shared_ptr<const RouteTable> routes_;
+  Time routes_confirmed_at_ = Time::min();
   std::unordered_map<CallId, std::unique_ptr<ActiveCall>> calls_;
   std::unordered_map<AttemptId, PendingAttempt> attempts_;
   std::set<std::pair<Time, CallId>> wakeups_;
--- a/src/dispatch/dispatch_engine_forwarding.cc
+++ b/src/dispatch/dispatch_engine_forwarding.cc
@@ -216,7 +216,8 @@
                   call->region_filter.regions(), std::move(shards),
                   detail::MaxMissingInBatch(*call, batch_size, overloaded),
                   call->route->top_records, !call->route->is_scatter(),
-                  !call->is_idempotent()});
+                  !call->is_idempotent(), call->call.account,
+                  call->table->accounts().is_configured()});
 }
 
 void DispatchEngine::CoordinateLocally(ActiveCall* call,
--- a/src/dispatch/dispatch_engine_quarantine.cc
+++ b/src/dispatch/dispatch_engine_quarantine.cc
@@ -42,19 +42,21 @@
                                            Time now) const {
   return quarantine_.empty()
              ? RequestStanding::kClear
-             : quarantine_.StandingOf(detail::DigestOf(*call.message), now);
+             : quarantine_.StandingOf(
+                   detail::DigestOf(*call.message, call.account), now);
 }
 
 const std::string& DispatchEngine::DigestOf(ActiveCall* call) {
   if (call->digest.empty())
-    call->digest = detail::DigestOf(*call->call.message);
+    call->digest = detail::DigestOf(*call->call.message, call->call.account);
   return call->digest;
 }
 
 bool DispatchEngine::RefuseQuarantined(const CallRequest& call, Time now) {
   if (StandingOf(call, now) != RequestStanding::kQuarantined)
     return false;
-  const Time next = quarantine_.NextSend(detail::DigestOf(*call.message), now);
+  const Time next =
+      quarantine_.NextSend(detail::DigestOf(*call.message, call.account), now);
   Refuse(call, http_status::kUnavailable, ResultCode::kRequestQuarantined,
          next - now);
   return true;
--- a/src/dispatch/dispatch_engine_sub_queries.cc
+++ b/src/dispatch/dispatch_engine_sub_queries.cc
@@ -202,9 +202,10 @@
                    .route = call->route,
                    .sent = now,
                    .started_ms = entry.started_ms};
-  actions_.emplace_back(SendToServer{
-      id, entry.id, entry.address, call->call.message, call->deadline - now,
-      !call->is_idempotent(), detail::MaxBodyBytes(*call->route)});
+  actions_.emplace_back(
+      SendToServer{id, entry.id, entry.address, call->call.message,
+                   call->deadline - now, !call->is_idempotent(),
+                   detail::MaxBodyBytes(*call->route), call->call.account});
   if (call->trial && call->answered == 0) {
     attempts_[id].trial_digest = DigestOf(call);
     actions_.emplace_back(
@@ -300,7 +301,7 @@
   sub_query.queued = true;
   sub_query.queued_at = now;
   sub_query.group->queue.insert(
-      {call->route->priority, call->deadline, call->call.id, index});
+      {call->priority(), call->deadline, call->call.id, index});
   queued_groups_.insert(sub_query.group);
 }
 
@@ -308,7 +309,7 @@
   const SubQuery& sub_query = call.sub_queries[index];
   if (sub_query.queued) {
     sub_query.group->queue.erase(
-        {call.route->priority, call.deadline, call.call.id, index});
+        {call.priority(), call.deadline, call.call.id, index});
   }
 }
 
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -208,7 +208,8 @@
 constexpr bool IsForwardRefusal(ResultCode code) {
   return code == ResultCode::kNotReady || code == ResultCode::kRevisionTooLow ||
          code == ResultCode::kRoutesOutdated || code == ResultCode::kStopping ||
-         code == ResultCode::kServersUnreachable;
+         code == ResultCode::kServersUnreachable ||
+         code == ResultCode::kAccountUnknown;
 }
 
 // The outcome of one sub-query, for the log.
@@ -223,6 +224,7 @@
 struct CallRecord {
   std::string request_id;
   std::string route;
+  std::string account;  // Its name; empty: none.
   std::uint64_t routes_version = 0;
   int status = 0;
   ResultCode code = ResultCode::kOk;
@@ -252,6 +254,7 @@
   Duration time_left{0};
   bool fresh_connection = false;   // Else a recently used one will do.
   std::size_t max_body_bytes = 0;  // Of the answer.
+  std::string account;             // Its name; empty: none.
 };
 
 // Forwards a call to another instance, which coordinates all of it or, if
@@ -271,6 +274,8 @@
   // The call is for one server, whose answer is passed on.
   bool single = false;
   bool fresh_connection = false;  // Else a recently used one will do.
+  std::string account;            // Its name; empty: none.
+  bool account_checked = false;   // As in CallRequest.
 };
 
 // Fetches the routes from another instance, which has a newer version.
--- a/src/dispatch/internal/query_admission.cc
+++ b/src/dispatch/internal/query_admission.cc
@@ -1,6 +1,7 @@
 #include "dispatch/internal/query_admission.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace limpetrudder::detail {
@@ -33,6 +34,22 @@
                   route.latency_target / kMinSlackDivisor);
 }
 
+// Returns the highest priority, as the lowest number, that a call on the route
+// may have: an account's precedes the route's.
+std::uint32_t HighestPriority(const Route& route,
+                              const AccountDirectory& accounts) {
+  if (!accounts.is_configured())
+    return route.priority;
+  std::optional<std::uint32_t> highest;
+  if (route.is_public)
+    highest = route.priority;
+  for (const ClientAccount& account : accounts) {
+    const std::uint32_t priority = account.priority.value_or(route.priority);
+    highest = std::min(highest.value_or(priority), priority);
+  }
+  return highest.value_or(route.priority);
+}
+
 }  // namespace
 
 const QueryAdmission::ShardSet* QueryAdmission::Find(const Route& route) const {
@@ -56,9 +73,10 @@
         set = *before;
       else
         set.rate = AdmissionRate(route.shards.size() / kSampleDivisor);
-      set.highest_priority = route.priority;
+      set.highest_priority = HighestPriority(route, table.accounts());
     }
-    set.highest_priority = std::min(set.highest_priority, route.priority);
+    set.highest_priority = std::min(set.highest_priority,
+                                    HighestPriority(route, table.accounts()));
   }
   sets_ = std::move(kept);
 }
@@ -101,10 +119,12 @@
     set->rate.OnServed(now);
 }
 
-bool QueryAdmission::Admit(const Route& route, Time now) {
+bool QueryAdmission::Admit(const Route& route,
+                           std::uint32_t priority,
+                           Time now) {
   ShardSet* set = Find(route);
   return set == nullptr ||
-         set->rate.Admit(route.priority <= set->highest_priority, now);
+         set->rate.Admit(priority <= set->highest_priority, now);
 }
 
 double QueryAdmission::PressureOf(const Route& route, Time now) const {
--- a/src/dispatch/internal/query_admission.h
+++ b/src/dispatch/internal/query_admission.h
@@ -46,8 +46,8 @@
   // Records that a query of `route` which was admitted here was served in time.
   void OnServed(const Route& route, Time now);
 
-  // Whether to admit a query of `route`.
-  bool Admit(const Route& route, Time now);
+  // Whether to admit a query of `route` with this priority.
+  bool Admit(const Route& route, std::uint32_t priority, Time now);
 
   // Returns the queue delay at the route's servers divided by a query's slack
   // time.
@@ -77,8 +77,9 @@
   struct ShardSet {
     AdmissionRate rate;
     Duration work{0};  // Of one part on an idle server; 0: still unknown.
-    std::uint32_t highest_priority = 0;  // The lowest number of its routes.
-    bool limited = false;                // As last returned by TakeChanges().
+    // The lowest number that a query of its routes may have.
+    std::uint32_t highest_priority = 0;
+    bool limited = false;  // As last returned by TakeChanges().
   };
 
   ShardSet* Find(const Route& route);
--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -93,8 +93,13 @@
   DirectoryChange change;
   for (const auto& [id, server] : servers_)
     change.updated.push_back(server.entry);
-  engines_[instance] = std::make_unique<DispatchEngine>(DispatchSettings{
-      instances_[instance], regions_, options_.budget, {}, 17 + instance});
+  engines_[instance] = std::make_unique<DispatchEngine>(
+      DispatchSettings{instances_[instance],
+                       regions_,
+                       options_.budget,
+                       {},
+                       17 + instance,
+                       options_.key_confirmation_bound});
   engines_[instance]->OnInstances(instances_, now_);
   engines_[instance]->OnServers(change, now_);
 }
@@ -151,6 +156,7 @@
   all.top_records = 5;
   all.coverage_floor = options_.coverage_floor;
   all.allowed_regions = options_.allowed_regions;
+  all.is_public = options_.is_public;
   std::vector<TargetService> services = {
       {"one", "/health", options_.max_connections, options_.warmup_rate}};
   if (count == 0) {
@@ -170,7 +176,8 @@
   one.shards.clear();
   one.backends = {{"one", 1}};
   return std::make_shared<RouteTable>(version, std::vector<Route>{all, one},
-                                      std::move(services), RequestLimits{});
+                                      std::move(services), RequestLimits{},
+                                      options_.accounts);
 }
 
 SessionServer& FleetSession::server(std::size_t shard, std::size_t replica) {
@@ -218,6 +225,13 @@
   Announce(MakeRoutes(version));
 }
 
+std::shared_ptr<RouteTable> FleetSession::WithAccounts(
+    std::uint64_t version,
+    AccountDirectory accounts) {
+  options_.accounts = std::move(accounts);
+  return MakeRoutes(version);
+}
+
 void FleetSession::Announce(const std::shared_ptr<const RouteTable>& routes) {
   routes_ = routes;
   for (std::size_t i = 0; i < engines_.size(); ++i) {
@@ -228,7 +242,8 @@
 
 CallId FleetSession::SendRequest(const std::string& target,
                                  std::size_t instance,
-                                 std::optional<std::size_t> caller) {
+                                 std::optional<std::size_t> caller,
+                                 CallerKey key) {
   auto message = std::make_shared<RequestMessage>();
   const CallId id = next_call_++;
   message->request_id = "request-" + std::to_string(id);
@@ -236,8 +251,13 @@
   message->host = "shop.example";
   message->target = target;
   calls_[id] = {instance, 0, 0, false, caller, now_};
+  if (key.state != CallerKeyState::kAbsent) {
+    message->credentials = {{"Authorization", "Bearer " + key.key},
+                            {"Tenant", "forged"}};
+  }
   CallRequest call;
   call.id = id;
+  call.key = std::move(key);
   call.message = std::move(message);
   const auto deliver = [this, instance, call = std::move(call)] {
     engines_[instance]->OnCall(call, now_);
@@ -629,6 +649,9 @@
   ++server.arrivals;
   server.arrival_times.push_back(now_);
   ++server.arrivals_from[instance];
+  ++server.arrivals_by_account[request.account];
+  server.arrivals_with_credentials +=
+      request.message->credentials.empty() ? 0 : 1;
   const auto connections =
       static_cast<int>(server.running.size() + server.queue.size());
   if (connections >= server.max_connections) {
@@ -728,6 +751,14 @@
   forwarded_to_.insert(options_.instances[other]);
   const Duration network_time =
       NetworkTime(options_.instances[instance], options_.instances[other]);
+  if (options_.old_builds.count(other) > 0 && forward.account_checked) {
+    TargetReply unknown;
+    unknown.attempt = forward.attempt;
+    unknown.outcome = AttemptOutcome::kAnswered;
+    unknown.status = 404;
+    unknown.not_executed = true;
+    return Reply(instance, std::move(unknown), 2 * network_time);
+  }
   AtInstance(now_ + network_time, other, [this, instance, other, forward] {
     const CallId id = next_call_++;
     calls_[id] = {other, instance, forward.attempt, true, {}, now_};
@@ -743,6 +774,8 @@
     call.only_shards = forward.shards;
     call.max_missing = forward.max_missing;
     call.top_records = forward.top_records;
+    call.account = forward.account;
+    call.account_checked = forward.account_checked;
     engines_[other]->OnCall(std::move(call), now_);
     RunEngine(other);
   });
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -44,6 +44,8 @@
   std::vector<Time> arrival_times;
   Time cold_until{};  // As its health responses say.
   std::map<std::string, int> runs_by_request;
+  std::map<std::string, int> arrivals_by_account;  // Empty name: none.
+  int arrivals_with_credentials = 0;
 
   struct Job {
     std::size_t instance = 0;
@@ -127,6 +129,11 @@
     // most by which the others are delayed, each by another time.
     double exchange_loss = 0;
     Duration exchange_delay{0};
+    AccountDirectory accounts;
+    bool is_public = false;  // Both routes.
+    std::optional<Duration> key_confirmation_bound;
+    // Instances of a build that doesn't know calls whose account was checked.
+    std::set<std::size_t> old_builds;
   };
 
   // A request with this target crashes each server that runs it.
@@ -149,7 +156,16 @@
   }
   CallId SendRequest(const std::string& target,
                      std::size_t instance,
-                     std::optional<std::size_t> caller = std::nullopt);
+                     std::optional<std::size_t> caller = std::nullopt,
+                     CallerKey key = {});
+
+  // Sends a request with a key, and with a forged name of an account.
+  CallId SendWithKey(const std::string& target,
+                     const std::string& key,
+                     std::size_t instance = 0) {
+    return SendRequest(target, instance, std::nullopt,
+                       {CallerKeyState::kPresent, key});
+  }
 
   // Sends a request and runs the session until it is answered.
   const SessionAnswer& SearchNow(std::size_t instance = 0);
@@ -195,6 +211,10 @@
   // Puts new routes into force at all instances that differ from the last ones
   // in their regions.
   void Restrict(std::uint64_t version, AllowedRegions allowed_regions);
+  // Returns routes that differ from the last ones in their accounts, which
+  // later ones have as well.
+  std::shared_ptr<RouteTable> WithAccounts(std::uint64_t version,
+                                           AccountDirectory accounts);
   // Puts routes into force at all instances.
   void Announce(const std::shared_ptr<const RouteTable>& routes);
   // Stops an instance: it no longer answers anything, pings included. What is
--- a/src/net/forward_codec.cc
+++ b/src/net/forward_codec.cc
@@ -17,6 +17,11 @@
 // Replaces kForwardedHeader in a call to one server. Builds that don't know it
 // answer 404 and run nothing, since they don't pass on a server's headers.
 constexpr char kSingleHeader[] = "Limpet-Single-Target-Left-Ms";
+// Replaces both in a call whose account was checked. Builds that don't know it
+// answer 404 and run nothing, since they would name no account to the servers.
+constexpr char kCheckedHeader[] = "Limpet-Account-Target-Left-Ms";
+// The name of the account that was checked; absent on public routes.
+constexpr char kAccount[] = "Limpet-Account";
 // In a response: status, headers and body are a server's.
 constexpr char kFromServer[] = "Limpet-From-Server";
 constexpr char kServersUnreachable[] = "Limpet-Servers-Unreachable";
@@ -112,6 +117,23 @@
   return EqualsIgnoringCase(name.substr(0, kOwnPrefix.size()), kOwnPrefix);
 }
 
+// Returns the header that marks the forwarded call.
+const char* KindHeader(const ForwardCall& forward) {
+  if (forward.account_checked)
+    return kCheckedHeader;
+  return forward.single ? kSingleHeader : kForwardedHeader;
+}
+
+// Appends headers of a caller's request, except for those that would be taken
+// as this protocol's.
+void AppendCallerHeaders(std::string* bytes,
+                         const std::vector<HeaderField>& headers) {
+  for (const auto& header : headers) {
+    if (!IsOwnHeader(header.name))
+      AppendHeader(bytes, header.name, header.value);
+  }
+}
+
 // Appends the headers of a server's answer, except for those that concern one
 // connection or belong to this protocol.
 void AppendServerHeaders(std::vector<HeaderField> headers,
@@ -152,8 +174,9 @@
   AppendHeader(&bytes, kHost, message.host);
   AppendHeader(&bytes, kRequestId, message.request_id);
   AppendMillis(&bytes, kTimeLeft, forward.time_left);
-  AppendMillis(&bytes, forward.single ? kSingleHeader : kForwardedHeader,
-               forward.target_left);
+  AppendMillis(&bytes, KindHeader(forward), forward.target_left);
+  if (!forward.account.empty())
+    AppendHeader(&bytes, kAccount, forward.account);
   AppendHeader(&bytes, kVersion, std::to_string(forward.routes_version));
   if (!forward.allowed_regions.any()) {
     for (const auto& region : forward.allowed_regions.names())
@@ -164,7 +187,8 @@
     AppendHeader(&bytes, kMaxMissing, std::to_string(forward.max_missing));
     AppendHeader(&bytes, kTopRecords, std::to_string(forward.top_records));
   }
-  AppendHeaders(&bytes, message.headers);
+  AppendCallerHeaders(&bytes, message.headers);
+  AppendCallerHeaders(&bytes, message.credentials);
   if (!message.body.empty())
     AppendHeader(&bytes, "Content-Length", std::to_string(message.body.size()));
   bytes.append("\r\n").append(message.body);
@@ -187,7 +211,8 @@
                      [](const HeaderField& header) {
                        return EqualsIgnoringCase(header.name,
                                                  kForwardedHeader) ||
-                              EqualsIgnoringCase(header.name, kSingleHeader);
+                              EqualsIgnoringCase(header.name, kSingleHeader) ||
+                              EqualsIgnoringCase(header.name, kCheckedHeader);
                      });
 }
 
@@ -211,6 +236,11 @@
       readable = ReadNumber(header.value, &time_left) && readable;
     else if (header.name == kForwardedHeader || header.name == kSingleHeader)
       readable = ReadNumber(header.value, &target_left) && readable;
+    else if (header.name == kCheckedHeader) {
+      call.account_checked = true;
+      readable = ReadNumber(header.value, &target_left) && readable;
+    } else if (header.name == kAccount)
+      call.account = header.value;
     else if (header.name == kMaxMissing)
       readable = ReadNumber(header.value, &max_missing) && readable;
     else if (header.name == kTopRecords)
--- a/src/net/tests/peer_feed_test.cc
+++ b/src/net/tests/peer_feed_test.cc
@@ -102,6 +102,52 @@
     CHECK(DecodeForward(sent(), 9).assume_value().allowed_regions ==
           forward.allowed_regions);
   }
+  SUBCASE(
+      "a call whose account was checked names it, and no older build "
+      "takes it for a call") {
+    forward.account = "east";
+    forward.account_checked = true;
+    const ServerRequest request = sent();
+    CHECK(std::none_of(request.headers.begin(), request.headers.end(),
+                       [](const HeaderField& header) {
+                         return header.name == kForwardedHeader ||
+                                header.name == "Limpet-Single-Target-Left-Ms";
+                       }));
+    const auto call = DecodeForward(request, 9);
+    REQUIRE(call);
+    CHECK(call.assume_value().account == "east");
+    CHECK(call.assume_value().account_checked);
+    CHECK(call.assume_value().target_left == Millis(180));
+    CHECK(call.assume_value().message->headers.size() == 1);
+  }
+  SUBCASE("a call on a public route names no account") {
+    forward.account_checked = true;
+    const auto call = DecodeForward(sent(), 9);
+    CHECK(call.assume_value().account_checked);
+    CHECK(call.assume_value().account.empty());
+  }
+  SUBCASE("a call whose account wasn't checked carries what the caller sent") {
+    auto message = std::make_shared<RequestMessage>(*forward.message);
+    message->credentials = {{"Authorization", "Bearer k"}};
+    forward.message = message;
+    const auto call = DecodeForward(sent(), 9);
+    CHECK_FALSE(call.assume_value().account_checked);
+    REQUIRE(call.assume_value().message->headers.size() == 2);
+    CHECK(call.assume_value().message->headers[1].value == "Bearer k");
+  }
+  SUBCASE("a caller can't speak for an instance") {
+    auto message = std::make_shared<RequestMessage>(*forward.message);
+    message->headers.push_back({"Limpet-Account", "east"});
+    message->headers.push_back({"limpet-account-target-left-ms", "5"});
+    message->headers.push_back({"Limpet-Host", "other.example"});
+    forward.message = message;
+    const auto call = DecodeForward(sent(), 9);
+    REQUIRE(call);
+    CHECK_FALSE(call.assume_value().account_checked);
+    CHECK(call.assume_value().account.empty());
+    CHECK(call.assume_value().message->host == "shop.example");
+    CHECK(call.assume_value().message->headers.size() == 1);
+  }
   SUBCASE("a forwarded call without the remaining time is malformed") {
     ServerRequest request = sent();
     std::erase_if(request.headers, [](const HeaderField& header) {
--- a/src/report/log_report.cc
+++ b/src/report/log_report.cc
@@ -1,7 +1,11 @@
 #include "report/log_report.h"
 
+#include <algorithm>
+#include <utility>
+
 #include <fmt/format.h>
 
+#include "accounts/largest_accounts.h"
 #include "framework/http_status.h"
 #include "framework/result_code.h"
 
@@ -43,31 +47,22 @@
 }
 
 void Count(const Json& line, CallCounts* counts) {
-  const int status = IntegerOf(line, "status");
-  ++counts->calls;
-  if (status == http_status::kUnavailable ||
-      status == http_status::kTooManyRequests) {
-    ++counts->refused;
-  } else if (status >= http_status::kInternalError) {
-    ++counts->failed;
-  } else if (IsSet(line, "late")) {
-    ++counts->late;
-  } else {
-    ++counts->served;
-    counts->in_part += line.contains("parts") ? 1 : 0;
-  }
+  counts->Add(IntegerOf(line, "status"),
+              static_cast<ResultCode>(IntegerOf(line, "code")),
+              IsSet(line, "late"), line.contains("parts"));
 }
 
 // Returns a row of a table, without a line break.
 std::string Row(const std::string& name, const CallCounts& counts) {
-  return fmt::format("{:<20} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7}", name,
+  return fmt::format("{:<20} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7}", name,
                      counts.calls, counts.served, counts.in_part, counts.late,
-                     counts.refused, counts.failed);
+                     counts.refused, counts.failed, counts.denied);
 }
 
 std::string HeaderRow(const char* first) {
-  return fmt::format("{:<20} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7}", first,
-                     "calls", "served", "in part", "late", "refused", "failed");
+  return fmt::format("{:<20} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7}", first,
+                     "calls", "served", "in part", "late", "refused", "failed",
+                     "denied");
 }
 
 std::string Reasons(const char* title,
@@ -79,12 +74,6 @@
   return text;
 }
 
-Json ToJson(const CallCounts& counts) {
-  return {{"calls", counts.calls},     {"served", counts.served},
-          {"in_part", counts.in_part}, {"late", counts.late},
-          {"refused", counts.refused}, {"failed", counts.failed}};
-}
-
 Json ToJson(const std::map<int, std::uint64_t>& reasons) {
   Json json = Json::object();
   for (const auto& [code, count] : reasons)
@@ -94,6 +83,41 @@
 
 }  // namespace
 
+Json ToJson(const CallCounts& counts) {
+  return {{"calls", counts.calls},     {"served", counts.served},
+          {"in_part", counts.in_part}, {"late", counts.late},
+          {"refused", counts.refused}, {"failed", counts.failed},
+          {"denied", counts.denied}};
+}
+
+void CallCounts::Add(int status, ResultCode code, bool is_late, bool parts) {
+  ++calls;
+  if (status == http_status::kUnavailable ||
+      status == http_status::kTooManyRequests) {
+    ++refused;
+  } else if (code == ResultCode::kAccountUnknown) {
+    ++denied;
+  } else if (status >= http_status::kInternalError) {
+    ++failed;
+  } else if (is_late) {
+    ++late;
+  } else {
+    ++served;
+    in_part += parts ? 1 : 0;
+  }
+}
+
+CallCounts& CallCounts::operator+=(const CallCounts& other) {
+  calls += other.calls;
+  served += other.served;
+  in_part += other.in_part;
+  late += other.late;
+  refused += other.refused;
+  failed += other.failed;
+  denied += other.denied;
+  return *this;
+}
+
 void LogReport::RecordUnreadable(const std::string& file) {
   ++unreadable_;
   if (first_unreadable_.empty())
@@ -134,6 +158,7 @@
     return;
   Count(line, &second->counts);
   Count(line, &by_route_[TextOf(line, "route")]);
+  Count(line, &by_account_[TextOf(line, "account")]);
   const int code = IntegerOf(line, "code");
   if (code != 0)
     ++reasons_[code];
@@ -154,6 +179,11 @@
   text += "\n" + HeaderRow("route") + "\n";
   for (const auto& [route, counts] : by_route_)
     text += Row(route.empty() ? "(none)" : route, counts) + "\n";
+  if (HasAccounts()) {
+    text += "\n" + HeaderRow("account") + "\n";
+    for (const auto& [account, counts] : LargestAccounts(by_account_))
+      text += Row(account, counts) + "\n";
+  }
   text += Reasons("why calls weren't answered whole", reasons_);
   text += Reasons("why parts are missing", part_reasons_);
   text += "\nstate changes and lifecycle events\n";
@@ -167,6 +197,13 @@
   return text + "\n";
 }
 
+bool LogReport::HasAccounts() const {
+  return std::any_of(by_account_.begin(), by_account_.end(),
+                     [](const auto& row) {
+                       return !row.first.empty() || row.second.denied > 0;
+                     });
+}
+
 Json LogReport::Summary() const {
   Json seconds = Json::array();
   for (const auto& [time, second] : seconds_) {
@@ -178,8 +215,14 @@
   Json routes = Json::object();
   for (const auto& [route, counts] : by_route_)
     routes[route] = ToJson(counts);
+  Json accounts = Json::object();
+  if (HasAccounts()) {
+    for (const auto& [account, counts] : LargestAccounts(by_account_))
+      accounts[account] = ToJson(counts);
+  }
   return {{"seconds", std::move(seconds)},
           {"routes", std::move(routes)},
+          {"accounts", std::move(accounts)},
           {"reasons", ToJson(reasons_)},
           {"part_reasons", ToJson(part_reasons_)},
           {"beliefs", by_event_},
--- a/src/report/log_report.h
+++ b/src/report/log_report.h
@@ -9,6 +9,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "framework/result_code.h"
+
 namespace limpetrudder {
 
 // Counts of callers' requests by their result.
@@ -19,8 +21,17 @@
   std::uint64_t late = 0;     // Served after the latency target.
   std::uint64_t refused = 0;  // Not run; the caller was told when to retry.
   std::uint64_t failed = 0;
+  std::uint64_t denied = 0;  // Their keys belong to no account.
+
+  CallCounts& operator+=(const CallCounts& other);
+
+  // Adds a call that ended with `status` and `code`.
+  void Add(int status, ResultCode code, bool late, bool in_part);
 };
 
+// Thread safe.
+nlohmann::json ToJson(const CallCounts& counts);
+
 // Summarises the logs of any number of instances, line by line: the results of
 // calls in each second, their reasons, and the state changes and other events
 // of the same second. Keeps only counts, so logs may be of any length. Not
@@ -32,7 +43,8 @@
   // are counted, since that instance logs the calls too.
   void Add(const std::string& file, std::string_view line);
 
-  // Returns the report as plain text: a table by second, a table by route, then
+  // Returns the report as plain text: a table by second, a table by route and,
+  // if calls have accounts, one by account, with the largest of them; then
   // reasons, events, and the number of unreadable lines.
   std::string Text() const;
 
@@ -48,11 +60,14 @@
     std::map<std::string, std::uint64_t> events;  // By name.
   };
 
+  // Whether any call had an account, or was refused for having none.
+  bool HasAccounts() const;
   void AddCall(const nlohmann::json& line, Second* second);
   void RecordUnreadable(const std::string& file);
 
   std::map<std::string, Second> seconds_;          // By time.
   std::map<std::string, CallCounts> by_route_;     // By name.
+  std::map<std::string, CallCounts> by_account_;   // By name.
   std::map<int, std::uint64_t> reasons_;           // By result code.
   std::map<int, std::uint64_t> part_reasons_;      // Of missing parts, by code.
   std::map<std::string, std::uint64_t> by_event_;  // Without calls.
--- a/src/report/tests/log_report_test.cc
+++ b/src/report/tests/log_report_test.cc
@@ -43,6 +43,28 @@
       CHECK(report.Text().find("server_down") != std::string::npos);
     }
   }
+  SUBCASE("shows no accounts if there are none") {
+    CHECK(report.Summary()["accounts"].empty());
+    CHECK(report.Text().find("account ") == std::string::npos);
+  }
+  SUBCASE("shows the accounts with the most calls, and the others together") {
+    for (int account = 0; account < 25; ++account) {
+      for (int call = 0; call <= account; ++call) {
+        report.Add("a.log", Call("03", R"("status":200,"account":"a)" +
+                                           std::to_string(account) + "\""));
+      }
+    }
+    report.Add("a.log", Call("03", R"("status":200,"late":true,)"
+                                   R"("account":"a24")"));
+    report.Add("a.log", Call("03", R"("status":401,"code":8006)"));
+    const auto accounts = report.Summary()["accounts"];
+    CHECK(accounts.size() == 22);
+    CHECK(accounts["a24"]["served"] == 25);
+    CHECK(accounts["a24"]["late"] == 1);
+    CHECK(accounts["(5 others)"]["calls"] == 1 + 2 + 3 + 4 + 5);
+    CHECK(accounts["(none)"]["denied"] == 1);
+    CHECK(report.Text().find("(5 others)") != std::string::npos);
+  }
   SUBCASE("counts reasons by result code") {
     CHECK(report.Summary()["reasons"]["4001"] == 1);
     CHECK(report.Summary()["part_reasons"]["3010"] == 1);
