--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "accounts/caller_key.h"
 #include "framework/enum_names.h"
 #include "framework/result_code.h"
 #include "framework/time.h"
@@ -30,6 +31,9 @@
   std::string host;
   std::string target;  // Path and query.
   std::vector<HeaderField> headers;
+  // Headers that name or prove the caller's account. Sent on only while no
+  // accounts are configured.
+  std::vector<HeaderField> credentials;
   std::string body;
 };
 
@@ -37,6 +41,13 @@
   CallId id = 0;
   std::shared_ptr<const RequestMessage> message;
   Duration caller_timeout{0};  // 0: the caller set none.
+  CallerKey key;               // As the caller sent it; not set if forwarded.
+  // The name of the account for which the call is made, empty for none: set by
+  // the engine when the key is checked or, if forwarded, by the instance that
+  // checked it.
+  std::string account;
+  // Whether the account was checked: the configuration in force had accounts.
+  bool account_checked = false;
   bool new_connection = false;
   bool forwarded = false;  // By another instance; not forwarded again.
   // Set if forwarded: the time left until the latency target, the version of
@@ -197,7 +208,8 @@
 constexpr bool IsForwardRefusal(ResultCode code) {
   return code == ResultCode::kNotReady || code == ResultCode::kRevisionTooLow ||
          code == ResultCode::kRoutesOutdated || code == ResultCode::kStopping ||
-         code == ResultCode::kServersUnreachable;
+         code == ResultCode::kServersUnreachable ||
+         code == ResultCode::kAccountUnknown;
 }
 
 // The outcome of one sub-query, for the log.
@@ -212,6 +224,7 @@
 struct CallRecord {
   std::string request_id;
   std::string route;
+  std::string account;  // Its name; empty: none.
   std::uint64_t routes_version = 0;
   int status = 0;
   ResultCode code = ResultCode::kOk;
@@ -241,6 +254,7 @@
   Duration time_left{0};
   bool fresh_connection = false;   // Else a recently used one will do.
   std::size_t max_body_bytes = 0;  // Of the answer.
+  std::string account;             // Its name; empty: none.
 };
 
 // Forwards a call to another instance, which coordinates all of it or, if
@@ -260,6 +274,8 @@
   // The call is for one server, whose answer is passed on.
   bool single = false;
   bool fresh_connection = false;  // Else a recently used one will do.
+  std::string account;            // Its name; empty: none.
+  bool account_checked = false;   // As in CallRequest.
 };
 
 // Fetches the routes from another instance, which has a newer version.
