dispatch: an instance without a configuration names a time that grows

Cause: while the store is away an instance that starts can serve nobody, and told each caller to come back in half a second, into the same outage. Change: the time grows with the outage, from half a second to five, spread.

--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "dispatch/internal/answer_policy.h"
+#include "dispatch/internal/retry_after.h"
 #include "framework/http_status.h"
 
 namespace limpetrudder {
@@ -28,9 +29,6 @@
 // By then servers have detected the dead connections of a lost instance.
 constexpr Duration kStartupTime = Seconds(10);
 
-// By then a starting instance has read the configuration and the servers.
-constexpr Duration kRetryAfterStart = Millis(500);
-
 // By then another instance has told it which requests are quarantined.
 constexpr Duration kRetryUninformed = Millis(100);
 
@@ -165,9 +163,13 @@
 }
 
 void DispatchEngine::OnCall(CallRequest call, Time now) {
-  if (!routes_)
-    return Refuse(call, http_status::kUnavailable, ResultCode::kNotReady,
-                  kRetryAfterStart);
+  if (!routes_) {
+    if (!without_routes_since_)
+      without_routes_since_ = now;
+    return Refuse(
+        call, http_status::kUnavailable, ResultCode::kNotReady,
+        detail::RetryAfterOutage(now - *without_routes_since_, &random_));
+  }
   if (!exchange_.IsInformed(now))
     return Refuse(call, http_status::kUnavailable, ResultCode::kNotReady,
                   kRetryUninformed);
--- a/src/dispatch/internal/retry_after.cc
+++ b/src/dispatch/internal/retry_after.cc
@@ -20,6 +20,11 @@
 // Retries after a backoff are spread over this fraction of it.
 constexpr double kSpread = 0.25;
 
+// Bounds of the time after an outage of unknown length. An instance that starts
+// has read the configuration and the servers by the shortest.
+constexpr Duration kMinOutage = Millis(500);
+constexpr Duration kMaxOutage = Seconds(5);
+
 // Returns when a request that comes after those in the queue keeps to the
 // server's rate limit.
 Time FreeOfLimit(const ServerGroup& group, const ServerLoad& server, Time now) {
@@ -82,4 +87,9 @@
   return Scaled(barred ? kOperatorTime : kRecoveryTime, 0.5 + random->Unit());
 }
 
+Duration RetryAfterOutage(Duration lasted, Random* random) {
+  return Scaled(std::clamp(lasted, kMinOutage, kMaxOutage),
+                1 + kSpread * random->Unit());
+}
+
 }  // namespace limpetrudder::detail
--- a/src/dispatch/internal/retry_after.h
+++ b/src/dispatch/internal/retry_after.h
@@ -14,6 +14,13 @@
 // services shed load. Thread safe if `random` isn't shared.
 Duration RetryAfter(const ActiveCall& call, Random* random, Time now);
 
+// Returns how long a caller should wait that came `lasted` after the instance
+// found that it can serve nobody, without knowing until when: about as long as
+// that has lasted. Spread as above. Applies while an instance starts without a
+// configuration, as during an outage of the store. Thread safe if `random`
+// isn't shared.
+Duration RetryAfterOutage(Duration lasted, Random* random);
+
 }  // namespace limpetrudder::detail
 
 #endif  // DISPATCH_INTERNAL_RETRY_AFTER_H_
