dispatch: what the servers can do is shared among client accounts

Cause: with more queries than slots, admission refused callers of all accounts alike, so that one account's crowd took the others' room. Change: QueryAdmission keeps AccountShares for each shard set while accounts are configured. The total share stays the controller's; with no accounts configured nothing of it runs.

--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -241,7 +241,7 @@
   if (contact_.lost())
     return RefuseUnreachable(call, now);
   if (call->route->is_scatter() && !call->is_partial() &&
-      !admission_.Admit(*call->route, call->priority(), now)) {
+      !admission_.Admit(*call->route, call->account, call->priority(), now)) {
     return RefuseOverloaded(call, now);
   }
   CoordinateLocally(call, /*repeated=*/false, now);
--- a/src/dispatch/internal/query_admission.cc
+++ b/src/dispatch/internal/query_admission.cc
@@ -74,11 +74,20 @@
       else
         set.rate = AdmissionRate(route.shards.size() / kSampleDivisor);
       set.highest_priority = HighestPriority(route, table.accounts());
+      if (!table.accounts().is_configured())
+        set.shares.reset();
+      else if (!set.shares)
+        set.shares.emplace();
     }
     set.highest_priority = std::min(set.highest_priority,
                                     HighestPriority(route, table.accounts()));
   }
   sets_ = std::move(kept);
+  largest_weight_ = 0;
+  for (const ClientAccount& account : table.accounts())
+    largest_weight_ = std::max(largest_weight_, account.rate_per_second);
+  if (largest_weight_ <= 0)
+    largest_weight_ = 1;
 }
 
 void QueryAdmission::OnPart(const Route& route,
@@ -120,11 +129,25 @@
 }
 
 bool QueryAdmission::Admit(const Route& route,
+                           const ClientAccount* account,
                            std::uint32_t priority,
                            Time now) {
   ShardSet* set = Find(route);
-  return set == nullptr ||
-         set->rate.Admit(priority <= set->highest_priority, now);
+  if (set == nullptr)
+    return true;
+  const bool urgent = priority <= set->highest_priority;
+  if (!set->shares)
+    return set->rate.Admit(urgent, now);
+  static const std::string no_account;
+  const std::string& name = account == nullptr ? no_account : account->name;
+  const double weight = account == nullptr || account->rate_per_second <= 0
+                            ? largest_weight_
+                            : account->rate_per_second;
+  const double share = set->rate.OnArrival(urgent, now);
+  if (share < 1)
+    return set->shares->Admit(name, weight, share, now);
+  set->shares->Count(name, weight, now);
+  return true;
 }
 
 double QueryAdmission::PressureOf(const Route& route, Time now) const {
--- a/src/dispatch/internal/query_admission.h
+++ b/src/dispatch/internal/query_admission.h
@@ -2,13 +2,16 @@
 #define DISPATCH_INTERNAL_QUERY_ADMISSION_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
+#include "accounts/client_account.h"
 #include "dispatch/dispatch_types.h"
 #include "framework/random.h"
 #include "framework/time.h"
+#include "limits/account_shares.h"
 #include "limits/admission_rate.h"
 #include "routing/route_table.h"
 
@@ -46,8 +49,13 @@
   // Records that a query of `route` which was admitted here was served in time.
   void OnServed(const Route& route, Time now);
 
-  // Whether to admit a query of `route` with this priority.
-  bool Admit(const Route& route, std::uint32_t priority, Time now);
+  // Whether to admit a query of `route` with this priority. With accounts
+  // configured, what can be served is shared among them; `account` is null for
+  // callers of public routes, who count as one.
+  bool Admit(const Route& route,
+             const ClientAccount* account,
+             std::uint32_t priority,
+             Time now);
 
   // Returns the queue delay at the route's servers divided by a query's slack
   // time.
@@ -76,6 +84,7 @@
  private:
   struct ShardSet {
     AdmissionRate rate;
+    std::optional<AccountShares> shares;  // Set if accounts are configured.
     Duration work{0};  // Of one part on an idle server; 0: still unknown.
     // The lowest number that a query of its routes may have.
     std::uint32_t highest_priority = 0;
@@ -86,6 +95,7 @@
   const ShardSet* Find(const Route& route) const;
 
   std::unordered_map<std::string, ShardSet> sets_;  // Keyed by the first shard.
+  double largest_weight_ = 1;                       // Of all accounts.
 };
 
 }  // namespace limpetrudder::detail
--- a/src/limits/admission_rate.cc
+++ b/src/limits/admission_rate.cc
@@ -113,12 +113,15 @@
                           min_log_share, 0.0));
 }
 
-bool AdmissionRate::Admit(bool urgent, Time now) {
+double AdmissionRate::OnArrival(bool urgent, Time now) {
   arrived_.Add(now);
   Step(now);
+  return urgent || share_ >= 1 ? share_ : share_ * kNonUrgentRatio;
+}
+
+bool AdmissionRate::Admit(bool urgent, Time now) {
+  const double share = OnArrival(urgent, now);
   double& credit = urgent ? urgent_credit_ : other_credit_;
-  const double share =
-      urgent || share_ >= 1 ? share_ : share_ * kNonUrgentRatio;
   credit = std::min(credit + share, 1.0 + share);
   if (credit < 1)
     return false;
--- a/src/limits/admission_rate.h
+++ b/src/limits/admission_rate.h
@@ -32,9 +32,12 @@
   // Records that an admitted query was served in time.
   void OnServed(Time now);
 
-  // Returns whether the next query is admitted. Admitted queries are spread
-  // evenly over the refused ones. Slightly fewer queries are admitted if they
-  // aren't urgent.
+  // Records a query and returns the share of its kind that is admitted, which
+  // is slightly smaller if it isn't urgent.
+  double OnArrival(bool urgent, Time now);
+
+  // Likewise, and returns whether the query is admitted. Admitted queries are
+  // spread evenly over the refused ones.
   bool Admit(bool urgent, Time now);
 
   // Returns the pressure over about the last tenth of a second. It decays when
