Bound by size what an instance keeps of the store's values

Cause: the history of changes was bounded by number and not by size, and an entry that can't be read was logged with its bytes at each write, though nothing had changed for the instance, and passed on to the others.

Unreadable items are reported once, not at each write.

--- a/src/app/discovery_duty.cc
+++ b/src/app/discovery_duty.cc
@@ -171,6 +171,17 @@
        {"revision", action.known.revision}});
 }
 
+void DiscoveryDuty::Execute(const ItemRefused& action) {
+  Log(LogLevel::kWarning, "store_item_refused",
+      {{"key", action.key},
+       {"revision", action.revision},
+       {"bytes", action.bytes},
+       {"code", NumberOf(action.fault.code)},
+       {"pointer", action.fault.pointer},
+       {"message", action.fault.message},
+       {"refused", action.refused_items}});
+}
+
 void DiscoveryDuty::Execute(const FirstRoutesHeld& action) {
   Log(LogLevel::kWarning, "first_routes_held",
       {{"version", action.version}, {"asked", action.requests}});
--- a/src/app/discovery_duty.h
+++ b/src/app/discovery_duty.h
@@ -93,6 +93,7 @@
   void Execute(const StoreRestored& action);
   void Execute(const SourceOutdated& action);
   void Execute(const FirstRoutesHeld& action);
+  void Execute(const ItemRefused& action);
 
   const std::map<std::string, std::string> regions_;  // By data centre.
   DiscoveryEngine engine_;
--- a/src/app/entry_app.cc
+++ b/src/app/entry_app.cc
@@ -80,27 +80,13 @@
   return own;
 }
 
-std::optional<FeedItem> DecodeAndLogFault(const RawItem& item) {
-  std::optional<Error> fault;
-  auto decoded = DecodeItem(item.key, item.value, &fault);
-  if (fault) {
-    Log(LogLevel::kWarning, "store_item_refused",
-        {{"key", item.key},
-         {"revision", item.revision},
-         {"code", NumberOf(fault->code)},
-         {"pointer", fault->pointer},
-         {"message", fault->message}});
-  }
-  return decoded;
-}
-
 DiscoverySettings MakeDiscoverySettings(const EntrySettings& settings) {
   DiscoverySettings discovery;
   discovery.follower.interval = kReadInterval;
   discovery.follower.seed = Hash64(settings.instance);
   discovery.own = OwnEntry(settings);
   discovery.regions = settings.regions;
-  discovery.decode = DecodeAndLogFault;
+  discovery.decode = DecodeStoreItem;
   return discovery;
 }
 
--- a/src/discovery/discovery_engine.cc
+++ b/src/discovery/discovery_engine.cc
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "framework/hash.h"
+
 namespace limpetrudder {
 namespace {
 
@@ -14,6 +16,11 @@
 // Maximum number of instances that are asked for newer routes than the store's.
 constexpr std::size_t kMaxFirstRoutesRequests = 3;
 
+Error TooManyEntries(std::size_t bytes) {
+  return {ResultCode::kFieldOutOfRange, "",
+          "too many entries: " + std::to_string(bytes) + " bytes are kept"};
+}
+
 }  // namespace
 
 DiscoveryEngine::DiscoveryEngine(DiscoverySettings settings)
@@ -22,9 +29,13 @@
       registrar_(settings_.own, settings_.follower.seed),
       source_selector_(settings_.own,
                        settings_.regions,
-                       settings_.follower.seed) {}
+                       settings_.follower.seed),
+      log_(settings_.limits.max_change_bytes),
+      refused_items_(settings_.limits.max_refused_items) {}
 
 void DiscoveryEngine::OnStoreReply(FeedReply reply, Time now) {
+  if (follower_.is_listing())
+    ReducePage(&reply.items, now);
   auto update = follower_.OnReply(std::move(reply), now);
   ReportStoreReachability();
   ReportStoreEra(now);
@@ -80,12 +91,13 @@
   for (const auto& item : reply.items) {
     if (!item.value)
       continue;
-    auto decoded = settings_.decode(item);
+    RawItem copy = item;
+    auto decoded = Decode(&copy, now);
     if (!decoded)
       continue;
     if (auto* routes =
             std::get_if<std::shared_ptr<const RouteTable>>(&*decoded))
-      ApplyRoutes({std::move(*routes), item}, now);
+      ApplyRoutes({std::move(*routes), std::move(copy)}, now);
   }
 }
 
@@ -141,8 +153,8 @@
   if (update.whole) {
     ApplyListing(std::move(update.items), now);
   } else {
-    for (const auto& item : update.items)
-      ApplyChange(item, now);
+    for (auto& item : update.items)
+      ApplyChange(std::move(item), now);
     log_.Advance(follower_.position());
   }
   // After a restore from an older copy, known servers are kept until they have
@@ -181,9 +193,10 @@
   std::vector<InstanceEntry> instances;
   std::set<std::string> evacuations;
   std::optional<StoredRoutes> stored;
+  std::size_t bytes = 0;
   for (auto& item : items) {
-    auto decoded = settings_.decode(item);
-    if (!decoded)
+    auto decoded = Decode(&item, now);
+    if (!decoded || !item.value)
       continue;
     if (auto* routes =
             std::get_if<std::shared_ptr<const RouteTable>>(&*decoded)) {
@@ -195,6 +208,11 @@
     // has left.
     if (server != nullptr && directory_.IsFromRemovedServer(*server))
       continue;
+    if (!HasRoomFor(*decoded, item, bytes, /*is_new=*/true)) {
+      RefuseItem(&item, TooManyEntries(bytes), now);
+      continue;
+    }
+    bytes += FeedLog::MemoryOf(item);
     if (server != nullptr)
       servers.push_back(std::move(*server));
     else if (auto* instance = std::get_if<InstanceEntry>(&*decoded))
@@ -211,16 +229,108 @@
     ApplyRoutes(std::move(*stored), now);
 }
 
-void DiscoveryEngine::ApplyChange(const RawItem& item, Time now) {
-  const std::string* before = log_.Find(item.key);
-  if (before != nullptr && item.value && *before == *item.value)
+std::optional<FeedItem> DiscoveryEngine::Decode(RawItem* item, Time now) {
+  if (item->key.size() > settings_.limits.max_key_bytes) {
+    if (item->value) {
+      RefuseItem(
+          item, {ResultCode::kFieldOutOfRange, "", "the key is too long"}, now);
+    }
+    return std::nullopt;
+  }
+  DecodedItem decoded = settings_.decode(*item);
+  if (decoded.fault) {
+    RefuseItem(item, std::move(*decoded.fault), now);
+    return std::move(decoded.item);
+  }
+  refused_items_.Remove(item->key);
+  if (!decoded.item)
+    return std::nullopt;
+  const bool is_routes =
+      std::holds_alternative<std::shared_ptr<const RouteTable>>(*decoded.item);
+  if (is_routes && item->value->size() > settings_.limits.max_routes_bytes) {
+    RefuseItem(
+        item,
+        {ResultCode::kFieldOutOfRange, "", "the configuration is too long"},
+        now);
+    return std::nullopt;
+  }
+  if (decoded.short_value)
+    item->value = std::move(decoded.short_value);
+  return std::move(decoded.item);
+}
+
+void DiscoveryEngine::RefuseItem(RawItem* item, Error fault, Time now) {
+  const std::string value = std::exchange(item->value, {}).value_or("");
+  std::string key = item->key.substr(0, settings_.limits.max_key_bytes);
+  if (!refused_items_.Add(key, Hash64(value), now))
     return;
-  auto decoded = settings_.decode(item);
-  if (!decoded)
+  actions_.push_back(ItemRefused{std::move(key), item->revision, value.size(),
+                                 std::move(fault), refused_items_.size()});
+}
+
+void DiscoveryEngine::ReducePage(std::vector<RawItem>* items, Time now) {
+  const DiscoveryLimits& limits = settings_.limits;
+  std::size_t bytes = follower_.listing_bytes();
+  for (RawItem& item : *items) {
+    // Short values are decoded once, when the listing is complete, unless there
+    // are many of them.
+    const std::size_t value_bytes = item.value ? item.value->size() : 0;
+    if (value_bytes > kMaxEntryValueBytes ||
+        item.key.size() > limits.max_key_bytes ||
+        bytes > limits.max_entry_bytes / 2) {
+      const auto decoded = Decode(&item, now);
+      if (!decoded)
+        item.value.reset();
+      else if (item.value && !HasRoomFor(*decoded, item, bytes, true))
+        RefuseItem(&item, TooManyEntries(bytes), now);
+    }
+    if (item.value)
+      bytes += FeedLog::MemoryOf(item);
+  }
+}
+
+bool DiscoveryEngine::HasRoomFor(const FeedItem& decoded,
+                                 const RawItem& item,
+                                 std::size_t bytes,
+                                 bool is_new) const {
+  const DiscoveryLimits& limits = settings_.limits;
+  if (std::holds_alternative<std::shared_ptr<const RouteTable>>(decoded))
+    return true;
+  const auto* instance = std::get_if<InstanceEntry>(&decoded);
+  if (instance != nullptr && instance->name == settings_.own.name)
+    return true;
+  const bool is_new_server =
+      is_new && std::holds_alternative<ServerEntry>(decoded);
+  return bytes + FeedLog::MemoryOf(item) <=
+         (is_new_server ? limits.max_server_bytes : limits.max_entry_bytes);
+}
+
+void DiscoveryEngine::ApplyChange(RawItem item, Time now) {
+  const auto is_known = [this, &item] {
+    const std::string* before = log_.Find(item.key);
+    return before != nullptr && item.value && *before == *item.value;
+  };
+  if (is_known())
     return;
+  const bool has_value = item.value.has_value();
+  auto decoded = Decode(&item, now);
+  if (!decoded || is_known())
+    return;
+  const bool is_new = log_.Find(item.key) == nullptr;
+  // A value that can't be used removes its entry; if there is none, nothing
+  // changes.
+  if (has_value && !item.value && is_new)
+    return;
+  const std::size_t others = log_.item_bytes() - log_.BytesOf(item.key);
+  if (item.value && !HasRoomFor(*decoded, item, others, is_new)) {
+    RefuseItem(&item, TooManyEntries(others), now);
+    if (is_new)
+      return;
+    decoded = settings_.decode(item).item;
+  }
   bool changed = true;
   if (auto* routes = std::get_if<std::shared_ptr<const RouteTable>>(&*decoded))
-    return ApplyRoutes({std::move(*routes), item}, now);
+    return ApplyRoutes({std::move(*routes), std::move(item)}, now);
   if (const auto* server = std::get_if<ServerEntry>(&*decoded))
     changed = directory_.OnEntry(*server);
   else if (const auto* removed_server = std::get_if<ServerRemoved>(&*decoded))
--- a/src/discovery/discovery_engine.h
+++ b/src/discovery/discovery_engine.h
@@ -11,11 +11,13 @@
 #include <variant>
 #include <vector>
 
+#include "discovery/discovery_limits.h"
 #include "discovery/discovery_types.h"
 #include "discovery/evacuation_directory.h"
 #include "discovery/feed_log.h"
 #include "discovery/feed_source_selector.h"
 #include "discovery/instance_directory.h"
+#include "discovery/refused_items.h"
 #include "discovery/registrar.h"
 #include "discovery/server_directory.h"
 #include "discovery/store_follower.h"
@@ -27,9 +29,9 @@
   StoreFollowerSettings follower;
   InstanceEntry own;                           // This instance's entry.
   std::map<std::string, std::string> regions;  // By data centre.
-  // Decodes an item of the store; returns nothing for an item that discovery
-  // doesn't use. Must have no side effects except logs.
-  std::function<std::optional<FeedItem>(const RawItem&)> decode;
+  // Decodes an item of the store. Must have no side effects.
+  std::function<DecodedItem(const RawItem&)> decode;
+  DiscoveryLimits limits;
 };
 
 // Why changes are requested from another instance.
@@ -102,6 +104,16 @@
   std::size_t requests = 0;  // Number of instances asked for newer routes.
 };
 
+// An item of the store can't be used. Reported once for an item that is written
+// again and again.
+struct ItemRefused {
+  std::string key;  // Cut off after the longest key that is allowed.
+  std::uint64_t revision = 0;
+  std::size_t bytes = 0;  // Of its value.
+  Error fault;
+  std::size_t refused_items = 0;  // Number of such items that are remembered.
+};
+
 using DiscoveryAction = std::variant<CallStore,
                                      CallLease,
                                      RequestFeed,
@@ -113,7 +125,8 @@
                                      StoreReachabilityChanged,
                                      StoreRestored,
                                      SourceOutdated,
-                                     FirstRoutesHeld>;
+                                     FirstRoutesHeld,
+                                     ItemRefused>;
 
 // Keeps track of routes, servers, evacuations and instances by the replies of
 // the store and of other instances, keeps this instance registered in the
@@ -162,6 +175,12 @@
   // Returns and clears the actions due.
   std::vector<DiscoveryAction> TakeActions();
 
+  // The memory that the store's items and the history of their changes take, in
+  // bytes.
+  std::size_t kept_bytes() const {
+    return log_.item_bytes() + log_.change_bytes() + follower_.listing_bytes();
+  }
+
   // Returns the version of the routes in force, or 0 if there are none.
   std::uint64_t routes_version() const {
     return in_force_.routes ? in_force_.routes->version() : 0;
@@ -181,7 +200,21 @@
   };
   void ApplyUpdate(StoreUpdate update, Time now);
   void ApplyListing(std::vector<RawItem> items, Time now);
-  void ApplyChange(const RawItem& item, Time now);
+  void ApplyChange(RawItem item, Time now);
+  // Decodes an item. Removes its value if that can't be used, and shortens it
+  // if it is long. Returns nothing if discovery doesn't use the item.
+  std::optional<FeedItem> Decode(RawItem* item, Time now);
+  // Reduces the items of a page to what may be kept until the listing is
+  // complete.
+  void ReducePage(std::vector<RawItem>* items, Time now);
+  // Whether `item` may be kept besides entries that take `bytes`. `is_new`: no
+  // earlier value of it is kept.
+  bool HasRoomFor(const FeedItem& decoded,
+                  const RawItem& item,
+                  std::size_t bytes,
+                  bool is_new) const;
+  // Removes the item's value and reports it unless it was reported already.
+  void RefuseItem(RawItem* item, Error fault, Time now);
   void ApplyRoutes(StoredRoutes stored, Time now);
   void SetRoutesInForce(StoredRoutes stored);
   // Applies only the routes of a reply whose other items can't be applied.
@@ -214,6 +247,7 @@
   // All items except the routes, which are sent by their version, not by a
   // position.
   FeedLog log_;
+  RefusedItems refused_items_;
   StoredRoutes in_force_;
   std::optional<StoredRoutes> held_routes_;
   Time held_until_ = kNever;
--- a/src/discovery/discovery_types.h
+++ b/src/discovery/discovery_types.h
@@ -1,6 +1,7 @@
 #ifndef DISCOVERY_DISCOVERY_TYPES_H_
 #define DISCOVERY_DISCOVERY_TYPES_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -10,6 +11,7 @@
 
 #include "discovery/server_directory.h"
 #include "discovery/store_position.h"
+#include "framework/error.h"
 #include "routing/route_table.h"
 
 namespace limpetrudder {
@@ -61,10 +63,27 @@
                               EvacuationStarted,
                               EvacuationEnded>;
 
+// The longest value of an entry that is kept unchanged.
+inline constexpr std::size_t kMaxEntryValueBytes = 512;
+
+// What a RawItem says.
+struct DecodedItem {
+  // Not set if discovery doesn't use the item. If an entry can't be read, its
+  // removal.
+  std::optional<FeedItem> item;
+  // Set if the value can't be read.
+  std::optional<Error> fault;
+  // An entry's value without what nothing reads. Set if its value is longer
+  // than kMaxEntryValueBytes.
+  std::optional<std::string> short_value;
+};
+
 enum class FeedStatus {
   kOk,
-  kHistoryLost,  // Changes since the requested revision are no longer kept.
-  kRefused,      // The store rejected the call without executing it.
+  // Changes since the requested revision are no longer kept, or are too many
+  // for one reply.
+  kHistoryLost,
+  kRefused,  // The store rejected the call without executing it.
   kNoReply,
 };
 
--- a/src/discovery/store_follower.cc
+++ b/src/discovery/store_follower.cc
@@ -1,9 +1,10 @@
 #include "discovery/store_follower.h"
 
 #include <algorithm>
-#include <iterator>
 #include <utility>
 
+#include "discovery/feed_log.h"
+
 namespace limpetrudder {
 namespace {
 
@@ -105,7 +106,12 @@
     listing_position_ = {era_, reply.revision};
   const std::string last_key =
       reply.items.empty() ? std::string() : reply.items.back().key;
-  std::move(reply.items.begin(), reply.items.end(), std::back_inserter(pages_));
+  for (auto& item : reply.items) {
+    if (!item.value)
+      continue;
+    listing_bytes_ += FeedLog::MemoryOf(item);
+    pages_.push_back(std::move(item));
+  }
   next_call_ = now;
   if (reply.has_more && !last_key.empty()) {
     after_key_ = last_key;
@@ -114,7 +120,7 @@
   is_listing_ = false;
   is_first_listing_ = false;
   after_key_.clear();
-  auto items = std::exchange(pages_, {});
+  auto items = TakePages();
   // A stale listing doesn't undo later changes from another instance.
   if (listing_position_ < position_)
     return std::nullopt;
@@ -143,7 +149,7 @@
     is_listing_ = false;
     is_first_listing_ = false;
     after_key_.clear();
-    pages_.clear();
+    TakePages();
     next_call_ = now + Jittered(Interval(now));
   }
   return MakeUpdate(std::move(reply.items), reply.whole);
@@ -170,12 +176,17 @@
   is_listing_ = true;
   is_first_listing_ = false;
   after_key_.clear();
-  pages_.clear();
+  TakePages();
   next_call_ = last_listing_start_ == Time::min()
                    ? now
                    : std::max(now, last_listing_start_ + kMinListingInterval);
 }
 
+std::vector<RawItem> StoreFollower::TakePages() {
+  listing_bytes_ = 0;
+  return std::exchange(pages_, {});
+}
+
 void StoreFollower::RecordResponse(Time at) {
   if (at <= last_response_)
     return;
--- a/src/discovery/store_follower.h
+++ b/src/discovery/store_follower.h
@@ -56,7 +56,8 @@
   std::optional<FeedCall> NextCall(Time now, Time* next);
 
   // Takes the store's reply to the call of NextCall(). Returns an update if
-  // there is one; a listing yields it with its last page.
+  // there is one; a listing yields it with its last page. Items without a value
+  // are left out of a listing.
   std::optional<StoreUpdate> OnReply(FeedReply reply, Time now);
 
   // Takes the feed response of another instance, whose own information is
@@ -82,6 +83,12 @@
   // The latest era of the store; its items may not be listed yet.
   std::uint64_t era() const { return era_; }
 
+  // Whether the store's next reply is a page of a listing.
+  bool is_listing() const { return is_listing_; }
+
+  // The memory that the pages of an incomplete listing take, in bytes.
+  std::size_t listing_bytes() const { return listing_bytes_; }
+
   // False from a failed call to the store until one succeeds.
   bool is_store_reachable() const { return failures_ == 0; }
 
@@ -103,6 +110,7 @@
                                        Time now);
   StoreUpdate MakeUpdate(std::vector<RawItem> items, bool whole);
   void RestartListing(Time now);
+  std::vector<RawItem> TakePages();
   void RecordResponse(Time at);
   Duration Interval(Time now) const;
   Duration Jittered(Duration duration);
@@ -115,6 +123,7 @@
   std::string after_key_;
   StorePosition listing_position_;  // Of the listing's first page.
   std::vector<RawItem> pages_;
+  std::size_t listing_bytes_ = 0;
   // When the last listing other than the first one began.
   Time last_listing_start_ = Time::min();
   std::uint64_t era_ = 0;
--- a/src/discovery/tests/discovery_simulation.cc
+++ b/src/discovery/tests/discovery_simulation.cc
@@ -27,7 +27,7 @@
          (draining ? "1" : "0");
 }
 
-std::optional<FeedItem> Decode(const RawItem& item) {
+std::optional<FeedItem> DecodeFeedItem(const RawItem& item) {
   if (item.key == kRoutesKey) {
     if (!item.value)
       return std::nullopt;
@@ -130,7 +130,9 @@
   settings.follower.seed = random_.Next();
   settings.own = node.entry;
   settings.regions = kRegions;
-  settings.decode = Decode;
+  settings.decode = [](const RawItem& item) {
+    return DecodedItem{DecodeFeedItem(item), std::nullopt, std::nullopt};
+  };
   node.engine = std::make_unique<DiscoveryEngine>(std::move(settings));
   Tick(instance);
 }
@@ -403,8 +405,8 @@
         store_.items().find(kInstanceKeyPrefix + node.entry.name);
     if (found == store_.items().end())
       continue;
-    const auto entry =
-        Decode({kInstanceKeyPrefix + node.entry.name, found->second.value, 0});
+    const auto entry = DecodeFeedItem(
+        {kInstanceKeyPrefix + node.entry.name, found->second.value, 0});
     if (std::get<InstanceEntry>(*entry).store_era == store_.era())
       ++count;
   }
--- a/src/discovery/tests/feed_test.cc
+++ b/src/discovery/tests/feed_test.cc
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include "discovery/discovery_limits.h"
 #include "discovery/feed_log.h"
 #include "discovery/feed_source_selector.h"
 
@@ -12,7 +13,7 @@
 const Time kStart = Time(Seconds(100));
 
 TEST_CASE("A feed log") {
-  FeedLog log;
+  FeedLog log(DiscoveryLimits().max_change_bytes);
   log.Reset({{"a", "1", 5}, {"b", "1", 6}}, {2, 10});
 
   SUBCASE("returns all items for a position before its oldest change") {
@@ -44,6 +45,38 @@
     CHECK(log.Since({2, 10}).whole);
     CHECK_FALSE(log.Since({2, 11}).whole);
   }
+  SUBCASE("keeps a history that is bounded in size") {
+    FeedLog small(1000);
+    small.Reset({{"a", "1", 5}}, {2, 10});
+    for (std::uint64_t i = 0; i < 10; ++i) {
+      small.Add({"a", std::string(100, 'x'), 11 + i}, true);
+      CHECK(small.change_bytes() <= 1000);
+    }
+    small.Advance({2, 20});
+    CHECK(small.Since({2, 10}).whole);
+    const FeedReply reply = small.Since({2, 18});
+    CHECK_FALSE(reply.whole);
+    CHECK(reply.items.size() == 2);
+
+    SUBCASE("and keeps no change that is larger than all of it") {
+      small.Add({"b", std::string(2000, 'x'), 21}, true);
+      small.Advance({2, 21});
+      CHECK(small.change_bytes() == 0);
+      CHECK(small.HasChangesSince({2, 20}));
+      CHECK(small.Since({2, 20}).whole);
+      CHECK(small.Since({2, 20}).items.size() == 2);
+    }
+  }
+  SUBCASE("counts the memory of its items") {
+    const std::size_t before = log.item_bytes();
+    log.Add({"a", std::string(1001, 'x'), 11}, false);
+    CHECK(log.item_bytes() == before + 1000);
+    CHECK(log.BytesOf("a") == FeedLog::MemoryOf({"a", "1", 5}) + 1000);
+    log.Add({"a", "1", 12}, false);
+    CHECK(log.item_bytes() == before);
+    log.Add({"a", std::nullopt, 13}, false);
+    CHECK(log.item_bytes() == log.BytesOf("b"));
+  }
   SUBCASE("has no changes for a position after its own") {
     CHECK_FALSE(log.HasChangesSince({2, 20}));
     CHECK_FALSE(log.HasChangesSince({3, 1}));
--- a/src/net/feed_codec.cc
+++ b/src/net/feed_codec.cc
@@ -22,18 +22,24 @@
 constexpr std::string_view kAtOnceField = "now";
 constexpr std::string_view kAcceptsCompressedField = "packed";
 
-// The store's values take up to one megabyte.
-constexpr std::size_t kMaxValueBytes = 8 << 20;
+// The largest total of the compressed values of one response, uncompressed. Of
+// the store's values, only the configuration is long enough to be compressed;
+// it takes up to one megabyte.
+constexpr std::size_t kMaxInflatedBytes = 16 << 20;
 
 constexpr Duration kMaxAge = Seconds(365LL * 86'400);
 
 // Reads the value of an item; a null value means that the item was deleted.
-// Returns false if it is missing or corrupt.
-bool ReadValue(const Json& row, std::optional<std::string>* value) {
+// Returns false if it is missing, corrupt, or larger than `*inflatable` bytes
+// uncompressed, which it reduces.
+bool ReadValue(const Json& row,
+               std::size_t* inflatable,
+               std::optional<std::string>* value) {
   if (const auto packed = row.find("packed"); packed != row.end()) {
     const auto size = WholeNumber(row, "size");
-    if (!size || *size > kMaxValueBytes || !packed->is_string())
+    if (!size || *size > *inflatable || !packed->is_string())
       return false;
+    *inflatable -= *size;
     const auto bytes = DecodeBase64(packed->get_ref<const std::string&>());
     if (bytes)
       *value = Inflate(*bytes, *size);
@@ -47,14 +53,14 @@
   return true;
 }
 
-std::optional<RawItem> ReadItem(const Json& row) {
+std::optional<RawItem> ReadItem(const Json& row, std::size_t* inflatable) {
   if (!row.is_object())
     return std::nullopt;
   const auto key = row.find("key");
   const auto revision = WholeNumber(row, "revision");
   RawItem item;
   if (key == row.end() || !key->is_string() || !revision ||
-      !ReadValue(row, &item.value)) {
+      !ReadValue(row, inflatable, &item.value)) {
     return std::nullopt;
   }
   item.key = key->get<std::string>();
@@ -83,8 +89,9 @@
   reply.era = era;
   reply.whole = whole->get<bool>();
   reply.age = *age;
+  std::size_t inflatable = kMaxInflatedBytes;
   for (const Json& row : *items) {
-    auto item = ReadItem(row);
+    auto item = ReadItem(row, &inflatable);
     if (!item)
       return std::nullopt;
     reply.items.push_back(*std::move(item));
--- a/src/net/tests/feed_codec_test.cc
+++ b/src/net/tests/feed_codec_test.cc
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include "framework/base64.h"
+#include "framework/deflate.h"
 #include "net/feed_codec.h"
 
 namespace limpetrudder {
@@ -68,6 +70,20 @@
       CHECK(Decode(body).status == FeedStatus::kNoReply);
     }
   }
+  SUBCASE("is refused whole if its compressed values take too much memory") {
+    const std::string value(1 << 20, 'x');
+    const std::string row = R"({"key":"b","revision":4,"size":1048576,)"
+                            R"("packed":")" +
+                            EncodeBase64(Deflate(value)) + "\"},";
+    const auto with_rows = [&row](int count) {
+      std::string rows;
+      for (int i = 0; i < count; ++i)
+        rows += row;
+      return With("{\"key\":\"a\"", rows + "{\"key\":\"a\"");
+    };
+    CHECK(Decode(with_rows(16)).status == FeedStatus::kOk);
+    CHECK(Decode(with_rows(17)).status == FeedStatus::kNoReply);
+  }
   SUBCASE("may be millions of years old") {
     const FeedReply reply =
         Decode(With("\"age_ms\":5", "\"age_ms\":18446744073709551615"));
