soak: a foreign writer in the store, and further signals during a stop

Two values of 1 MB that can't be read and one small entry under a new key are written at each heartbeat; the stand-in's history is bounded by size for it. At the end one instance gets SIGTERM and then SIGTERM, SIGHUP and SIGINT at random for 2.2 s, while it is sent 100 requests a second.

--- a/testing/soak/entry_process.cc
+++ b/testing/soak/entry_process.cc
@@ -84,13 +84,14 @@
   if (pid_ <= 0)
     return;
   kill(pid_, signal);
-  last_signal_time_ = SteadyNow();
   if (signal == SIGSTOP)
     paused_ = true;
   if (signal == SIGCONT)
     paused_ = false;
-  if (signal == SIGTERM)
+  if (signal == SIGTERM && !stopping_) {
     stopping_ = true;
+    stop_time_ = SteadyNow();
+  }
 }
 
 bool EntryProcess::HasExited() {
--- a/testing/soak/entry_process.h
+++ b/testing/soak/entry_process.h
@@ -60,7 +60,8 @@
   bool paused() const { return paused_; }
   bool stopping() const { return stopping_; }
   int exit_status() const { return exit_status_; }
-  Time last_signal_time() const { return last_signal_time_; }
+  // The time of the first SIGTERM since the last start.
+  Time stop_time() const { return stop_time_; }
   const EntryOptions& options() const { return options_; }
 
  private:
@@ -72,7 +73,7 @@
   bool paused_ = false;
   bool stopping_ = false;
   int exit_status_ = 0;
-  Time last_signal_time_{};
+  Time stop_time_{};
 };
 
 }  // namespace limpetrudder::testbed
--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstring>
 #include <iostream>
+#include <iterator>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -67,6 +69,14 @@
 constexpr std::size_t kCrashesBeforeBound = 3;
 constexpr int kMaxLateArrivals = 3;
 
+// Another writer's entries, and how often a request is sent to an instance that
+// gets stop signals. It gets them until it would be taken out of the balancer.
+constexpr int kForeignValues = 2;
+constexpr std::size_t kForeignValueBytes = 1'000'000;
+constexpr Duration kStopRequestInterval = Millis(10);
+constexpr Duration kStopSignalTime = Millis(2200);
+constexpr int kStopSignals[] = {SIGTERM, SIGHUP, SIGINT};
+
 std::vector<std::string> SplitList(std::string_view text) {
   std::vector<std::string> items;
   for (std::size_t at = 0; at < text.size();) {
@@ -82,6 +92,8 @@
 Soak::Soak(SoakOptions options)
     : options_(std::move(options)),
       random_(options_.seed),
+      stop_random_(options_.seed + 2),
+      foreign_random_(options_.seed + 3),
       store_(&context_, options_.first_port),
       callers_(&context_, {"Request-Id"}, [this](PoolResponse response) {
         OnResponse(std::move(response));
@@ -195,6 +207,8 @@
   RunPhase(kRecoveryTime, /*with_faults=*/false);
   RunServerCut();
   RunRequestOfDeath();
+  RunPhase(kRecoveryTime, /*with_faults=*/false);
+  RunRepeatedStop();
   RunPhase(kFinalPhase + kRecoveryTime, /*with_faults=*/false);
   RunPhase(kCallerTimeout, /*with_faults=*/false);
   CheckServerCounters();
@@ -228,6 +242,12 @@
       SendRequest(next_deadly_entry_++ % entries_.size(), Kind::kDeadlySearch);
       next_deadly_ = now + kDeadlyInterval;
     }
+    if (now >= next_stop_signal_)
+      SendStopSignal();
+    if (now >= next_stop_request_) {
+      SendRequest(stopped_entry_, Kind::kSearch);
+      next_stop_request_ += kStopRequestInterval;
+    }
     EndExpiredFaults(now);
     if (servers_cut_ && now >= next_cut_update) {
       UpdateCutConnections();
@@ -247,6 +267,7 @@
   ++sequence_;
   for (const auto& server : servers_)
     store_.Put("servers/" + server->id(), server->StoreValue(sequence_));
+  WriteForeignValues();
   store_.SaveCopy();
   for (const auto& entry : entries_) {
     if (entry->ResidentBytes() > kMaxResidentBytes)
@@ -254,6 +275,18 @@
   }
 }
 
+void Soak::WriteForeignValues() {
+  for (int i = 0; i < kForeignValues; ++i) {
+    std::string value;
+    while (value.size() < kForeignValueBytes) {
+      const std::uint64_t bits = foreign_random_.Next();
+      value.append(reinterpret_cast<const char*>(&bits), sizeof(bits));
+    }
+    store_.Put("servers/other-" + std::to_string(i), value);
+  }
+  store_.Put("servers/odd-" + std::to_string(sequence_), "odd");
+}
+
 std::string Soak::PathOf(Kind kind) {
   switch (kind) {
     case Kind::kSearch:
@@ -281,7 +314,7 @@
   const EntryProcess& process = *entries_[entry];
   if (!process.running() ||
       (process.stopping() &&
-       SteadyNow() - process.last_signal_time() > Millis(2200)))
+       SteadyNow() - process.stop_time() > kStopSignalTime))
     return;
   const std::uint64_t id = next_request_++;
   PendingRequest pending;
@@ -301,6 +334,9 @@
                           !pending.cancels_early &&
                           SteadyNow() >= deadly_counts_from_;
   during_deadly_.sent += pending.during_deadly ? 1 : 0;
+  pending.during_stop = !pending.cancels_early &&
+                        next_stop_request_ != kNever && entry == stopped_entry_;
+  during_stop_.sent += pending.during_stop ? 1 : 0;
   if (kind == Kind::kWrite)
     write_ids_.insert(pending.request_id);
   PoolRequest request;
@@ -351,6 +387,7 @@
                                                        : at_other_entries_;
   count.served += pending.during_cut ? 1 : 0;
   during_deadly_.served += pending.during_deadly ? 1 : 0;
+  during_stop_.served += pending.during_stop ? 1 : 0;
   if (pending.fault_free && !pending.cancels_early)
     ++fault_free_served_;
   if (pending.kind == Kind::kSearch)
@@ -509,6 +546,38 @@
   CheckRequestOfDeath();
 }
 
+void Soak::RunRepeatedStop() {
+  stopped_entry_ = stop_random_.Below(entries_.size());
+  EntryProcess& entry = *entries_[stopped_entry_];
+  Log("SIGTERM " + entry.options().name + ", and further signals");
+  entry.Signal(SIGTERM);
+  next_stop_request_ = SteadyNow();
+  next_stop_signal_ = SteadyNow() + Millis(200);
+  RunPhase(kStopSignalTime, /*with_faults=*/false);
+  next_stop_signal_ = kNever;
+  next_stop_request_ = kNever;
+  RunPhase(kCallerTimeout, /*with_faults=*/false);
+  const std::string counts =
+      std::to_string(during_stop_.served) + " of " +
+      std::to_string(during_stop_.sent) +
+      " requests served by an instance that got stop signals";
+  Log(counts);
+  if (during_stop_.served <
+      kMinServedRatio * static_cast<double>(during_stop_.sent)) {
+    ReportViolation(counts);
+  }
+}
+
+void Soak::SendStopSignal() {
+  const int signal = kStopSignals[stop_random_.Below(std::size(kStopSignals))];
+  EntryProcess& entry = *entries_[stopped_entry_];
+  Log(std::string(strsignal(signal)) + " to " + entry.options().name);
+  entry.Signal(signal);
+  next_stop_signal_ =
+      SteadyNow() +
+      Millis(100 + static_cast<std::int64_t>(stop_random_.Below(500)));
+}
+
 void Soak::CrashServer(std::size_t index) {
   if (!crashed_servers_.insert(index).second)
     return;
--- a/testing/soak/soak.h
+++ b/testing/soak/soak.h
@@ -66,6 +66,7 @@
     // Sent while a request of death comes again and again, later than
     // kContactTime after it first came.
     bool during_deadly = false;
+    bool during_stop = false;  // Sent to an instance that gets stop signals.
     std::shared_ptr<asio::steady_timer> timer;
   };
 
@@ -84,8 +85,11 @@
   void StartFleet();
   std::string MakeConfig(std::uint64_t version) const;
   void RunPhase(Duration duration, bool with_faults);
-  // Writes the servers' values into the store and checks the instances' memory.
+  // Writes the servers' values and those of another writer into the store and
+  // checks the instances' memory.
   void Heartbeat();
+  // Writes large entries that can't be read, and a small one under a new key.
+  void WriteForeignValues();
   static std::string PathOf(Kind kind);
   void SendNextRequest();
   void SendRequest(std::size_t entry, Kind kind);
@@ -106,6 +110,10 @@
   // restarts meanwhile, and checks how often it reaches servers.
   void RunRequestOfDeath();
   void CheckRequestOfDeath();
+  // Tells an instance to stop, sends it further signals while it does, and
+  // checks that it serves the requests that it takes meanwhile.
+  void RunRepeatedStop();
+  void SendStopSignal();
   void CrashServer(std::size_t index);
   void InjectFault();
   void InjectEntryFault(EntryProcess* entry);
@@ -125,6 +133,9 @@
 
   const SoakOptions options_;
   Random random_;
+  // Of their own, so that older seeds give the same faults.
+  Random stop_random_;
+  Random foreign_random_;
   asio::io_context context_{1};
   ServerCounters counters_;
   StoreStandIn store_;
@@ -158,6 +169,10 @@
   Count during_deadly_;
   std::vector<Time> crash_times_;
   std::set<std::size_t> crashed_servers_;
+  std::size_t stopped_entry_ = 0;
+  Time next_stop_signal_ = kNever;
+  Time next_stop_request_ = kNever;
+  Count during_stop_;
   int fault_count_ = 0;
 };
 
--- a/testing/soak/store_stand_in.cc
+++ b/testing/soak/store_stand_in.cc
@@ -15,6 +15,7 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t kMaxHistory = 2000;
+constexpr std::size_t kMaxHistoryBytes = 32 << 20;
 constexpr std::size_t kMaxCopies = 30;
 constexpr int kPageItems = 40;  // Small, so that listings take several pages.
 
@@ -180,32 +181,38 @@
                          std::string value,
                          std::uint64_t lease) {
   ++state_.revision;
-  history_.push_back({{"Key", key},
-                      {"Value", EncodeBase64(value)},
-                      {"Revision", state_.revision},
-                      {"Lease", lease}});
+  Record({{"Key", key},
+          {"Value", EncodeBase64(value)},
+          {"Revision", state_.revision},
+          {"Lease", lease}});
   state_.items[key] = {std::move(value), state_.revision, lease};
-  TrimHistory();
 }
 
 void StoreStandIn::Erase(const std::string& key) {
   if (state_.items.erase(key) == 0)
     return;
   ++state_.revision;
-  history_.push_back(
-      {{"Key", key}, {"Revision", state_.revision}, {"Deleted", true}});
+  Record({{"Key", key}, {"Revision", state_.revision}, {"Deleted", true}});
+}
+
+void StoreStandIn::Record(Json change) {
+  history_bytes_ += change.value("Value", std::string()).size();
+  history_.push_back(std::move(change));
   TrimHistory();
 }
 
 void StoreStandIn::TrimHistory() {
-  if (history_.size() <= kMaxHistory)
-    return;
-  compacted_revision_ = history_.front()["Revision"];
-  history_.pop_front();
+  while (history_.size() > kMaxHistory || history_bytes_ > kMaxHistoryBytes) {
+    const Json& oldest = history_.front();
+    compacted_revision_ = oldest["Revision"];
+    history_bytes_ -= oldest.value("Value", std::string()).size();
+    history_.pop_front();
+  }
 }
 
 void StoreStandIn::CompactHistory() {
   history_.clear();
+  history_bytes_ = 0;
   compacted_revision_ = state_.revision;
 }
 
--- a/testing/soak/store_stand_in.h
+++ b/testing/soak/store_stand_in.h
@@ -23,7 +23,7 @@
 
   void Put(const std::string& key, const std::string& value);
   void Erase(const std::string& key);
-  // Forgets the oldest change if there are more than are kept.
+  // Forgets the oldest changes while there are more than are kept.
   void TrimHistory();
 
   // Refuses every request with 503.
@@ -59,6 +59,7 @@
   ServerResponse Grant(const Json& body);
   ServerResponse Renew(std::uint64_t lease);
   void EndLease(std::uint64_t lease);
+  void Record(Json change);
   void Write(const std::string& key, std::string value, std::uint64_t lease);
   void ExpireLeases();
 
@@ -80,6 +81,7 @@
   State state_;
   std::deque<State> copies_;
   std::deque<Json> history_;
+  std::size_t history_bytes_ = 0;
   std::uint64_t compacted_revision_ = 1;
   std::uint64_t era_ = 1;
   std::uint64_t calls_ = 0;
