A second signal to stop changes nothing

Cause: a second SIGTERM or SIGINT ended the wait of a stop.

Change: signals are blocked before anything else and stay so during a stop, also for `serve`; nothing but SIGKILL ends a stop sooner. A SIGHUP during the start no longer ends the process.

--- a/src/app/entry_app.cc
+++ b/src/app/entry_app.cc
@@ -223,7 +223,7 @@
   respond(std::move(response));
 }
 
-bool EntryApp::Stop(const std::function<bool()>& abort_wait) {
+bool EntryApp::Stop() {
   const Time began = SteadyNow();
   const Time cut_deadline = began + settings_.stop_bound - kExitTime;
   state_.BeginStop();
@@ -231,7 +231,7 @@
   Log(LogLevel::kInfo, "stopping", {{"in_flight", state_.active_calls.load()}});
   bool accepting = true;
   Time idle_since = began;
-  while (SteadyNow() < cut_deadline && !abort_wait()) {
+  while (SteadyNow() < cut_deadline) {
     std::this_thread::sleep_for(kStopPollInterval);
     const Time now = SteadyNow();
     if (accepting && now - began >= kBalancerDetectionTime) {
--- a/src/app/entry_app.h
+++ b/src/app/entry_app.h
@@ -1,8 +1,6 @@
 #ifndef APP_ENTRY_APP_H_
 #define APP_ENTRY_APP_H_
 
-#include <functional>
-
 #include "app/discovery_duty.h"
 #include "app/dispatch_duty.h"
 #include "app/entry_settings.h"
@@ -31,10 +29,9 @@
 
   // Shuts down gracefully: reports that it isn't ready, serves on until the
   // load balancer has taken it out, then accepts no new connections and waits
-  // for the calls in flight, at most until the stop bound. Polls `abort_wait`
-  // and ends the wait when that returns true. Returns whether all calls were
-  // answered.
-  bool Stop(const std::function<bool()>& abort_wait);
+  // for the calls in flight, at most until the stop bound. Returns whether all
+  // calls were answered.
+  bool Stop();
 
  private:
   void OnReadyRequest(const Responder& respond);
--- a/src/app/internal/commands.cc
+++ b/src/app/internal/commands.cc
@@ -157,11 +157,10 @@
   }
 }
 
-// Runs an instance until SIGTERM or SIGINT.
-template <typename App, typename S, typename Reload, typename Poll>
-ExitCode RunUntilStopped(const S& settings, Reload reload, Poll poll) {
-  // NOTE Only this thread receives the signals; the threads that it starts
-  // inherit the mask that blocks them.
+// Blocks the signals that WaitForStop() takes, in this thread and in those that
+// it starts, and returns them. To be called before anything else: a signal to
+// reload the settings would end a process that is still starting.
+sigset_t BlockSignals() {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
@@ -169,7 +168,17 @@
   sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
 
+// Runs an instance until SIGTERM or SIGINT. Further signals stay blocked while
+// it stops: a second order to stop is the same order, and ending sooner would
+// cut requests that were just taken.
+template <typename App, typename S, typename Reload, typename Poll>
+ExitCode RunUntilStopped(const S& settings,
+                         const sigset_t& signals,
+                         Reload reload,
+                         Poll poll) {
   StartLogging({settings.instance, settings.data_centre, settings.log_level});
   ExitCode exit_code = ExitCode::kDone;
   {
@@ -180,12 +189,7 @@
       return ExitCode::kFailed;
     }
     WaitForStop(signals, reload, poll);
-    sigdelset(&signals, SIGHUP);
-    const bool clean = app.Stop([&signals] {
-      const timespec no_wait{};
-      return sigtimedwait(&signals, nullptr, &no_wait) > 0;
-    });
-    exit_code = clean ? ExitCode::kDone : ExitCode::kRequestsCut;
+    exit_code = app.Stop() ? ExitCode::kDone : ExitCode::kRequestsCut;
   }
   StopLogging();
   return exit_code;
@@ -194,6 +198,7 @@
 }  // namespace
 
 ExitCode Serve(const CommandOptions& options) {
+  const sigset_t signals = BlockSignals();
   const auto settings =
       ReadSettingsFile<Settings>(options.settings, ReadSettings);
   if (!settings) {
@@ -201,10 +206,11 @@
     return ExitCode::kSettingsFaulty;
   }
   return RunUntilStopped<ServerApp>(
-      settings.assume_value(), [] {}, [] {});
+      settings.assume_value(), signals, [] {}, [] {});
 }
 
 ExitCode Entry(const CommandOptions& options) {
+  const sigset_t signals = BlockSignals();
   const auto settings =
       ReadSettingsFile<EntrySettings>(options.settings, ReadEntrySettings);
   if (!settings) {
@@ -220,7 +226,8 @@
     if (file.HasChanged())
       reload();
   };
-  return RunUntilStopped<EntryApp>(settings.assume_value(), reload, poll);
+  return RunUntilStopped<EntryApp>(settings.assume_value(), signals, reload,
+                                   poll);
 }
 
 ExitCode Report(const CommandOptions& options) {
--- a/src/app/server_app.cc
+++ b/src/app/server_app.cc
@@ -182,13 +182,13 @@
   return running;
 }
 
-bool ServerApp::WaitUntilIdle(const std::function<bool()>& skip_wait) {
+bool ServerApp::WaitUntilIdle() {
   const auto end = std::chrono::steady_clock::now() + settings_.stop_bound;
   while (true) {
     const std::vector<std::string> running = RefuseNewWork();
     if (running.empty())
       return true;
-    if (std::chrono::steady_clock::now() >= end || skip_wait()) {
+    if (std::chrono::steady_clock::now() >= end) {
       for (const auto& request_id : running)
         Log(LogLevel::kError, "request_cut", {{"request_id", request_id}});
       return false;
@@ -197,14 +197,12 @@
   }
 }
 
-bool ServerApp::Stop(const std::function<bool()>& skip_wait) {
+bool ServerApp::Stop() {
   instance_state_.BeginStop();
   control_mailbox_.PostResult(LeaveFleet{});
   Log(LogLevel::kInfo, "stopping");
-  const auto refuse_at = std::chrono::steady_clock::now() + settings_.lame_duck;
-  while (std::chrono::steady_clock::now() < refuse_at && !skip_wait())
-    std::this_thread::sleep_for(kIdlePollInterval);
-  const bool clean = WaitUntilIdle(skip_wait);
+  std::this_thread::sleep_for(settings_.lame_duck);
+  const bool clean = WaitUntilIdle();
   std::this_thread::sleep_for(kSocketFlushTime);
   StopAll();
   Log(LogLevel::kInfo, "stopped", {{"clean", clean}});
--- a/src/app/server_app.h
+++ b/src/app/server_app.h
@@ -2,7 +2,6 @@
 #define APP_SERVER_APP_H_
 
 #include <cstdint>
-#include <functional>
 #include <string>
 #include <vector>
 
@@ -39,14 +38,13 @@
   // Shuts down gracefully: announces to the peers that the instance leaves,
   // keeps serving for the lame-duck time of the settings, then refuses new work
   // and waits for requests in flight, at most for the stop bound of the
-  // settings. `skip_wait` is polled during both waits and ends them when it
-  // returns true. Returns whether every request finished.
-  bool Stop(const std::function<bool()>& skip_wait);
+  // settings. Returns whether every request finished.
+  bool Stop();
 
  private:
   PeerHandlers MakePeerHandlers();
   void SetTargetHandlers();
-  bool WaitUntilIdle(const std::function<bool()>& skip_wait);
+  bool WaitUntilIdle();
   void StopAll();
 
   // Makes the duties refuse new work and returns the ids of the requests still
