--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -274,11 +274,13 @@
   // Forwards the call if another instance is to coordinate it, or waits for
   // that instance's sign of life first. Returns false if it is to start here.
   bool TryForward(ActiveCall* call, Time now);
-  // Another instance took no call for which this one, or itself, reaches too
-  // few servers: forwards it to a further one or refuses it.
-  void OnServersUnreachable(ActiveCall* call,
-                            const ServerLoad& instance,
-                            Time now);
+  // Another instance took no call for which this one reaches too few servers:
+  // forwards it to a further one or refuses it. `servers_unreachable`: the
+  // other one reaches too few of them either.
+  void OnSubstituteRefused(ActiveCall* call,
+                           const ServerLoad& instance,
+                           bool servers_unreachable,
+                           Time now);
   void RefuseUnreachable(ActiveCall* call, Time now);
   void OnServerResponse(Time now);
   // Finds out whether contact with the servers is lost, and probes them then.
--- a/src/dispatch/dispatch_engine_forwarding.cc
+++ b/src/dispatch/dispatch_engine_forwarding.cc
@@ -36,6 +36,10 @@
 // many other instances, in different data centres if possible, have refused it
 // for the same reason.
 constexpr std::size_t kMaxUnreachable = 3;
+
+// Likewise, once this many have refused it for other reasons. Each of them
+// costs a round trip, and during a rolling restart several refuse.
+constexpr std::size_t kMaxRefusals = 6;
 constexpr Duration kUnreachableRetryAfter = Millis(500);
 
 // While calls find no instance to serve them, those that are down are pinged at
@@ -102,10 +106,12 @@
   if (call->trial)
     return coordinators_.Find(call->trial_owner);
   if (!call->unreachable_from.empty() || LacksServers(*call)) {
-    if (call->unreachable_from.size() >= kMaxUnreachable)
+    if (call->unreachable_from.size() >= kMaxUnreachable ||
+        call->refused_by.size() >= kMaxRefusals) {
       return nullptr;
+    }
     auto substitute = coordinators_.ChooseSubstitute(
-        call->region_filter, call->unreachable_from, now);
+        call->region_filter, call->unreachable_from, call->refused_by, now);
     if (!substitute)
       substitute_wanted_until_ = now + kSubstituteWantedTime;
     return substitute;
@@ -311,13 +317,19 @@
     OnBatchReply(call, attempt.sub_query, reply, now);
 }
 
-void DispatchEngine::OnServersUnreachable(ActiveCall* call,
-                                          const ServerLoad& instance,
-                                          Time now) {
+void DispatchEngine::OnSubstituteRefused(ActiveCall* call,
+                                         const ServerLoad& instance,
+                                         bool servers_unreachable,
+                                         Time now) {
   call->coordinator_attempt = 0;
   if (!call->trial_owner.empty())
     return EndUntried(call, /*may_have_run=*/false, now);
-  call->unreachable_from.push_back(instance.entry().data_centre);
+  if (servers_unreachable) {
+    call->unreachable_from.push_back(instance.entry().data_centre);
+  } else {
+    call->refused_by.push_back(instance.entry().id);
+    coordinators_.OnRefused(instance.entry().id, now);
+  }
   if (TryForward(call, now))
     return ScheduleWakeup(call, now);
   RefuseUnreachable(call, now);
@@ -335,7 +347,8 @@
                                           Time now) {
   if (reply->servers_unreachable ||
       (!MayHaveRun(*reply) && LacksServers(*call))) {
-    return OnServersUnreachable(call, coordinator, now);
+    return OnSubstituteRefused(call, coordinator, reply->servers_unreachable,
+                               now);
   }
   const bool lacks_server = !call->route->is_scatter() &&
                             http_status::IsSuccess(reply->status) &&
--- a/src/dispatch/internal/active_call.h
+++ b/src/dispatch/internal/active_call.h
@@ -74,6 +74,9 @@
   // Data centres of the instances that refused it since they reach too few
   // servers.
   std::vector<std::string> unreachable_from;
+  // Instances that were to serve it instead of this one and refused it for
+  // other reasons, as when they stop.
+  std::vector<std::string> refused_by;
   std::vector<SubQuery> sub_queries;
   std::vector<Batch> batches;
   // Set once the latency target has passed and the pending attempts are
--- a/src/dispatch/internal/coordinator_set.cc
+++ b/src/dispatch/internal/coordinator_set.cc
@@ -63,6 +63,9 @@
 constexpr Duration kMinLacksServersTime = Millis(500);
 constexpr Duration kMaxLacksServersTime = Seconds(2);
 
+// How long an instance that refused a call is asked last.
+constexpr Duration kRefusalTime = Millis(500);
+
 // The interval between pings to a silent data centre doubles with each.
 constexpr Duration kMinTrialInterval = Millis(300);
 constexpr Duration kMaxTrialInterval = Millis(2400);
@@ -226,30 +229,35 @@
 std::shared_ptr<ServerLoad> CoordinatorSet::ChooseSubstitute(
     const RegionFilter& filter,
     const std::vector<std::string>& avoided,
+    const std::vector<std::string>& refused_by,
     Time now) {
+  const auto contains = [](const std::vector<std::string>& names,
+                           const std::string& name) {
+    return std::find(names.begin(), names.end(), name) != names.end();
+  };
   const std::set<std::string> silent = SilentDataCentres(now);
-  std::tuple min_cost{true, true, std::numeric_limits<double>::max()};
+  std::tuple min_cost{true, true, true, std::numeric_limits<double>::max()};
   std::shared_ptr<ServerLoad> best;
   for (const auto& [name, coordinator] : coordinators_) {
     const std::string& data_centre = coordinator.instance.data_centre;
     if (!coordinator.load->usable() ||
         coordinator.load->in_flight() >= kMaxInFlight ||
         !filter.Allows(data_centre) || silent.count(data_centre) > 0 ||
-        now < coordinator.lacks_servers_until) {
+        now < coordinator.lacks_servers_until || contains(refused_by, name)) {
       continue;
     }
     // NOTE An instance that is silent may be busy only; it is given up soon if
     // it isn't.
     const bool is_silent = !IsAvailable(*coordinator.load, now);
-    const bool is_avoided =
-        std::find(avoided.begin(), avoided.end(), data_centre) != avoided.end();
+    const bool is_avoided = contains(avoided, data_centre);
+    const bool is_refusing = now < coordinator.refuses_until;
     const double calls = 1 + coordinator.load->in_flight();
     const double millis =
         (ToMillis(topology_->RoundTrip(data_centre)) +
          calls * kHopCoreMillis / coordinator.instance.cores) *
         (1 + kJitter * random_->Unit()) *
         (1 + coordinator.load->FailureRatio(now));
-    const std::tuple cost{is_silent, is_avoided, millis};
+    const std::tuple cost{is_silent, is_refusing, is_avoided, millis};
     if (cost < min_cost) {
       min_cost = cost;
       best = coordinator.load;
@@ -272,6 +280,12 @@
   coordinator.lacks_servers_until = now + coordinator.lacks_servers_for;
 }
 
+void CoordinatorSet::OnRefused(const std::string& name, Time now) {
+  const auto found = coordinators_.find(name);
+  if (found != coordinators_.end())
+    found->second.refuses_until = now + kRefusalTime;
+}
+
 bool CoordinatorSet::WasHeardLately(const ServerLoad& load, Time now) {
   return now - load.last_response() <= kHeardLately;
 }
--- a/src/dispatch/internal/coordinator_set.h
+++ b/src/dispatch/internal/coordinator_set.h
@@ -63,16 +63,22 @@
 
   // Returns an instance that may serve a call for which this one reaches too
   // few servers, or null. It is in none of the data centres `avoided`, whose
-  // instances may have lost the servers as well, unless only these are left.
+  // instances may have lost the servers as well, unless only these are left,
+  // and none of the instances `refused_by`.
   std::shared_ptr<ServerLoad> ChooseSubstitute(
       const RegionFilter& filter,
       const std::vector<std::string>& avoided,
+      const std::vector<std::string>& refused_by,
       Time now);
 
   // The instance refused a call since it reaches too few servers itself. It is
   // no substitute for a while, though it is alive.
   void OnServersUnreachable(const std::string& name, Time now);
 
+  // The instance refused a call for another reason, for instance since it stops
+  // before the call's timeout ends. It is asked last for a while.
+  void OnRefused(const std::string& name, Time now);
+
   // Whether the coordinator has responded to anything lately. Any other one may
   // be gone.
   static bool WasHeardLately(const ServerLoad& load, Time now);
@@ -111,6 +117,7 @@
     Time pinged_at{};
     Time lacks_servers_until{};
     Duration lacks_servers_for{0};
+    Time refuses_until{};
   };
 
   // The share of a route's shards whose nearest usable server is in another
--- a/src/dispatch/tests/cut_from_servers_test.cc
+++ b/src/dispatch/tests/cut_from_servers_test.cc
@@ -124,6 +124,27 @@
   CHECK(served.cut >= 1 - kMaxFailed);
 }
 
+TEST_CASE(
+    "Most instances that reach servers stop, and refuse what takes long") {
+  FleetSession session(FleetSession::SmallFleet(18));
+  const std::set<std::size_t> cut = {0, 1, 3};
+  ServeWhileCut(&session, cut, "/all/x");
+  for (const std::size_t instance : {2U, 4U, 5U, 6U})
+    session.engine(instance).OnStopping(session.now());
+  std::vector<CallId> calls;
+  for (std::size_t i = 0; i < 150; ++i) {
+    calls.push_back(
+        session.SendRequest(i % 2 == 0 ? "/all/x" : "/one/x", i % 2 * 3));
+    session.Run(Millis(15));
+  }
+  session.Run(Seconds(3));
+  const auto served = std::count_if(
+      calls.begin(), calls.end(),
+      [&](CallId call) { return session.answer(call).reply.status == 200; });
+  CHECK(static_cast<double>(served) >=
+        (1 - kMaxFailed) * static_cast<double>(calls.size()));
+}
+
 TEST_CASE("Instances that are cut off blame no request for it") {
   for (const ServerCut kind : kCuts) {
     CAPTURE(static_cast<int>(kind));
