--- a/src/app/entry_app.cc
+++ b/src/app/entry_app.cc
@@ -80,27 +80,13 @@
   return own;
 }
 
-std::optional<FeedItem> DecodeAndLogFault(const RawItem& item) {
-  std::optional<Error> fault;
-  auto decoded = DecodeItem(item.key, item.value, &fault);
-  if (fault) {
-    Log(LogLevel::kWarning, "store_item_refused",
-        {{"key", item.key},
-         {"revision", item.revision},
-         {"code", NumberOf(fault->code)},
-         {"pointer", fault->pointer},
-         {"message", fault->message}});
-  }
-  return decoded;
-}
-
 DiscoverySettings MakeDiscoverySettings(const EntrySettings& settings) {
   DiscoverySettings discovery;
   discovery.follower.interval = kReadInterval;
   discovery.follower.seed = Hash64(settings.instance);
   discovery.own = OwnEntry(settings);
   discovery.regions = settings.regions;
-  discovery.decode = DecodeAndLogFault;
+  discovery.decode = DecodeStoreItem;
   discovery.confirms_routes = settings.key_confirmation_bound.has_value();
   return discovery;
 }
@@ -242,7 +228,7 @@
   respond(std::move(response));
 }
 
-bool EntryApp::Stop(const std::function<bool()>& abort_wait) {
+bool EntryApp::Stop() {
   const Time began = SteadyNow();
   const Time cut_deadline = began + settings_.stop_bound - kExitTime;
   state_.BeginStop();
@@ -250,7 +236,7 @@
   Log(LogLevel::kInfo, "stopping", {{"in_flight", state_.active_calls.load()}});
   bool accepting = true;
   Time idle_since = began;
-  while (SteadyNow() < cut_deadline && !abort_wait()) {
+  while (SteadyNow() < cut_deadline) {
     std::this_thread::sleep_for(kStopPollInterval);
     const Time now = SteadyNow();
     if (accepting && now - began >= kBalancerDetectionTime) {
