accounts: test instances with accounts beside some without, on public routes too

A forwarded call says whether its account was checked by what it was told, not by the routes' version.

--- a/src/dispatch/dispatch_engine_forwarding.cc
+++ b/src/dispatch/dispatch_engine_forwarding.cc
@@ -209,15 +209,14 @@
   const std::size_t batch_size = shards.size();
   const bool overloaded =
       call->route->is_scatter() && admission_.IsOverloaded(*call->route, now);
-  actions_.emplace_back(
-      ForwardCall{id, coordinator->entry().id, coordinator->entry().address,
-                  call->call.message, call->deadline - now - hop_time,
-                  call->answer_by - now - hop_time, call->table->version(),
-                  call->region_filter.regions(), std::move(shards),
-                  detail::MaxMissingInBatch(*call, batch_size, overloaded),
-                  call->route->top_records, !call->route->is_scatter(),
-                  !call->is_idempotent(), call->call.account,
-                  call->table->accounts().is_configured()});
+  actions_.emplace_back(ForwardCall{
+      id, coordinator->entry().id, coordinator->entry().address,
+      call->call.message, call->deadline - now - hop_time,
+      call->answer_by - now - hop_time, call->table->version(),
+      call->region_filter.regions(), std::move(shards),
+      detail::MaxMissingInBatch(*call, batch_size, overloaded),
+      call->route->top_records, !call->route->is_scatter(),
+      !call->is_idempotent(), call->call.account, call->call.account_checked});
 }
 
 void DispatchEngine::CoordinateLocally(ActiveCall* call,
--- a/src/dispatch/tests/accounts_test.cc
+++ b/src/dispatch/tests/accounts_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <map>
 #include <string>
 
@@ -262,6 +263,44 @@
   }
 }
 
+TEST_CASE("Between an instance with accounts and one without") {
+  FleetSession::Options options = WithAccounts();
+  // Whether only the instance that a call reached sent to servers.
+  const auto are_all_from = [](FleetSession* session, std::size_t instance) {
+    const auto servers = session->shard_servers();
+    return std::all_of(servers.begin(), servers.end(), [&](const auto* server) {
+      return server->arrivals == 0 || (server->arrivals_from.size() == 1 &&
+                                       server->arrivals_from.count(instance));
+    });
+  };
+
+  SUBCASE(
+      "an unchecked call on a public route isn't taken, as it may carry a "
+      "key") {
+    options.is_public = true;
+    FleetSession session(options);
+    const auto with = session.MakeRoutes(2);
+    session.engine(0).OnRoutes(session.WithAccounts(2, {}), session.now());
+    for (std::size_t i = 1; i < session.instance_count(); ++i)
+      session.engine(i).OnRoutes(with, session.now());
+    const CallId call = session.SendWithKey("/all/x", "key-w1", 0);
+    CHECK(Finish(&session, call).reply.status == 200);
+    CHECK(session.forwards() > 0);
+    CHECK(are_all_from(&session, 0));
+  }
+  SUBCASE("a checked call isn't taken where newer routes have no accounts") {
+    FleetSession session(options);
+    const auto without = session.WithAccounts(2, {});
+    for (std::size_t i = 1; i < session.instance_count(); ++i)
+      session.engine(i).OnRoutes(without, session.now());
+    const CallId call = session.SendWithKey("/all/x", "key-w1", 0);
+    CHECK(Finish(&session, call).reply.status == 200);
+    CHECK(session.forwards() > 0);
+    CHECK(are_all_from(&session, 0));
+    CHECK(ArrivalsOf(&session).AreAllOf("west"));
+  }
+}
+
 TEST_CASE("Beside older builds") {
   FleetSession::Options options = WithAccounts();
 
