--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -253,7 +253,7 @@
   calls_[id] = {instance, 0, 0, false, caller, now_};
   if (key.state != CallerKeyState::kAbsent) {
     message->credentials = {{"Authorization", "Bearer " + key.key},
-                            {"Tenant", "forged"}};
+                            {"Account", "forged"}};
   }
   CallRequest call;
   call.id = id;
