An instance that stops stays a substitute while it takes calls

Change: the entry says that the instance stops and is removed 2.2 s later. Such an instance coordinates no ordinary work and gets no lasting share; instances that have lost the servers choose it at twice the cost of another.

--- a/src/app/discovery_duty.cc
+++ b/src/app/discovery_duty.cc
@@ -40,6 +40,10 @@
   engine_.OnLeaseReply(event.reply, now);
 }
 
+void DiscoveryDuty::On(const AnnounceStop&, Time now) {
+  engine_.BeginStop(now);
+}
+
 void DiscoveryDuty::On(const DeregisterInstance&, Time) {
   engine_.Leave();
 }
--- a/src/app/discovery_duty.h
+++ b/src/app/discovery_duty.h
@@ -21,6 +21,8 @@
 struct LeaseReplied {
   LeaseReply reply;
 };
+// The instance stops, but stays registered until DeregisterInstance.
+struct AnnounceStop {};
 struct DeregisterInstance {};
 struct FeedResponseReceived {
   std::string from;
@@ -38,6 +40,7 @@
 
 using DiscoveryEvent = std::variant<StoreReplied,
                                     LeaseReplied,
+                                    AnnounceStop,
                                     DeregisterInstance,
                                     FeedResponseReceived,
                                     NewerRoutesSeen,
@@ -75,6 +78,7 @@
  private:
   void On(StoreReplied event, Time now);
   void On(const LeaseReplied& event, Time now);
+  void On(const AnnounceStop& event, Time now);
   void On(const DeregisterInstance& event, Time now);
   void On(FeedResponseReceived event, Time now);
   void On(const NewerRoutesSeen& event, Time now);
--- a/src/app/entry_app.cc
+++ b/src/app/entry_app.cc
@@ -28,6 +28,11 @@
 // checks each instance once a second and takes it out after two failed checks.
 constexpr Duration kBalancerDetectionTime = Millis(2700);
 
+// How long a stopping instance stays listed, since instances that have lost the
+// servers may need it. Others learn within a second that it is gone, about when
+// it takes no more calls.
+constexpr Duration kListedWhileStopping = Millis(2200);
+
 // How long an instance without calls in flight still waits before it exits:
 // after its last answer, a caller may send one more request on a persistent
 // connection.
@@ -227,13 +232,18 @@
   const Time began = SteadyNow();
   const Time cut_deadline = began + settings_.stop_bound - kExitTime;
   state_.BeginStop();
-  discovery_mailbox_.PostResult(DeregisterInstance{});
+  discovery_mailbox_.PostResult(AnnounceStop{});
   Log(LogLevel::kInfo, "stopping", {{"in_flight", state_.active_calls.load()}});
+  bool listed = true;
   bool accepting = true;
   Time idle_since = began;
   while (SteadyNow() < cut_deadline) {
     std::this_thread::sleep_for(kStopPollInterval);
     const Time now = SteadyNow();
+    if (listed && now - began >= kListedWhileStopping) {
+      discovery_mailbox_.PostResult(DeregisterInstance{});
+      listed = false;
+    }
     if (accepting && now - began >= kBalancerDetectionTime) {
       dispatch_mailbox_.PostResult(StopAcceptingCallers{cut_deadline});
       accepting = false;
--- a/src/discovery/discovery_engine.cc
+++ b/src/discovery/discovery_engine.cc
@@ -122,6 +122,10 @@
   waiting_requests_.push_back({id, request, now + kFeedWait});
 }
 
+void DiscoveryEngine::BeginStop(Time now) {
+  registrar_.MarkStopping(now);
+}
+
 void DiscoveryEngine::Leave() {
   if (auto call = registrar_.Leave())
     actions_.push_back(CallLease{std::move(*call)});
@@ -419,7 +423,11 @@
         EvacuationsUpdated{std::move(*evacuations), follower_.position()});
   }
   if (auto instances = instances_.TakeChange()) {
-    source_selector_.Update(*instances);
+    // The store is read and passed on by instances that stay.
+    std::vector<InstanceEntry> staying = *instances;
+    std::erase_if(staying,
+                  [](const InstanceEntry& entry) { return entry.stopping; });
+    source_selector_.Update(staying);
     actions_.push_back(
         InstancesUpdated{std::move(*instances), source_selector_.is_reader()});
   }
--- a/src/discovery/discovery_engine.h
+++ b/src/discovery/discovery_engine.h
@@ -166,7 +166,11 @@
   // are newer than those it names.
   FeedReply MakeFeedResponse(const FeedRequest& request, Time now) const;
 
-  // Ends this instance's registration, before it stops.
+  // Tells other instances by this instance's entry that it stops, while it
+  // still takes calls.
+  void BeginStop(Time now);
+
+  // Ends this instance's registration, before it takes no more calls.
   void Leave();
 
   // Carries out what is due and returns when to be called next.
--- a/src/discovery/discovery_types.h
+++ b/src/discovery/discovery_types.h
@@ -27,6 +27,9 @@
   // it wrote the entry.
   std::uint64_t store_era = 0;
   std::uint64_t routes_version = 0;
+  // It was told to stop, but still takes calls. Only instances that have lost
+  // the servers choose it, as long as it is listed.
+  bool stopping = false;
   bool operator==(const InstanceEntry&) const = default;
 };
 
--- a/src/discovery/registrar.cc
+++ b/src/discovery/registrar.cc
@@ -30,6 +30,9 @@
       entry_.store_era = era_;
       return WriteInstance{entry_, lease_};
     case State::kRegistered:
+      rewriting_ = rewrite_;
+      if (rewrite_)
+        return WriteInstance{entry_, lease_};
       return RenewLease{lease_};
     case State::kLeft:
       break;
@@ -55,6 +58,7 @@
   era_ = era;
   if (reply.status == LeaseStatus::kNoLease) {
     state_ = State::kNoLease;
+    rewriting_ = false;
     next_call_ = now;
     return;
   }
@@ -73,10 +77,14 @@
     case State::kLeaseOnly:
       entry_revision_ = reply.revision;
       state_ = State::kRegistered;
-      next_call_ = now + kRenewal;
+      next_call_ = rewrite_ ? now : now + kRenewal;
       return;
     case State::kRegistered:
-      next_call_ = now + kRenewal;
+      if (std::exchange(rewriting_, false)) {
+        entry_revision_ = reply.revision;
+        rewrite_ = false;
+      }
+      next_call_ = rewrite_ ? now : now + kRenewal;
       return;
     case State::kLeft:
       return;
@@ -100,11 +108,20 @@
 
 void Registrar::Reregister(Time now) {
   state_ = State::kNoLease;
+  rewriting_ = false;
   discard_reply_ = call_pending_;
   failures_ = 0;
   next_call_ = now + Scaled(kReregistrationSpread, random_.Unit());
 }
 
+void Registrar::MarkStopping(Time now) {
+  if (entry_.stopping)
+    return;
+  entry_.stopping = true;
+  rewrite_ = true;
+  next_call_ = std::min(next_call_, now);
+}
+
 std::optional<LeaseCall> Registrar::Leave() {
   const bool registered = state_ == State::kRegistered && entry_revision_ != 0;
   state_ = State::kLeft;
--- a/src/discovery/registrar.h
+++ b/src/discovery/registrar.h
@@ -46,6 +46,9 @@
   // to another instance.
   void OnListed(bool present, StorePosition position, Time now);
 
+  // The instance stops: its entry says so from the next call on.
+  void MarkStopping(Time now);
+
   // Returns the call that ends the registration, if there is one.
   std::optional<LeaseCall> Leave();
 
@@ -59,6 +62,8 @@
   Random random_;
   State state_ = State::kNoLease;
   bool call_pending_ = false;
+  bool rewrite_ = false;    // The entry in the store is to be replaced.
+  bool rewriting_ = false;  // The pending call does that.
   // The pending call was made before the registration was lost.
   bool discard_reply_ = false;
   std::uint64_t era_ = 0;
--- a/src/discovery/tests/registrar_test.cc
+++ b/src/discovery/tests/registrar_test.cc
@@ -63,6 +63,41 @@
         CHECK(std::holds_alternative<GrantLease>(*call));
       }
     }
+    SUBCASE("says in the entry that the instance stops") {
+      const auto stops_in = [](const std::optional<LeaseCall>& made) {
+        REQUIRE(made);
+        const auto& write = std::get<WriteInstance>(*made);
+        CHECK(write.lease == 77);
+        return write.entry.stopping;
+      };
+      CHECK_FALSE(stops_in(call));
+
+      SUBCASE("at once, and then removes the entry that says so") {
+        registrar.OnReply(Reply(LeaseStatus::kOk, 1200), kStart);
+        CHECK_FALSE(registrar.NextCall(kStart + Seconds(1), &next));
+        registrar.MarkStopping(kStart + Seconds(1));
+        CHECK(stops_in(registrar.NextCall(kStart + Seconds(1), &next)));
+        registrar.OnReply(Reply(LeaseStatus::kOk, 1300), kStart + Seconds(1));
+        CHECK_FALSE(registrar.NextCall(kStart + Seconds(2), &next));
+        const auto last = registrar.Leave();
+        REQUIRE(last);
+        CHECK(std::get<RemoveInstance>(*last).revision == 1300);
+      }
+      SUBCASE("once the call before it is answered") {
+        registrar.MarkStopping(kStart);
+        CHECK_FALSE(registrar.NextCall(kStart, &next));
+        registrar.OnReply(Reply(LeaseStatus::kOk, 1200), kStart);
+        CHECK(stops_in(registrar.NextCall(kStart, &next)));
+      }
+      SUBCASE("again if the reply is lost") {
+        registrar.OnReply(Reply(LeaseStatus::kOk, 1200), kStart);
+        registrar.MarkStopping(kStart);
+        CHECK(stops_in(registrar.NextCall(kStart, &next)));
+        registrar.OnReply(Reply(LeaseStatus::kFailed, 0), kStart);
+        CHECK_FALSE(registrar.NextCall(kStart, &next));
+        CHECK(stops_in(registrar.NextCall(next, &next)));
+      }
+    }
     SUBCASE("removes the entry on leaving and makes no call afterwards") {
       registrar.OnReply(Reply(LeaseStatus::kOk, 1200), kStart);
       const auto last = registrar.Leave();
--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -112,18 +112,22 @@
 void DispatchEngine::OnInstances(const std::vector<InstanceEntry>& instances,
                                  Time now) {
   coordinators_.Update(instances);
-  servers_.SetInstances(instances, now);
+  // Shares that last are divided among the instances that stay.
+  std::vector<InstanceEntry> staying = instances;
+  std::erase_if(staying,
+                [](const InstanceEntry& entry) { return entry.stopping; });
+  servers_.SetInstances(staying, now);
   peers_.clear();
   for (const auto& instance : instances) {
     if (instance.name != settings_.own.name)
       peers_.push_back(instance);
   }
   exchange_.SetPeerCount(peers_.size());
-  trial_owners_.SetInstances(instances);
+  trial_owners_.SetInstances(staying);
   // NOTE The instance's share of connections and budgets grows with a delay:
   // entries may be missing only because the store was unavailable.
   FleetComposition fleet{0, 0, 0};
-  for (const auto& instance : instances) {
+  for (const auto& instance : staying) {
     ++fleet.instances;
     fleet.same_size += instance.cores == settings_.own.cores ? 1 : 0;
     fleet.larger += instance.cores > settings_.own.cores ? 1 : 0;
--- a/src/dispatch/internal/coordinator_set.cc
+++ b/src/dispatch/internal/coordinator_set.cc
@@ -63,6 +63,10 @@
 constexpr Duration kMinLacksServersTime = Millis(500);
 constexpr Duration kMaxLacksServersTime = Seconds(2);
 
+// Cost of a call at an instance that stops, relative to another one: while few
+// others are left, it takes its part.
+constexpr double kStoppingCost = 2;
+
 // How long an instance that refused a call is asked last.
 constexpr Duration kRefusalTime = Millis(500);
 
@@ -166,7 +170,7 @@
   std::shared_ptr<ServerLoad> best;
   for (const auto& [name, coordinator] : coordinators_) {
     const ServerLoad& load = *coordinator.load;
-    if (!IsAvailable(load, now) ||
+    if (!IsAvailable(load, now) || coordinator.instance.stopping ||
         !filter.Allows(coordinator.instance.data_centre) ||
         silent.count(coordinator.instance.data_centre) > 0) {
       continue;
@@ -209,7 +213,7 @@
   std::shared_ptr<ServerLoad> best;
   for (const auto& [name, coordinator] : coordinators_) {
     if (coordinator.instance.data_centre != data_centre ||
-        !IsAvailable(*coordinator.load, now))
+        coordinator.instance.stopping || !IsAvailable(*coordinator.load, now))
       continue;
     const double count = static_cast<double>(parts);
     const double calls = 1 + coordinator.load->in_flight();
@@ -251,13 +255,15 @@
     const bool is_silent = !IsAvailable(*coordinator.load, now);
     const bool is_avoided = contains(avoided, data_centre);
     const bool is_refusing = now < coordinator.refuses_until;
+    const bool is_stopping = coordinator.instance.stopping;
     const double calls = 1 + coordinator.load->in_flight();
     const double millis =
         (ToMillis(topology_->RoundTrip(data_centre)) +
          calls * kHopCoreMillis / coordinator.instance.cores) *
         (1 + kJitter * random_->Unit()) *
         (1 + coordinator.load->FailureRatio(now));
-    const std::tuple cost{is_silent, is_refusing, is_avoided, millis};
+    const std::tuple cost{is_silent, is_refusing, is_avoided,
+                          is_stopping ? kStoppingCost * millis : millis};
     if (cost < min_cost) {
       min_cost = cost;
       best = coordinator.load;
@@ -293,7 +299,7 @@
 std::set<std::string> CoordinatorSet::SilentDataCentres(Time now) const {
   std::map<std::string, int> down;  // Instances, by data centre.
   for (const auto& [name, coordinator] : coordinators_) {
-    if (coordinator.load->down())
+    if (coordinator.load->down() && !coordinator.instance.stopping)
       ++down[coordinator.instance.data_centre];
   }
   std::set<std::string> silent;
@@ -318,6 +324,7 @@
                      [&](const auto& entry) {
                        const Coordinator& coordinator = entry.second;
                        return coordinator.instance.data_centre == data_centre &&
+                              !coordinator.instance.stopping &&
                               IsAvailable(*coordinator.load, now);
                      });
 }
--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -95,10 +95,36 @@
     change.updated.push_back(server.entry);
   engines_[instance] = std::make_unique<DispatchEngine>(DispatchSettings{
       instances_[instance], regions_, options_.budget, {}, 17 + instance});
-  engines_[instance]->OnInstances(instances_, now_);
+  engines_[instance]->OnInstances(ListedInstances(), now_);
   engines_[instance]->OnServers(change, now_);
 }
 
+std::vector<InstanceEntry> FleetSession::ListedInstances() const {
+  std::vector<InstanceEntry> listed;
+  for (std::size_t i = 0; i < instances_.size(); ++i) {
+    if (deregistered_.count(i) == 0)
+      listed.push_back(instances_[i]);
+  }
+  return listed;
+}
+
+void FleetSession::AnnounceInstances() {
+  for (std::size_t i = 0; i < engines_.size(); ++i) {
+    engines_[i]->OnInstances(ListedInstances(), now_);
+    RunEngine(i);
+  }
+}
+
+void FleetSession::AnnounceStop(std::size_t instance) {
+  instances_[instance].stopping = true;
+  AnnounceInstances();
+}
+
+void FleetSession::Deregister(std::size_t instance) {
+  deregistered_.insert(instance);
+  AnnounceInstances();
+}
+
 void FleetSession::GiveUpCalls(std::size_t instance) {
   engines_[instance]->GiveUpCalls(now_);
   RunEngine(instance);
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -201,6 +201,9 @@
   // sent to it meanwhile arrives when it runs again.
   void Freeze(std::size_t instance) { frozen_.insert(instance); }
   void Thaw(std::size_t instance);
+  // All instances learn that one stops, or that it is gone.
+  void AnnounceStop(std::size_t instance);
+  void Deregister(std::size_t instance);
   // Separates an instance from all servers, not from callers and instances.
   void CutFromServers(std::size_t instance,
                       ServerCut cut = ServerCut::kConnectTimeout);
@@ -272,6 +275,8 @@
   std::size_t CountShardsDown() const;
   std::size_t IndexOf(const std::string& instance_name) const;
   void StartEngine(std::size_t instance);
+  std::vector<InstanceEntry> ListedInstances() const;
+  void AnnounceInstances();
   // Sets what all answers of the server say besides their result.
   void AddNotices(const SessionServer& server, TargetReply* reply) const;
 
@@ -283,6 +288,7 @@
   std::map<std::string, std::string> regions_;  // By data centre.
   std::shared_ptr<const RouteTable> routes_;    // Announced last.
   std::vector<InstanceEntry> instances_;
+  std::set<std::size_t> deregistered_;
   std::vector<std::unique_ptr<DispatchEngine>> engines_;
   std::vector<Time> next_ticks_;
   std::map<std::string, SessionServer> servers_;
--- a/src/dispatch/tests/stopping_test.cc
+++ b/src/dispatch/tests/stopping_test.cc
@@ -53,5 +53,41 @@
   }
 }
 
+TEST_CASE("An instance that stops is still listed for a while") {
+  FleetSession::Options options = FleetSession::SmallFleet(18);
+  options.cores_of = {0.02, 0.02, 0.02, 0.02, 0.02, 0.02, 0.02, 4};
+  FleetSession session(options);
+  const auto coordinated_elsewhere = [&session] {
+    int count = 0;
+    for (std::size_t i = 0; i < 70; ++i) {
+      const SessionAnswer& answer = session.SearchNow(i % 7);
+      CHECK(answer.reply.status == 200);
+      count += answer.record.coordinator.empty() ? 0 : 1;
+    }
+    return count;
+  };
+  REQUIRE(coordinated_elsewhere() > 20);
+  session.AnnounceStop(7);
+
+  SUBCASE("others no longer have it coordinate what they can") {
+    CHECK(coordinated_elsewhere() == 0);
+  }
+  SUBCASE("those that have lost the servers have it serve their calls") {
+    for (std::size_t i = 0; i < 7; ++i)
+      session.CutFromServers(i, ServerCut::kRefuse);
+    for (std::size_t i = 0; i < 140; ++i) {
+      session.SendRequest("/all/x", i % 7);
+      session.Run(Millis(10));
+    }
+    session.Run(Seconds(3));
+    for (std::size_t i = 0; i < 35; ++i) {
+      CHECK(session.SearchNow(i % 7).reply.status == 200);
+      CHECK(session.SingleNow(i % 7).reply.status == 200);
+    }
+    session.Deregister(7);
+    CHECK(session.SearchNow(0).reply.status == 503);
+  }
+}
+
 }  // namespace
 }  // namespace limpetrudder
