net: a response that may be another request's isn't taken

Also taken: bytes that had come before the request was sent, and a response with another request's id that ended with its connection; a connection was used on after an unsigned success.

EchoHistory decides whose a response is: once a server process has echoed an id, one without is dropped like one with another id. The pool looks for input before it sends. Where it stays undecided, "not run" isn't believed for a request that may run once.

--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -241,6 +241,12 @@
   const PendingAttempt attempt = std::move(found->second);
   attempts_.erase(found);
   attempt.server->OnRequestEnded();
+  // What may be said of another request doesn't let this one run twice.
+  if (reply.maybe_foreign &&
+      attempt.route->kind == RequestKind::kNonIdempotent) {
+    reply.not_executed = false;
+    reply.misdirected = false;
+  }
   if (attempt.group == nullptr)
     return OnCoordinatorReply(attempt, &reply, now);
   if (reply.outcome == AttemptOutcome::kAnswered ||
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -103,6 +103,9 @@
   std::string body;
   bool not_executed = false;        // The server states that it didn't run.
   bool misdirected = false;         // Another server has the address now.
+  // It may answer an earlier request: it lacks the id, and the server isn't
+  // known to echo ids.
+  bool maybe_foreign = false;
   bool leaving = false;             // The server announces that it is leaving.
   std::optional<Duration> backoff;  // How long to send the server nothing.
   RateLimitNotice rate_limit;
--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -666,6 +666,15 @@
       std::max(server->max_running, static_cast<int>(server->running.size()));
   ++server->runs;
   ++server->runs_by_request[job.request_id];
+  if (server->sends_foreign_refusals) {
+    TargetReply refusal;
+    refusal.attempt = job.attempt;
+    refusal.outcome = AttemptOutcome::kAnswered;
+    refusal.status = 503;
+    refusal.not_executed = true;
+    refusal.maybe_foreign = true;
+    Reply(job.instance, std::move(refusal), Duration(0));
+  }
   if (server->silent)
     return;
   const double spread = 0.7 + 0.6 * random_.Unit();
--- a/src/dispatch/tests/single_test.cc
+++ b/src/dispatch/tests/single_test.cc
@@ -42,6 +42,14 @@
       CHECK(RunsOf(&session, call) == 2);
       CHECK(session.answer(call).reply.status == 502);
     }
+    SUBCASE("is retried after a refusal that may be another request's") {
+      for (std::size_t i = 0; i < 2; ++i)
+        session.single(i).sends_foreign_refusals = true;
+      int answered = 0;
+      for (int i = 0; i < 20; ++i)
+        answered += session.SingleNow().reply.status == 200 ? 1 : 0;
+      CHECK(answered >= 15);
+    }
     SUBCASE("gets a server's failure unchanged after the last attempt") {
       for (std::size_t i = 0; i < 3; ++i)
         session.single(i).failing = true;
@@ -89,6 +97,14 @@
         CHECK(RunsOf(&session, call) == 1);
       }
     }
+    SUBCASE("isn't retried after a refusal that may be another request's") {
+      for (std::size_t i = 0; i < 3; ++i)
+        session.single(i).sends_foreign_refusals = true;
+      const CallId call = session.Single();
+      session.Run(Seconds(3));
+      CHECK(RunsOf(&session, call) == 1);
+      CHECK(session.answer(call).reply.status == 502);
+    }
     SUBCASE("is refused with 503 if all servers refuse it") {
       for (std::size_t i = 0; i < 3; ++i)
         session.single(i).reject_ratio = 1;
--- a/src/net/target_pool.cc
+++ b/src/net/target_pool.cc
@@ -2,18 +2,22 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <unordered_map>
 #include <utility>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <asio.hpp>
 
 #include "framework/clock.h"
+#include "framework/http_status.h"
 #include "framework/logger.h"
 #include "framework/read_number.h"
 #include "framework/result_code.h"
 #include "net/http_text.h"
+#include "net/internal/echo_history.h"
 #include "net/internal/response_reader.h"
 
 namespace limpetrudder {
@@ -46,6 +50,9 @@
 
 constexpr std::size_t kReadBytes = 8 << 10;
 
+// Servers without connections are forgotten once there are this many.
+constexpr std::size_t kMinPurgeSize = 256;
+
 asio::ip::tcp::endpoint EndpointOf(const std::string& address,
                                    asio::error_code* error) {
   const std::size_t colon = address.rfind(':');
@@ -60,6 +67,15 @@
   return {ip, port};
 }
 
+// Returns whether `socket` has received bytes that weren't read yet, or has
+// been closed or reset by its peer.
+bool HasInput(Tcp::socket* socket) {
+  char byte = 0;
+  return recv(socket->native_handle(), &byte, sizeof(byte),
+              MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+         (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 }  // namespace
 
 class TargetPool::Impl {
@@ -85,6 +101,7 @@
     if (!reused) {
       connection = std::make_shared<Connection>(context_);
       connection->server = request.server;
+      connection->echo_history = EchoHistoryOf(request.server);
     }
     busy_[request.id] = connection;
     connection->request = std::move(request);
@@ -140,6 +157,9 @@
     Tcp::socket socket;
     asio::steady_timer timer;
     std::string server;
+    // Shared by the server's connections; it ends with the last of them, since
+    // another process may follow.
+    std::shared_ptr<detail::EchoHistory> echo_history;
     PoolRequest request;
     detail::ResponseReader reader;
     std::array<char, kReadBytes> buffer;
@@ -149,6 +169,7 @@
     Duration connect_time{0};
     std::size_t counted_bytes = 0;  // Its share of buffered_bytes_.
     int foreign_responses = 0;
+    bool used = false;     // It has had a response.
     bool sent = false;     // Bytes of the request may have been sent.
     bool written = false;  // The whole request has been written.
     bool idle = false;
@@ -161,6 +182,22 @@
                              connection->request.max_body_bytes);
   }
 
+  std::shared_ptr<detail::EchoHistory> EchoHistoryOf(
+      const std::string& server) {
+    std::weak_ptr<detail::EchoHistory>& known = echo_histories_[server];
+    std::shared_ptr<detail::EchoHistory> history = known.lock();
+    if (history)
+      return history;
+    history = std::make_shared<detail::EchoHistory>();
+    known = history;
+    if (echo_histories_.size() >= purge_size_) {
+      std::erase_if(echo_histories_,
+                    [](const auto& entry) { return entry.second.expired(); });
+      purge_size_ = std::max(kMinPurgeSize, 2 * echo_histories_.size());
+    }
+    return history;
+  }
+
   void UpdateBufferedBytes(const ConnectionPtr& connection) {
     const std::size_t buffered = connection->reader.buffered_bytes();
     buffered_bytes_ += buffered - connection->counted_bytes;
@@ -193,7 +230,9 @@
     while (!list.empty()) {
       ConnectionPtr connection = std::move(list.back());
       list.pop_back();
-      if (now >= connection->idle_until) {
+      // NOTE What is there already can't be the response to a request that has
+      // yet to be sent.
+      if (now >= connection->idle_until || HasInput(&connection->socket)) {
         connection->Close();
         continue;
       }
@@ -236,6 +275,9 @@
             return Fail(connection, AttemptOutcome::kNotSent);
           connection->connect_time =
               std::max(SteadyNow() - connection->start_time, Duration(1));
+          asio::error_code ignored;
+          if (connection->socket.available(ignored) > 0)
+            return Fail(connection, AttemptOutcome::kNotSent);
           Write(connection);
           Read(connection);
         });
@@ -244,6 +286,7 @@
   static void Configure(Tcp::socket* socket) {
     asio::error_code ignored;
     socket->set_option(Tcp::no_delay(true), ignored);
+    socket->non_blocking(true, ignored);
     const int timeout = kUserTimeoutMs;
     // NOTE If the kernel lacks the option, only the request's own time
     // limit applies.
@@ -262,14 +305,23 @@
         });
   }
 
+  // NOTE Bytes stay in the socket until they are handled, so that those that
+  // came while the connection was idle are found there by TakeIdle().
   void Read(const ConnectionPtr& connection) {
-    connection->socket.async_read_some(
-        asio::buffer(connection->buffer),
-        [this, connection](const asio::error_code& error, std::size_t size) {
+    connection->socket.async_wait(
+        Tcp::socket::wait_read,
+        [this, connection](const asio::error_code& wait_error) {
           if (connection->closed)
             return;
           if (connection->idle)
             return Discard(connection);
+          if (wait_error)
+            return OnReadFailed(connection, wait_error);
+          asio::error_code error;
+          const std::size_t size = connection->socket.read_some(
+              asio::buffer(connection->buffer), error);
+          if (error == asio::error::would_block)
+            return Read(connection);
           if (error)
             return OnReadFailed(connection, error);
           OnBytes(connection, size);
@@ -284,7 +336,10 @@
       connection->reader.ReadEnd();
       if (connection->reader.state() ==
           detail::ResponseReader::State::kComplete) {
-        return Complete(connection, /*extra_bytes=*/false);
+        const detail::ResponseOwner owner = OwnerOf(*connection);
+        return owner == detail::ResponseOwner::kOtherRequest
+                   ? Fail(connection, AttemptOutcome::kBroken)
+                   : Complete(connection, owner, /*extra_bytes=*/false);
       }
     }
     const bool rejected = error == asio::error::connection_reset &&
@@ -309,12 +364,19 @@
         case detail::ResponseReader::State::kTooLarge:
           return Fail(connection, AttemptOutcome::kTooLarge);
         case detail::ResponseReader::State::kMalformed:
+          Log(LogLevel::kInfo, "answer_malformed",
+              {{"code", NumberOf(ResultCode::kAnswerMalformed)},
+               {"server", connection->server}});
           return Fail(connection, AttemptOutcome::kBroken);
         case detail::ResponseReader::State::kComplete:
           break;
       }
-      if (IsExpectedResponse(*connection))
-        return Complete(connection, used < size);
+      const detail::ResponseOwner owner = OwnerOf(*connection);
+      if (owner != detail::ResponseOwner::kOtherRequest)
+        return Complete(connection, owner, used < size);
+      Log(LogLevel::kInfo, "answer_foreign",
+          {{"server", connection->server},
+           {"status", connection->reader.status()}});
       if (!connection->reader.keep_alive())
         return Fail(connection, AttemptOutcome::kBroken);
       // A late response to an earlier request; the expected one follows.
@@ -326,22 +388,36 @@
     }
   }
 
-  // Returns whether the response that was read is for the current request.
-  bool IsExpectedResponse(const Connection& connection) const {
-    // NOTE Not every response echoes the request's id.
-    const HeaderField* echo =
-        FindHeader(connection.reader.headers(), settings_.echo_header);
-    return echo == nullptr || echo->value == connection.request.echo;
+  // Returns whose response was read.
+  detail::ResponseOwner OwnerOf(const Connection& connection) const {
+    const PoolRequest& request = connection.request;
+    return connection.echo_history->OwnerOf(
+        FindHeader(connection.reader.headers(), settings_.echo_header),
+        {.request_id = request.echo,
+         .echoes_all_or_none = request.echoes_all_or_none,
+         .first_on_connection =
+             !connection.used && connection.foreign_responses == 0});
+  }
+
+  // Returns whether the response lacks the signature that is due.
+  static bool LacksSignature(const Connection& connection) {
+    const std::string& name = connection.request.signature_header;
+    return !name.empty() &&
+           http_status::IsSuccess(connection.reader.status()) &&
+           HeaderValue(connection.reader.headers(), name).empty();
   }
 
-  void Complete(const ConnectionPtr& connection, bool extra_bytes) {
+  void Complete(const ConnectionPtr& connection,
+                detail::ResponseOwner owner,
+                bool extra_bytes) {
     PoolResponse response;
     response.id = connection->request.id;
     response.outcome = AttemptOutcome::kAnswered;
     response.status = connection->reader.status();
     response.connect_time = connection->connect_time;
-    const bool reusable =
-        connection->reader.keep_alive() && !extra_bytes && connection->written;
+    response.maybe_foreign = owner == detail::ResponseOwner::kUndecided;
+    const bool reusable = connection->reader.keep_alive() && !extra_bytes &&
+                          connection->written && !LacksSignature(*connection);
     const Duration announced = connection->reader.idle_timeout();
     response.headers = connection->reader.TakeHeaders();
     response.body = connection->reader.TakeBody();
@@ -361,6 +437,7 @@
             ? std::max(announced - kIdleMargin, Duration(0))
             : kDefaultIdle;
     connection->idle = true;
+    connection->used = true;
     connection->idle_since = now;
     connection->idle_until = now + idle_limit;
     connection->request = PoolRequest();
@@ -406,6 +483,9 @@
   std::size_t buffered_bytes_ = 0;
   std::unordered_map<std::uint64_t, ConnectionPtr> busy_;
   std::unordered_map<std::string, std::vector<ConnectionPtr>> idle_;
+  std::unordered_map<std::string, std::weak_ptr<detail::EchoHistory>>
+      echo_histories_;
+  std::size_t purge_size_ = kMinPurgeSize;
 };
 
 TargetPool::TargetPool(asio::io_context* context,
--- a/src/net/target_pool.h
+++ b/src/net/target_pool.h
@@ -16,11 +16,16 @@
 
 // One HTTP/1.1 request to one server, ready to be sent.
 struct PoolRequest {
-  std::uint64_t id = 0;    // Identifies the request for Cancel(); unique.
-  std::string server;      // Connections are pooled by server, not by address.
-  std::string address;     // "IP:PORT".
-  std::string bytes;       // Head and body.
-  std::string echo;        // The id that the server echoes in its response.
+  std::uint64_t id = 0;  // Identifies the request for Cancel(); unique.
+  std::string server;    // Connections are pooled by server, not by address.
+  std::string address;   // "IP:PORT".
+  std::string bytes;     // Head and body.
+  std::string echo;      // The id that the server echoes in its response.
+  // The server echoes ids in all its responses or in none: once it has echoed
+  // one, a response without an id is as foreign as one with another id.
+  bool echoes_all_or_none = false;
+  // A success that lacks this header ends the connection; empty: none is due.
+  std::string signature_header;
   bool head_only = false;  // The response has no body, as for HEAD.
   // Use a new connection, or one that was in use until just now.
   bool fresh_connection = false;
@@ -35,11 +40,15 @@
   std::vector<HeaderField> headers;
   std::string body;
   Duration connect_time{0};  // 0 if an open connection was reused.
+  // It may be a late response to an earlier request of the connection: it
+  // lacks the id, and the server isn't known to echo ids.
+  bool maybe_foreign = false;
 };
 
 struct TargetPoolSettings {
   // The header in which servers echo a request's id. A response that echoes the
-  // id of another request is dropped.
+  // id of another request is dropped, as may be one without an id
+  // (PoolRequest::echoes_all_or_none).
   std::string echo_header;
   // The limit on the total size of incomplete responses. Above it, the largest
   // response is discarded and its request fails.
@@ -49,9 +58,10 @@
 // Makes HTTP/1.1 requests over a pool of persistent connections to each server.
 // A request is sent at most once: it isn't repeated if the connection turns out
 // to be dead. A connection that receives bytes while no request is pending is
-// closed. Since a faulty peer may send without end, the head, the body and
-// anything before the response are limited for each request. Runs on the thread
-// of its io_context; not thread safe.
+// closed, and what arrived before a request was sent isn't its response. Since
+// a faulty peer may send without end, the head, the body and anything before
+// the response are limited for each request. Runs on the thread of its
+// io_context; not thread safe.
 class TargetPool {
  public:
   // Called once for each request that wasn't cancelled, never from within
--- a/src/net/tests/raw_server.h
+++ b/src/net/tests/raw_server.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <functional>
+#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -43,6 +44,18 @@
   std::string address() const {
     return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
   }
+  // Sends bytes that no request asked for on the connection opened last.
+  // Returns once they are sent.
+  void SendUnasked(const std::string& bytes) {
+    std::promise<void> sent;
+    asio::post(context_, [&] {
+      if (const auto connection = last_connection_.lock())
+        asio::write(connection->socket, asio::buffer(bytes));
+      sent.set_value();
+    });
+    sent.get_future().wait();
+  }
+
   int requests() const { return requests_; }
   int connections() const { return connections_; }
 
@@ -55,14 +68,16 @@
   };
 
   void Accept() {
-    acceptor_.async_accept(
-        [this](const asio::error_code& error, asio::ip::tcp::socket socket) {
-          if (error)
-            return;
-          ++connections_;
-          Read(std::make_shared<Connection>(std::move(socket)));
-          Accept();
-        });
+    acceptor_.async_accept([this](const asio::error_code& error,
+                                  asio::ip::tcp::socket socket) {
+      if (error)
+        return;
+      ++connections_;
+      const auto connection = std::make_shared<Connection>(std::move(socket));
+      last_connection_ = connection;
+      Read(connection);
+      Accept();
+    });
   }
 
   void Read(const std::shared_ptr<Connection>& connection) {
@@ -94,6 +109,7 @@
   const Behaviour on_request_;
   asio::io_context context_{1};
   asio::ip::tcp::acceptor acceptor_;
+  std::weak_ptr<Connection> last_connection_;
   std::atomic<int> requests_{0};
   std::atomic<int> connections_{0};
   std::thread thread_;
