net: a response needs a status line and one length, or it is none

Cause: the parser of responses is lenient. Status 000, 099, 99 and 20 were read as informational and skipped without their body, which then stood before the next answer's: "okok" for "ok" (MIXED). 600 to 999, 0200 and HTTP/0.9 reached the caller; 304 with a length took bytes of the next response as its body; 103 and 204 had one; codings other than chunked were read. HttpClient took 600, 999 and 101 from the store, and HttpServer sent any status.

StatusLine checks the first bytes of each response before the parser gets them; the reader checks how the length is stated. Such a connection ends, and the request may have run. HttpServer sends 502 instead of a status that isn't final.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -9,6 +9,7 @@
 
 #include "framework/bounded_queue.h"
 #include "framework/clock.h"
+#include "framework/http_status.h"
 #include "framework/logger.h"
 #include "framework/result_code.h"
 
@@ -273,6 +274,9 @@
     ReadWantedHeader(transfer.get());
     if (transfer->too_large)
       DiscardBody(transfer.get());
+    else if (transfer->response.status == TransferStatus::kAnswered &&
+             !http_status::IsFinal(transfer->response.http_status))
+      RejectStatus(transfer.get());
     Release(transfer.get());
     transfer->handler(std::move(transfer->response));
   }
@@ -296,6 +300,15 @@
     transfer->response.body = std::string();
   }
 
+  static void RejectStatus(Transfer* transfer) {
+    Log(LogLevel::kWarning, "answer_status_invalid",
+        {{"code", NumberOf(ResultCode::kAnswerMalformed)},
+         {"address", transfer->request.address},
+         {"status", transfer->response.http_status}});
+    transfer->response.status = TransferStatus::kFailed;
+    transfer->response.body = std::string();
+  }
+
   void Release(Transfer* transfer) {
     curl_multi_remove_handle(multi_, transfer->easy);
     curl_slist_free_all(transfer->headers);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -6,6 +6,9 @@
 #include <nlohmann/json.hpp>
 #include <restinio/all.hpp>
 
+#include "framework/http_status.h"
+#include "framework/logger.h"
+
 namespace limpetrudder {
 namespace {
 
@@ -61,8 +64,21 @@
   return std::string(value->substr(kBearerPrefix.size()));
 }
 
+// Returns the response to send in place of one whose status can't be sent.
+ServerResponse InvalidStatusResponse(int status) {
+  Log(LogLevel::kError, "status_invalid",
+      {{"code", NumberOf(ResultCode::kAnswerMalformed)}, {"status", status}});
+  ServerResponse response;
+  response.status = http_status::kBadGateway;
+  response.body = RefusalBody(ResultCode::kAnswerMalformed,
+                              "the answer has no valid status", "unknown");
+  return response;
+}
+
 void SendResponse(const restinio::request_handle_t& request,
                   ServerResponse response) {
+  if (!http_status::IsFinal(response.status))
+    response = InvalidStatusResponse(response.status);
   auto builder = request->create_response(restinio::http_status_line_t{
       restinio::http_status_code_t{static_cast<std::uint16_t>(response.status)},
       response.status < 400 ? "OK" : "Refused"});
--- a/src/net/internal/response_reader.h
+++ b/src/net/internal/response_reader.h
@@ -9,12 +9,15 @@
 
 #include "dispatch/dispatch_types.h"
 #include "framework/time.h"
+#include "net/internal/status_line.h"
 
 namespace limpetrudder::detail {
 
 // Parses one HTTP/1.1 response at a time from the bytes of a connection. Skips
-// informational responses. Stops with kTooLarge at the limits of
-// net/response_limits.h. Not thread safe.
+// informational responses. Stops with kMalformed if the status line isn't one,
+// the protocol changes, or the end of the body is ambiguous, and with kTooLarge
+// at the limits of net/response_limits.h. The result doesn't depend on how the
+// bytes are divided. Not thread safe.
 class ResponseReader {
  public:
   enum class State {
@@ -63,13 +66,21 @@
   // Counts bytes of the head. Returns the result for the parser's callback: 0
   // to continue.
   int AddHeadBytes(std::size_t size);
-  int StopAsTooLarge();
+  // Discards the response. Returns the result for the parser's callback.
+  int Stop(State state);
+  // Starts reading a message: the response or an informational one before it.
+  void BeginMessage();
+  // Parses bytes of one message and returns how many belong to it.
+  std::size_t ReadMessage(const char* data, std::size_t size);
 
   http_parser parser_{};
+  StatusLine status_line_;
   State state_ = State::kReading;
   bool started_ = false;
   bool head_only_ = false;
   bool in_value_ = false;
+  bool message_complete_ = false;
+  bool body_due_ = false;  // A peer that is in error might send one.
   bool keep_alive_ = false;
   int status_ = 0;
   std::size_t max_body_bytes_ = 0;
