net: the answer to HEAD has no body, nor have 204 and 304

Cause: RESTinio sends the body that it is given. One function sends all answers of our servers: to callers, other instances and the readiness check. The Content-Length stands.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -79,9 +79,13 @@
                   ServerResponse response) {
   if (!http_status::IsFinal(response.status))
     response = InvalidStatusResponse(response.status);
-  auto builder = request->create_response(restinio::http_status_line_t{
-      restinio::http_status_code_t{static_cast<std::uint16_t>(response.status)},
-      response.status < 400 ? "OK" : "Refused"});
+  const bool head = request->header().method() == restinio::http_method_head();
+  const bool allows_body = http_status::AllowsBody(response.status);
+  auto builder = request->create_response<restinio::user_controlled_output_t>(
+      restinio::http_status_line_t{
+          restinio::http_status_code_t{
+              static_cast<std::uint16_t>(response.status)},
+          response.status < 400 ? "OK" : "Refused"});
   if (!response.content_type.empty()) {
     builder.append_header(restinio::http_field_t::content_type,
                           response.content_type);
@@ -94,7 +98,10 @@
     builder.append_header(std::move(header.name), std::move(header.value));
   if (response.close)
     builder.connection_close();
-  builder.set_body(std::move(response.body));
+  builder.set_content_length(allows_body ? response.body.size() : 0);
+  // NOTE A body in the response to HEAD would stand where the next one is due.
+  if (allows_body && !head)
+    builder.set_body(std::move(response.body));
   builder.done();
 }
 
