fuzz: a connection's responses, whole and in pieces

Responses to a row of requests, in seeded pieces and byte by byte, have to give the same; an answer has a final status, and once a server has echoed an id none without one is taken.

--- a/testing/fuzz/decoders_fuzz.cc
+++ b/testing/fuzz/decoders_fuzz.cc
@@ -1,16 +1,23 @@
 // Fuzzes the decoders of untrusted input. The first byte selects the decoder,
 // the rest is its input. Each input must give a result; none may end the
-// process. docs/DEVELOPERS.md describes longer runs.
+// process, which is also how a decoder reports a result that mustn't be.
+// docs/DEVELOPERS.md describes longer runs.
 
 #include <algorithm>
 #include <cstdint>
+#include <cstdio>
+#include <cstdlib>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "dispatch/internal/record_merge.h"
+#include "framework/http_status.h"
 #include "net/feed_codec.h"
 #include "net/forward_codec.h"
+#include "net/http_text.h"
+#include "net/internal/echo_history.h"
 #include "net/internal/response_reader.h"
 #include "net/quarantine_codec.h"
 #include "platform/caller_codec.h"
@@ -23,6 +30,13 @@
 
 constexpr std::size_t kMaxBodyBytes = 4096;
 
+void Require(bool condition, const char* what) {
+  if (condition)
+    return;
+  std::fprintf(stderr, "violated: %s\n", what);
+  std::abort();
+}
+
 std::string TakeLine(std::string_view* text) {
   const std::size_t end = std::min(text->find('\n'), text->size());
   std::string line(text->substr(0, end));
@@ -71,6 +85,22 @@
   return response;
 }
 
+// Passes a server's answer on. None of its headers may end the line.
+void EncodeAnswer(TargetReply reply) {
+  CallReply call;
+  call.from_server = true;
+  call.status = reply.status;
+  call.headers = std::move(reply.headers);
+  call.body = std::move(reply.body);
+  const ServerResponse response =
+      EncodeReply(std::move(call), CallRecord(), /*close=*/false);
+  for (const auto& header : response.headers) {
+    Require(
+        (header.name + header.value).find_first_of("\r\n") == std::string::npos,
+        "a header is one line");
+  }
+}
+
 // Feeds the bytes in chunks of 1 to 61 bytes, whose sizes follow a fixed
 // sequence.
 void DecodeResponse(std::string_view text) {
@@ -92,8 +122,100 @@
   response.headers = reader.TakeHeaders();
   response.body = reader.TakeBody();
   DecodeProbeReply(response);
-  const TargetReply reply = DecodeReply(std::move(response));
+  TargetReply reply = DecodeReply(std::move(response));
   detail::MergeGreatest({reply.body, reply.signature}, 5);
+  EncodeAnswer(std::move(reply));
+}
+
+// A response that was read from a connection, and whose it is.
+struct ReadResponse {
+  detail::ResponseReader::State state{};
+  int status = 0;
+  std::vector<std::pair<std::string, std::string>> headers;
+  std::string body;
+  detail::ResponseOwner owner{};
+
+  bool operator==(const ReadResponse&) const = default;
+};
+
+ReadResponse TakeResponse(detail::ResponseReader* reader) {
+  ReadResponse response;
+  response.state = reader->state();
+  if (response.state != detail::ResponseReader::State::kComplete)
+    return response;
+  response.status = reader->status();
+  for (auto& header : reader->TakeHeaders())
+    response.headers.emplace_back(header.name, header.value);
+  response.body = reader->TakeBody();
+  return response;
+}
+
+// Reads a server's responses to requests with the ids "1", "2" and so on, from
+// bytes that come in pieces of 1 to `max_piece` bytes.
+std::vector<ReadResponse> ReadConnection(std::string_view text,
+                                         std::size_t max_piece) {
+  std::vector<ReadResponse> responses;
+  detail::EchoHistory history;
+  bool echoed = false;
+  std::size_t request = 1;
+  detail::ResponseReader reader;
+  reader.Begin(/*head_only=*/false, kMaxBodyBytes);
+  std::uint32_t state = 1;
+  while (!text.empty()) {
+    state = state * 1664525 + 1013904223;
+    std::string_view piece =
+        text.substr(0, 1 + (state >> 16) % std::max<std::size_t>(max_piece, 1));
+    text.remove_prefix(piece.size());
+    while (!piece.empty()) {
+      piece.remove_prefix(reader.Read(piece.data(), piece.size()));
+      if (reader.state() == detail::ResponseReader::State::kReading)
+        break;
+      if (reader.state() != detail::ResponseReader::State::kComplete) {
+        responses.push_back(TakeResponse(&reader));
+        return responses;
+      }
+      const bool reusable = reader.keep_alive();
+      const std::string id = std::to_string(request);
+      const HeaderField* echo = FindHeader(reader.headers(), "Request-Id");
+      const bool has_echo = echo != nullptr;
+      const auto owner =
+          history.OwnerOf(echo, {.request_id = id,
+                                 .echoes_all_or_none = true,
+                                 .first_on_connection = responses.empty()});
+      responses.push_back(TakeResponse(&reader));
+      responses.back().owner = owner;
+      Require(http_status::IsFinal(responses.back().status),
+              "an answer has a final status");
+      const bool taken = owner != detail::ResponseOwner::kOtherRequest;
+      Require(!taken || has_echo || !echoed,
+              "a server that echoes ids isn't believed without one");
+      echoed = echoed || (taken && has_echo);
+      if (!reusable)
+        return responses;
+      request += taken ? 1 : 0;
+      reader.Begin(/*head_only=*/false, kMaxBodyBytes);
+    }
+  }
+  return responses;
+}
+
+// Reads the same bytes whole and in pieces. The first byte sets the pieces'
+// size.
+void DecodeConnection(std::string_view text) {
+  if (text.empty())
+    return;
+  const auto max_piece = static_cast<unsigned char>(text.front());
+  text.remove_prefix(1);
+  Require(ReadConnection(text, max_piece % 64) == ReadConnection(text, 1),
+          "pieces make no difference");
+  detail::ResponseReader whole;
+  whole.Begin(/*head_only=*/false, kMaxBodyBytes);
+  whole.Read(text.data(), text.size());
+  const auto responses = ReadConnection(text, 1);
+  Require(whole.state() == detail::ResponseReader::State::kReading
+              ? responses.empty()
+              : !responses.empty() && responses.front().state == whole.state(),
+          "the first response is the same in one piece");
 }
 
 void DecodeStoreItem(std::string_view text) {
@@ -106,6 +228,8 @@
   switch (decoder) {
     case 'a':
       return DecodeResponse(text);
+    case 'w':
+      return DecodeConnection(text);
     case 'i':
       return DecodeStoreItem(text);
     case 's':
