--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -101,8 +101,8 @@
   int status = 0;
   std::vector<HeaderField> headers;
   std::string body;
-  bool not_executed = false;        // The server states that it didn't run.
-  bool misdirected = false;         // Another server has the address now.
+  bool not_executed = false;  // The server states that it didn't run.
+  bool misdirected = false;   // Another server has the address now.
   // It may answer an earlier request: it lacks the id, and the server isn't
   // known to echo ids.
   bool maybe_foreign = false;
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -28,8 +28,8 @@
   bool resets_connections = false;  // Runs requests and resets the connection.
   // Runs requests, but a refusal that may be another request's arrives first.
   bool sends_foreign_refusals = false;
-  bool omits_signature = false;     // Answers 200 without a signature.
-  bool reports_leaving = false;     // In all its answers.
+  bool omits_signature = false;  // Answers 200 without a signature.
+  bool reports_leaving = false;  // In all its answers.
   // If set, refuses all requests and asks for this backoff.
   std::optional<Duration> requests_backoff;
   std::optional<double> rate_limit;  // Named in all its answers.
