--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -6,6 +6,9 @@
 #include <nlohmann/json.hpp>
 #include <restinio/all.hpp>
 
+#include "framework/http_status.h"
+#include "framework/logger.h"
+
 namespace limpetrudder {
 namespace {
 
@@ -61,11 +64,28 @@
   return std::string(value->substr(kBearerPrefix.size()));
 }
 
+// Returns the response to send in place of one whose status can't be sent.
+ServerResponse InvalidStatusResponse(int status) {
+  Log(LogLevel::kError, "status_invalid",
+      {{"code", NumberOf(ResultCode::kAnswerMalformed)}, {"status", status}});
+  ServerResponse response;
+  response.status = http_status::kBadGateway;
+  response.body = RefusalBody(ResultCode::kAnswerMalformed,
+                              "the answer has no valid status", "unknown");
+  return response;
+}
+
 void SendResponse(const restinio::request_handle_t& request,
                   ServerResponse response) {
-  auto builder = request->create_response(restinio::http_status_line_t{
-      restinio::http_status_code_t{static_cast<std::uint16_t>(response.status)},
-      response.status < 400 ? "OK" : "Refused"});
+  if (!http_status::IsFinal(response.status))
+    response = InvalidStatusResponse(response.status);
+  const bool head = request->header().method() == restinio::http_method_head();
+  const bool allows_body = http_status::AllowsBody(response.status);
+  auto builder = request->create_response<restinio::user_controlled_output_t>(
+      restinio::http_status_line_t{
+          restinio::http_status_code_t{
+              static_cast<std::uint16_t>(response.status)},
+          response.status < 400 ? "OK" : "Refused"});
   if (!response.content_type.empty()) {
     builder.append_header(restinio::http_field_t::content_type,
                           response.content_type);
@@ -78,7 +98,10 @@
     builder.append_header(std::move(header.name), std::move(header.value));
   if (response.close)
     builder.connection_close();
-  builder.set_body(std::move(response.body));
+  builder.set_content_length(allows_body ? response.body.size() : 0);
+  // NOTE A body in the response to HEAD would stand where the next one is due.
+  if (allows_body && !head)
+    builder.set_body(std::move(response.body));
   builder.done();
 }
 
