--- a/testing/soak/entry_process.cc
+++ b/testing/soak/entry_process.cc
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <spawn.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -9,6 +10,7 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 #include <string_view>
 #include <system_error>
@@ -38,7 +40,7 @@
       next_binary_(first_binary),
       folder_(std::move(folder)),
       options_(std::move(options)) {
-  const nlohmann::json settings = {
+  nlohmann::json settings = {
       {"instance", options_.name},
       {"data_centre", "here"},
       {"regions", {{"here", "here"}}},
@@ -48,6 +50,8 @@
       {"store_address", LoopbackAddress(options_.store_port)},
       {"retry_budget", {{"ratio", 0.2}, {"slack", 50}}},
       {"stop_bound_ms", 6000}};
+  if (options_.memory_mb > 0)
+    settings["memory_mb"] = options_.memory_mb;
   std::ofstream(folder_ + "/" + options_.name + ".json") << settings.dump();
 }
 
@@ -71,8 +75,16 @@
   const std::string& binary = binaries_[next_binary_++ % binaries_.size()];
   const char* arguments[] = {binary.c_str(), "entry", "--settings",
                              settings.c_str(), nullptr};
+  rlimit own_limit{};
+  getrlimit(RLIMIT_NOFILE, &own_limit);
+  if (options_.max_descriptors > 0) {
+    rlimit limit = own_limit;
+    limit.rlim_cur = options_.max_descriptors;
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
   const int error = posix_spawn(&pid_, binary.c_str(), &files, nullptr,
                                 const_cast<char* const*>(arguments), environ);
+  setrlimit(RLIMIT_NOFILE, &own_limit);
   posix_spawn_file_actions_destroy(&files);
   if (error != 0)
     throw std::runtime_error("cannot start " + binary);
@@ -150,4 +162,26 @@
   return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
+std::size_t EntryProcess::PeakResidentBytes() const {
+  if (!running())
+    return 0;
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  std::string line;
+  while (std::getline(status, line)) {
+    std::size_t kibibytes = 0;
+    if (std::sscanf(line.c_str(), "VmHWM: %zu kB", &kibibytes) == 1)
+      return kibibytes << 10;
+  }
+  return 0;
+}
+
+std::size_t EntryProcess::OpenDescriptors() const {
+  if (!running())
+    return 0;
+  std::error_code error;
+  const std::filesystem::directory_iterator files(
+      "/proc/" + std::to_string(pid_) + "/fd", error);
+  return static_cast<std::size_t>(std::distance(begin(files), end(files)));
+}
+
 }  // namespace limpetrudder::testbed
--- a/testing/soak/entry_process.h
+++ b/testing/soak/entry_process.h
@@ -27,6 +27,9 @@
   std::uint16_t ready_port = 0;
   std::uint16_t peer_port = 0;
   std::uint16_t store_port = 0;  // Port of the instance's proxy to the store.
+  double memory_mb = 0;  // The memory_mb of its settings; their default if 0.
+  // The soft limit on its open descriptors; that of this process if 0.
+  std::uint64_t max_descriptors = 0;
 };
 
 // One process of a real binary, which the soak starts and sends signals to.
@@ -56,6 +59,13 @@
   // The resident memory of the process in bytes; 0 if it isn't running.
   std::size_t ResidentBytes() const;
 
+  // The most resident memory that the process has had since its start, in
+  // bytes; 0 if it isn't running.
+  std::size_t PeakResidentBytes() const;
+
+  // The number of open descriptors of the process; 0 if it isn't running.
+  std::size_t OpenDescriptors() const;
+
   bool running() const { return pid_ > 0; }
   bool paused() const { return paused_; }
   bool stopping() const { return stopping_; }
