net: bound what clients' connections take, and how long

Cause: RESTinio reads whole messages into memory, up to 64 MB each and one entry for each chunk, and refuses a body over the limit only once it has all of it. It offers no hook that sees the bytes before. Idle connections and heads had 120 s instead of IdleTimeoutMs and HeaderTimeoutMs, and nothing closed one when descriptors ran short. Change: HttpServer has a small reader and connection of its own over Asio and http_parser. A request is refused at the byte that exceeds a limit (431, 413), one is served at a time on a connection, and all connections of a port share a quarter of the memory and a part of the descriptors: when they are short, the refused and the slowest connection go first (503, 4008) and the one that has been idle longest, never one whose request is being served. The timeouts of the configuration hold, also for open connections.

--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -33,9 +33,8 @@
 constexpr std::size_t kInitialMaxBodyBytes = 8 << 20;
 constexpr std::size_t kInitialMaxHeaderBytes = 64 << 10;
 
-// The time limit for receiving a caller's request, including the wait for it on
-// an idle connection.
-constexpr auto kReadTimeout = std::chrono::seconds(120);
+// Connections closed for want of memory or descriptors are logged together.
+constexpr Duration kShedLogInterval = Seconds(1);
 
 Json FailedSubQueries(const CallRecord& record) {
   Json sub_queries = Json::array();
@@ -52,8 +51,10 @@
 
 DispatchDuty::DispatchDuty(DispatchSettings settings,
                            std::size_t max_buffered_bytes,
+                           const ConnectionLimits& caller_connections,
                            EntryState* state)
     : max_buffered_bytes_(max_buffered_bytes),
+      caller_connections_(caller_connections),
       state_(state),
       engine_(std::move(settings)),
       next_probe_id_(kFirstProbeId) {}
@@ -70,7 +71,8 @@
   const Endpoint endpoint = SplitAddress(caller_address);
   caller_server_ = std::make_unique<HttpServer>(
       HttpServerSettings{endpoint.ip, endpoint.port, kInitialMaxBodyBytes,
-                         kInitialMaxHeaderBytes, kReadTimeout, context},
+                         kInitialMaxHeaderBytes, context, caller_connections_,
+                         [this](ConnectionEnd end) { OnConnectionEnd(end); }},
       [this](ServerRequest request, Responder respond) {
         OnRequest(std::move(request), std::move(respond));
       },
@@ -136,6 +138,22 @@
   RunEngine(now);
 }
 
+void DispatchDuty::OnConnectionEnd(ConnectionEnd end) {
+  state_->metrics().Add("connections_closed_" +
+                        std::string(NameOf(kConnectionEndNames, end)));
+  if (end != ConnectionEnd::kMemory && end != ConnectionEnd::kNumber)
+    return;
+  ++shed_since_log_;
+  const Time now = SteadyNow();
+  if (now - last_shed_log_ < kShedLogInterval)
+    return;
+  Log(LogLevel::kWarning, "connections_shed",
+      {{"reason", NameOf(kConnectionEndNames, end)},
+       {"count", shed_since_log_}});
+  last_shed_log_ = now;
+  shed_since_log_ = 0;
+}
+
 void DispatchDuty::OnResponse(PoolResponse response) {
   const Time now = SteadyNow();
   if (response.id >= kFirstProbeId) {
@@ -207,6 +225,7 @@
   state_->SetRoutesKnown();
   caller_server_->SetMessageLimits(limits.max_header_bytes,
                                    limits.max_body_bytes);
+  caller_server_->SetTimeouts(limits.idle_timeout, limits.header_timeout);
   Log(LogLevel::kInfo, "routes_in_force",
       {{"version", version}, {"before", before}, {"routes", routes}});
 }
--- a/src/app/dispatch_duty.h
+++ b/src/app/dispatch_duty.h
@@ -57,9 +57,11 @@
   using Mailbox = DutyThread<DispatchEvent, DispatchDuty>;
 
   // `state` must outlive this object. `max_buffered_bytes` limits the total
-  // size of incomplete server responses.
+  // size of incomplete server responses, `caller_connections` bounds the
+  // callers' connections; its timeouts hold until the first routes set them.
   DispatchDuty(DispatchSettings settings,
                std::size_t max_buffered_bytes,
+               const ConnectionLimits& caller_connections,
                EntryState* state);
   ~DispatchDuty();
 
@@ -113,6 +115,8 @@
 
   void OnRequest(ServerRequest request, Responder respond);
   void OnConnectionClosed(std::uint64_t connection);
+  // Counts why a caller's connection was closed.
+  void OnConnectionEnd(ConnectionEnd end);
   void StartCall(Result<CallRequest> call,
                  std::uint64_t connection,
                  bool from_peer,
@@ -161,6 +165,7 @@
   void RecordCall(const CallRecord& record);
 
   const std::size_t max_buffered_bytes_;
+  const ConnectionLimits caller_connections_;
   EntryState* const state_;
   NewerRoutesHandler on_newer_routes_;
   DispatchEngine engine_;
@@ -172,6 +177,8 @@
   std::unordered_map<std::uint64_t, std::vector<CallId>> calls_by_connection_;
   std::unordered_map<std::uint64_t, PendingProbe> pending_probes_;
   std::unordered_set<AttemptId> pending_forwards_;
+  Time last_shed_log_{};
+  std::uint64_t shed_since_log_ = 0;
   CallId next_call_id_ = 1;
   std::uint64_t next_probe_id_;
 };
--- a/src/app/entry_app.cc
+++ b/src/app/entry_app.cc
@@ -3,6 +3,7 @@
 #include <thread>
 #include <utility>
 
+#include "app/connection_shares.h"
 #include "app/settings.h"
 #include "framework/clock.h"
 #include "framework/hash.h"
@@ -47,18 +48,22 @@
 constexpr std::size_t kMaxPeerBodyBytes = 32 << 20;
 
 HttpServerSettings MakeServerSettings(const std::string& address,
+                                      const ConnectionLimits& connections,
                                       asio::io_context* context) {
   const Endpoint endpoint = SplitAddress(address);
   HttpServerSettings settings;
   settings.address = endpoint.ip;
   settings.port = endpoint.port;
   settings.context = context;
+  settings.connections = connections;
   return settings;
 }
 
 HttpServerSettings MakePeerServerSettings(const std::string& address,
+                                          const ConnectionLimits& connections,
                                           asio::io_context* context) {
-  HttpServerSettings settings = MakeServerSettings(address, context);
+  HttpServerSettings settings =
+      MakeServerSettings(address, connections, context);
   settings.max_header_bytes = kMaxPeerHeaderBytes;
   settings.max_body_bytes = kMaxPeerBodyBytes;
   return settings;
@@ -118,10 +123,12 @@
                       Hash64(settings_.instance,
                              static_cast<std::uint64_t>(UnixMillis()))},
                      MaxBufferedBytes(settings_),
+                     MakeConnectionShares(settings_).callers,
                      &state_),
       discovery_duty_(MakeDiscoverySettings(settings_), MakeTransport()),
       ready_server_(
           MakeServerSettings(settings_.ready_address,
+                             MakeConnectionShares(settings_).ready,
                              dispatch_mailbox_.context()),
           [this](const ServerRequest&, const Responder& respond) {
             OnReadyRequest(respond);
@@ -129,6 +136,7 @@
           nullptr),
       peer_server_(
           MakePeerServerSettings(settings_.peer_address,
+                                 MakeConnectionShares(settings_).peers,
                                  dispatch_mailbox_.context()),
           [this](ServerRequest request, Responder respond) {
             if (IsForwarded(request))
--- a/src/app/entry_settings.cc
+++ b/src/app/entry_settings.cc
@@ -27,6 +27,7 @@
     "cores": {"type": "number", "exclusiveMinimum": 0},
     "link_mbps": {"type": "number", "exclusiveMinimum": 0},
     "memory_mb": {"type": "number", "minimum": 32, "maximum": 1048576},
+    "max_descriptors": {"type": "integer", "minimum": 256, "maximum": 10000000},
     "retry_budget": {
       "type": "object", "additionalProperties": false,
       "required": ["ratio", "slack"],
@@ -60,6 +61,8 @@
   settings.cores = json.value("cores", settings.cores);
   settings.link_mbps = json.value("link_mbps", settings.link_mbps);
   settings.memory_mb = json.value("memory_mb", settings.memory_mb);
+  settings.max_descriptors =
+      json.value("max_descriptors", settings.max_descriptors);
   const auto& budget = json.at("retry_budget");
   settings.retry_budget = {budget.at("ratio"), budget.at("slack")};
   if (json.contains("warmup")) {
--- a/src/app/entry_settings.h
+++ b/src/app/entry_settings.h
@@ -30,6 +30,8 @@
   // The memory limit of the process, in MiB; the platform ends a process that
   // exceeds it.
   double memory_mb = 256;
+  // The limit on open descriptors of the process.
+  std::uint32_t max_descriptors = 4096;
   RetryBudgetSettings retry_budget;
   WarmupBounds warmup;
   Duration stop_bound{0};  // From the stop signal to the exit.
--- a/src/limits/connection_budget.cc
+++ b/src/limits/connection_budget.cc
@@ -96,8 +96,8 @@
   for (const auto& [phase, name] : kConnectionPhaseNames) {
     const Order& order = InPhase(phase);
     if (!order.empty())
-      next = std::min(
-          next, entries_.at(order.front()).phase_start + TimeoutOf(phase));
+      next = std::min(next,
+                      entries_.at(order.front()).phase_start + timeout(phase));
   }
   return next;
 }
@@ -107,13 +107,13 @@
   for (const auto& [phase, name] : kConnectionPhaseNames) {
     const Order& order = InPhase(phase);
     if (!order.empty() &&
-        entries_.at(order.front()).phase_start + TimeoutOf(phase) <= now)
+        entries_.at(order.front()).phase_start + timeout(phase) <= now)
       return order.front();
   }
   return std::nullopt;
 }
 
-Duration ConnectionBudget::TimeoutOf(ConnectionPhase phase) const {
+Duration ConnectionBudget::timeout(ConnectionPhase phase) const {
   switch (phase) {
     case ConnectionPhase::kIdle:
       return limits_.idle_timeout;
--- a/src/limits/connection_budget.h
+++ b/src/limits/connection_budget.h
@@ -94,6 +94,7 @@
   Time next_expiry() const;
   // Returns a connection that has taken too long at `now`, or nothing.
   std::optional<ConnectionId> FindExpired(Time now) const;
+  Duration timeout(ConnectionPhase phase) const;
   ConnectionPhase phase(ConnectionId id) const { return entries_.at(id).phase; }
 
  private:
@@ -110,7 +111,6 @@
     Order::iterator in_moving;
   };
 
-  Duration TimeoutOf(ConnectionPhase phase) const;
   // The connections in a phase, the one that is in it longest first.
   Order& InPhase(ConnectionPhase phase) {
     return in_phase_[static_cast<std::size_t>(phase)];
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,85 +1,43 @@
 #include "net/http_server.h"
 
+#include <algorithm>
 #include <thread>
+#include <unordered_map>
 #include <utility>
+#include <vector>
 
+#include <asio.hpp>
 #include <nlohmann/json.hpp>
-#include <restinio/all.hpp>
+
+#include "framework/clock.h"
+#include "net/internal/server_connection.h"
 
 namespace limpetrudder {
 namespace {
 
-// RESTinio closes a connection without a response if a message exceeds its
-// limits. Its limits are therefore above those of HttpServerSettings, which
-// produce an error response.
-constexpr std::size_t kHardMaxBodyBytes = 64 << 20;
-constexpr std::size_t kHardMaxHeaderBytes = 76 << 10;
-constexpr std::size_t kPipelinedRequests = 2;
-constexpr std::string_view kBearerPrefix = "Bearer ";
+constexpr std::size_t kDiscardBufferBytes = 64 << 10;
 
-// Reports closed connections to the ClosedHandler.
-class ConnectionWatcher {
- public:
-  explicit ConnectionWatcher(HttpServer::ClosedHandler on_closed)
-      : on_closed_(std::move(on_closed)) {}
-
-  void state_changed(
-      const restinio::connection_state::notice_t& notice) noexcept {
-    const auto cause = notice.cause();
-    if (restinio::holds_alternative<restinio::connection_state::closed_t>(
-            cause) &&
-        on_closed_) {
-      on_closed_(notice.connection_id());
-    }
-  }
-
-  // Stops the reports. Connections in a shared io_context can outlive the
-  // server.
-  void Disable() { on_closed_ = nullptr; }
-
- private:
-  HttpServer::ClosedHandler on_closed_;
-};
-
-struct ServerTraits : public restinio::default_single_thread_traits_t {
-  using connection_state_listener_t = ConnectionWatcher;
-};
-
-using Server = restinio::http_server_t<ServerTraits>;
-
-std::size_t HeaderBytes(const restinio::http_request_header_t& header) {
-  std::size_t bytes = header.request_target().size();
-  for (const auto& field : header)
-    bytes += field.name().size() + field.value().size();
-  return bytes;
-}
+// Connections that took too long are closed in batches.
+constexpr Duration kExpiryInterval = Millis(100);
 
-std::string BearerToken(const restinio::http_request_header_t& header) {
-  const auto value = header.opt_value_of(restinio::http_field_t::authorization);
-  if (!value || !std::string_view(*value).starts_with(kBearerPrefix))
-    return std::string();
-  return std::string(value->substr(kBearerPrefix.size()));
-}
+// The wait after a connection couldn't be accepted.
+constexpr Duration kAcceptRetryInterval = Millis(50);
 
-void SendResponse(const restinio::request_handle_t& request,
-                  ServerResponse response) {
-  auto builder = request->create_response(restinio::http_status_line_t{
-      restinio::http_status_code_t{static_cast<std::uint16_t>(response.status)},
-      response.status < 400 ? "OK" : "Refused"});
-  if (!response.content_type.empty()) {
-    builder.append_header(restinio::http_field_t::content_type,
-                          response.content_type);
-  }
-  if (response.retry_after_seconds > 0) {
-    builder.append_header(restinio::http_field_t::retry_after,
-                          std::to_string(response.retry_after_seconds));
-  }
-  for (auto& header : response.headers)
-    builder.append_header(std::move(header.name), std::move(header.value));
-  if (response.close)
-    builder.connection_close();
-  builder.set_body(std::move(response.body));
-  builder.done();
+ConnectionEnd EndOfTimeout(ConnectionPhase phase) {
+  switch (phase) {
+    case ConnectionPhase::kIdle:
+      return ConnectionEnd::kIdleTimeout;
+    case ConnectionPhase::kHead:
+      return ConnectionEnd::kHeadTimeout;
+    case ConnectionPhase::kBody:
+      return ConnectionEnd::kBodyTimeout;
+    case ConnectionPhase::kServing:
+      return ConnectionEnd::kServingTimeout;
+    case ConnectionPhase::kSending:
+    case ConnectionPhase::kClosing:
+      return ConnectionEnd::kSendingTimeout;
+  }
+  return ConnectionEnd::kClient;
 }
 
 }  // namespace
@@ -94,46 +52,44 @@
   return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-class HttpServer::Impl {
+class HttpServer::Impl final : public detail::ServerConnection::Owner {
  public:
   Impl(HttpServerSettings settings, Handler handler, ClosedHandler on_closed)
       : settings_(std::move(settings)),
         handler_(std::move(handler)),
-        watcher_(std::make_shared<ConnectionWatcher>(std::move(on_closed))) {
-    auto holder = settings_.context == nullptr
-                      ? restinio::own_io_context()
-                      : restinio::external_io_context(*settings_.context);
-    server_ = std::make_unique<Server>(
-        std::move(holder),
-        restinio::server_settings_t<ServerTraits>{}
-            .address(settings_.address)
-            .port(settings_.port)
-            .max_pipelined_requests(kPipelinedRequests)
-            .read_next_http_message_timelimit(settings_.read_timeout)
-            .handle_request_timeout(std::chrono::seconds(120))
-            .connection_state_listener(watcher_)
-            .incoming_http_msg_limits(
-                restinio::incoming_http_msg_limits_t{}
-                    .max_body_size(kHardMaxBodyBytes)
-                    .max_field_value_size(kHardMaxHeaderBytes)
-                    .max_url_size(kHardMaxHeaderBytes))
-            .request_handler([this](restinio::request_handle_t request) {
-              return OnRequest(std::move(request));
-            }));
-  }
-
-  ~Impl() { watcher_->Disable(); }
+        on_closed_(std::move(on_closed)),
+        own_context_(settings_.context == nullptr
+                         ? std::make_unique<asio::io_context>(1)
+                         : nullptr),
+        context_(own_context_ ? own_context_.get() : settings_.context),
+        acceptor_(*context_),
+        accept_timer_(*context_),
+        expiry_timer_(*context_),
+        budget_(settings_.connections),
+        discard_buffer_(kDiscardBufferBytes) {}
+
+  // Connections in a shared io_context can outlive the server.
+  ~Impl() {
+    for (const auto& [id, connection] : connections_)
+      connection->Detach();
+  }
 
   Result<void> Start() {
     try {
-      server_->open_sync();
+      const asio::ip::tcp::endpoint endpoint(
+          asio::ip::make_address(settings_.address), settings_.port);
+      acceptor_.open(endpoint.protocol());
+      acceptor_.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+      acceptor_.bind(endpoint);
+      acceptor_.listen();
     } catch (const std::exception& error) {
       return Failure(ResultCode::kStartFailed,
                      "can't listen on " + settings_.address + ":" +
                          std::to_string(settings_.port) + ": " + error.what());
     }
-    if (settings_.context == nullptr)
-      thread_ = std::thread([this] { server_->io_context().run(); });
+    Accept();
+    if (own_context_)
+      thread_ = std::thread([this] { context_->run(); });
     return BOOST_OUTCOME_V2_NAMESPACE::success();
   }
 
@@ -142,61 +98,168 @@
     settings_.max_body_bytes = body_bytes;
   }
 
-  void StopAccepting() { server_->close_sync(); }
+  void SetTimeouts(Duration idle, Duration head) {
+    budget_.SetTimeouts(std::max(idle, kExpiryInterval),
+                        std::max(head, kExpiryInterval));
+    ArmExpiryTimer(budget_.next_expiry());
+  }
+
+  void StopAccepting() {
+    asio::error_code ignored;
+    acceptor_.close(ignored);
+    accept_timer_.cancel();
+  }
 
   void Stop() {
     if (!thread_.joinable())
       return;
-    restinio::asio_ns::post(server_->io_context(), [this] {
-      server_->close_sync();
-      server_->io_context().stop();
+    asio::post(*context_, [this] {
+      StopAccepting();
+      context_->stop();
     });
     thread_.join();
   }
 
- private:
-  restinio::request_handling_status_t OnRequest(
-      restinio::request_handle_t request) {
-    const auto& header = request->header();
-    if (HeaderBytes(header) > settings_.max_header_bytes) {
-      SendResponse(
-          request,
-          {431, RefusalBody(ResultCode::kHeadersTooLarge,
-                            "the headers take more than " +
-                                std::to_string(settings_.max_header_bytes) +
-                                " bytes")});
-      return restinio::request_accepted();
+  detail::RequestSizeLimits size_limits() const override {
+    return {settings_.max_header_bytes, settings_.max_body_bytes};
+  }
+
+  asio::mutable_buffer discard_buffer() override {
+    return asio::buffer(discard_buffer_);
+  }
+
+  void OnPhase(std::uint64_t id, ConnectionPhase phase) override {
+    const Time now = SteadyNow();
+    budget_.SetPhase(id, phase, now);
+    ArmExpiryTimer(now + budget_.timeout(phase));
+  }
+
+  void OnProgress(std::uint64_t id, std::size_t bytes) override {
+    budget_.AddProgress(id, bytes);
+  }
+
+  void OnBytes(std::uint64_t id, std::size_t bytes) override {
+    budget_.SetBytes(id, bytes);
+    // Refusing a request changes what its connection holds.
+    if (shedding_)
+      return;
+    shedding_ = true;
+    while (budget_.is_over_bytes()) {
+      const auto first = budget_.FirstToGoForBytes();
+      if (!first)
+        break;
+      Find(*first)->Shed(ConnectionEnd::kMemory);
     }
-    if (request->body().size() > settings_.max_body_bytes) {
-      SendResponse(
-          request,
-          {413, RefusalBody(ResultCode::kRequestTooLarge,
-                            "the body takes more than " +
-                                std::to_string(settings_.max_body_bytes) +
-                                " bytes")});
-      return restinio::request_accepted();
+    shedding_ = false;
+  }
+
+  void OnRequest(ServerRequest request, Responder respond) override {
+    handler_(std::move(request), std::move(respond));
+  }
+
+  void OnClosed(std::uint64_t id, ConnectionEnd end) override {
+    budget_.Close(id);
+    connections_.erase(id);
+    if (settings_.on_end)
+      settings_.on_end(end);
+    if (on_closed_)
+      on_closed_(id);
+  }
+
+ private:
+  using ConnectionPtr = std::shared_ptr<detail::ServerConnection>;
+
+  // Returns a connection that is open; closing it doesn't destroy the result.
+  ConnectionPtr Find(std::uint64_t id) const { return connections_.at(id); }
+
+  void Accept() {
+    acceptor_.async_accept(
+        [this](const asio::error_code& error, asio::ip::tcp::socket socket) {
+          if (error == asio::error::operation_aborted || !acceptor_.is_open())
+            return;
+          if (!error) {
+            AddConnection(std::move(socket));
+            return Accept();
+          }
+          // Descriptors or memory are short.
+          if (error != asio::error::connection_aborted && CloseForNumber())
+            return Accept();
+          accept_timer_.expires_after(kAcceptRetryInterval);
+          accept_timer_.async_wait([this](const asio::error_code& aborted) {
+            if (!aborted)
+              Accept();
+          });
+        });
+  }
+
+  void AddConnection(asio::ip::tcp::socket socket) {
+    // NOTE A connection that isn't read from may be tried again elsewhere.
+    if (budget_.is_full() && !CloseForNumber()) {
+      if (settings_.on_end)
+        settings_.on_end(ConnectionEnd::kNumber);
+      return;
     }
-    ServerRequest parsed;
-    parsed.connection = request->connection_id();
-    parsed.method = header.method().c_str();
-    parsed.path = std::string(header.path());
-    parsed.query = std::string(header.query());
-    parsed.target = header.request_target();
-    parsed.headers.reserve(header.fields_count());
-    for (const auto& field : header)
-      parsed.headers.push_back({field.name(), field.value()});
-    parsed.bearer_token = BearerToken(header);
-    parsed.body = request->body();
-    handler_(std::move(parsed), [request](ServerResponse response) {
-      SendResponse(request, std::move(response));
+    const std::uint64_t id = ++last_id_;
+    const Time now = SteadyNow();
+    budget_.Open(id, now);
+    ArmExpiryTimer(now + budget_.timeout(ConnectionPhase::kIdle));
+    const auto connection =
+        std::make_shared<detail::ServerConnection>(id, std::move(socket), this);
+    connections_[id] = connection;
+    connection->Start();
+  }
+
+  // Closes the connection that goes first, if one may.
+  bool CloseForNumber() {
+    const auto first = budget_.FirstToGoForNumber();
+    if (first)
+      Find(*first)->Close(ConnectionEnd::kNumber);
+    return first.has_value();
+  }
+
+  // NOTE A timer that is due too early is kept.
+  void ArmExpiryTimer(Time expiry) {
+    if (expiry >= armed_expiry_)
+      return;
+    armed_expiry_ = expiry;
+    expiry_timer_.expires_at(expiry);
+    expiry_timer_.async_wait([this](const asio::error_code& error) {
+      if (error)
+        return;
+      armed_expiry_ = kNever;
+      const Time now = SteadyNow();
+      CloseExpired(now);
+      if (const Time next = budget_.next_expiry(); next != kNever)
+        ArmExpiryTimer(std::max(next, now + kExpiryInterval));
     });
-    return restinio::request_accepted();
+  }
+
+  void CloseExpired(Time now) {
+    while (const auto id = budget_.FindExpired(now)) {
+      const ConnectionPhase phase = budget_.phase(*id);
+      const ConnectionPtr connection = Find(*id);
+      // A request has come meanwhile.
+      if (phase == ConnectionPhase::kIdle && connection->HasUnreadBytes())
+        budget_.SetPhase(*id, phase, now);
+      else
+        connection->Close(EndOfTimeout(phase));
+    }
   }
 
   HttpServerSettings settings_;
-  Handler handler_;
-  std::shared_ptr<ConnectionWatcher> watcher_;
-  std::unique_ptr<Server> server_;
+  const Handler handler_;
+  const ClosedHandler on_closed_;
+  const std::unique_ptr<asio::io_context> own_context_;
+  asio::io_context* const context_;
+  asio::ip::tcp::acceptor acceptor_;
+  asio::steady_timer accept_timer_;
+  asio::steady_timer expiry_timer_;
+  Time armed_expiry_ = kNever;
+  ConnectionBudget budget_;
+  bool shedding_ = false;
+  std::vector<char> discard_buffer_;
+  std::unordered_map<std::uint64_t, ConnectionPtr> connections_;
+  std::uint64_t last_id_ = 0;
   std::thread thread_;
 };
 
@@ -220,6 +283,10 @@
   impl_->SetMessageLimits(header_bytes, body_bytes);
 }
 
+void HttpServer::SetTimeouts(Duration idle, Duration head) {
+  impl_->SetTimeouts(idle, head);
+}
+
 void HttpServer::StopAccepting() {
   impl_->StopAccepting();
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -11,7 +11,9 @@
 #include <asio/io_context.hpp>
 
 #include "dispatch/dispatch_types.h"
+#include "framework/enum_names.h"
 #include "framework/error.h"
+#include "limits/connection_budget.h"
 
 namespace limpetrudder {
 
@@ -38,21 +40,54 @@
 // Sends the response to one request. May be called once, from any thread.
 using Responder = std::function<void(ServerResponse)>;
 
+// Why a connection was closed.
+enum class ConnectionEnd {
+  kClient,          // The client closed it, or it broke.
+  kResponded,       // Its last response was sent.
+  kIdleTimeout,     // No request came in time.
+  kHeadTimeout,     // The head of a request wasn't complete in time.
+  kBodyTimeout,     // Its body wasn't complete in time.
+  kServingTimeout,  // There was no response in time.
+  kSendingTimeout,  // The client didn't take the response in time.
+  kMemory,          // All connections together held too much memory.
+  kNumber,          // There were too many connections.
+  kHeadTooLarge,
+  kBodyTooLarge,
+  kMalformed,  // Bytes that aren't HTTP.
+};
+
+inline constexpr EnumNames<ConnectionEnd, 12> kConnectionEndNames{{
+    {ConnectionEnd::kClient, "client"},
+    {ConnectionEnd::kResponded, "responded"},
+    {ConnectionEnd::kIdleTimeout, "idle_timeout"},
+    {ConnectionEnd::kHeadTimeout, "head_timeout"},
+    {ConnectionEnd::kBodyTimeout, "body_timeout"},
+    {ConnectionEnd::kServingTimeout, "serving_timeout"},
+    {ConnectionEnd::kSendingTimeout, "sending_timeout"},
+    {ConnectionEnd::kMemory, "memory"},
+    {ConnectionEnd::kNumber, "number"},
+    {ConnectionEnd::kHeadTooLarge, "head_too_large"},
+    {ConnectionEnd::kBodyTooLarge, "body_too_large"},
+    {ConnectionEnd::kMalformed, "malformed"},
+}};
+
 struct HttpServerSettings {
   std::string address;  // An IP address.
   std::uint16_t port = 0;
   std::size_t max_body_bytes = 1 << 20;
   std::size_t max_header_bytes = 16 << 10;
-  // The time limit for receiving a request, including the wait for it on an
-  // idle connection.
-  std::chrono::milliseconds read_timeout = std::chrono::seconds(60);
   // Runs the server; if null, the server runs on a thread of its own.
   asio::io_context* context = nullptr;
+  // Bounds what all connections together take.
+  ConnectionLimits connections;
+  // If set, called on the server's thread for each connection that was closed.
+  std::function<void(ConnectionEnd)> on_end;
 };
 
-// Serves HTTP/1.1 on one thread of its own or on that of an io_context. A
-// request whose body or headers exceed the limit gets an error response with a
-// result code.
+// Serves HTTP/1.1 on one thread of its own or on that of an io_context. Serves
+// one request of a connection at a time. A request whose body or headers exceed
+// the limit is refused with a result code as soon as that is known, and its
+// connection closed.
 class HttpServer {
  public:
   // Both are called on the server's thread. ClosedHandler is called with the id
@@ -76,6 +111,10 @@
   // server's thread.
   void SetMessageLimits(std::size_t header_bytes, std::size_t body_bytes);
 
+  // Changes the time limits for an idle connection and for receiving a head,
+  // also for open connections. Call on the server's thread.
+  void SetTimeouts(Duration idle, Duration head);
+
   // Stops accepting connections; open ones stay in use. Call only with a shared
   // io_context, on its thread.
   void StopAccepting();
