--- a/src/net/internal/request_reader.cc
+++ b/src/net/internal/request_reader.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <limits>
+#include <utility>
 
 namespace limpetrudder::detail {
 namespace {
@@ -180,7 +181,11 @@
   // The parser counts what is still to come.
   const std::size_t most =
       is_chunked_ ? limits_.body : size + parser_.content_length;
-  body_.reserve(std::max(size, std::min(2 * body_.capacity(), most)));
+  // NOTE reserve() would double the capacity of a string that isn't new.
+  std::string larger;
+  larger.reserve(std::max(size, std::min(2 * body_.capacity(), most)));
+  larger.append(body_);
+  body_ = std::move(larger);
 }
 
 int RequestReader::OnComplete(http_parser* parser) {
--- a/src/net/tests/request_reader_test.cc
+++ b/src/net/tests/request_reader_test.cc
@@ -152,6 +152,18 @@
   }
 }
 
+TEST_CASE("RequestReader holds no more than the limit of a body") {
+  for (const std::size_t piece : {1, 30, 70}) {
+    RequestReader reader;
+    const std::string bytes =
+        "POST /a HTTP/1.1\r\nContent-Length: 100\r\n\r\n" +
+        std::string(100, 'x');
+    Feed(&reader, bytes, piece);
+    REQUIRE(reader.state() == State::kComplete);
+    CHECK(reader.TakeBody().capacity() == 100);
+  }
+}
+
 TEST_CASE("RequestReader holds no more than it has read") {
   RequestReader reader;
   Feed(&reader, "POST /a HTTP/1.1\r\nContent-Length: 100\r\n\r\nx");
