--- a/src/net/internal/request_reader.cc
+++ b/src/net/internal/request_reader.cc
@@ -8,6 +8,8 @@
 namespace limpetrudder::detail {
 namespace {
 
+constexpr std::size_t kFirstBodyBytes = 256 << 10;
+
 RequestReader* ReaderOf(http_parser* parser) {
   return static_cast<RequestReader*>(parser->data);
 }
@@ -181,9 +183,12 @@
   // The parser counts what is still to come.
   const std::size_t most =
       is_chunked_ ? limits_.body : size + parser_.content_length;
+  // Announced bodies of an ordinary size aren't copied again as they grow.
+  const std::size_t first = is_chunked_ ? 0 : kFirstBodyBytes;
   // NOTE reserve() would double the capacity of a string that isn't new.
   std::string larger;
-  larger.reserve(std::max(size, std::min(2 * body_.capacity(), most)));
+  larger.reserve(
+      std::max(size, std::min(std::max(2 * body_.capacity(), first), most)));
   larger.append(body_);
   body_ = std::move(larger);
 }
