--- a/src/app/entry_settings.h
+++ b/src/app/entry_settings.h
@@ -31,6 +31,8 @@
   // The memory limit of the process, in MiB; the platform ends a process that
   // exceeds it.
   double memory_mb = 256;
+  // The limit on open descriptors of the process.
+  std::uint32_t max_descriptors = 4096;
   RetryBudgetSettings retry_budget;
   WarmupBounds warmup;
   // Set if calls of accounts are refused once the instance has had no news of
