--- a/src/app/entry_settings.cc
+++ b/src/app/entry_settings.cc
@@ -27,7 +27,7 @@
     "cores": {"type": "number", "exclusiveMinimum": 0},
     "link_mbps": {"type": "number", "exclusiveMinimum": 0},
     "memory_mb": {"type": "number", "minimum": 32, "maximum": 1048576},
-    "max_descriptors": {"type": "integer", "minimum": 256, "maximum": 10000000},
+    "max_descriptors": {"type": "integer", "minimum": 64, "maximum": 10000000},
     "retry_budget": {
       "type": "object", "additionalProperties": false,
       "required": ["ratio", "slack"],
