--- a/testing/soak/store_stand_in.cc
+++ b/testing/soak/store_stand_in.cc
@@ -59,7 +59,7 @@
   ServerResponse response =
       refusing_ ? Reply(503, Json::object()) : HandleRequest(request);
   response.headers.push_back({"Store-Era", std::to_string(era_)});
-  // NOTE RESTinio closes a connection whose request gets no response.
+  // NOTE A connection whose request gets no response stays open for a while.
   if (!losing_replies_)
     respond(std::move(response));
 }
