fuzz: writes to the store, shortened entries, feed responses there and back

Sequences of writes go through DiscoveryEngine with lowered limits; what it keeps must stay within them, and what it passes on must be readable. Shortened entries must read as the same, notices in an answer must give a result.

--- a/src/discovery/tests/refused_items_test.cc
+++ b/src/discovery/tests/refused_items_test.cc
@@ -19,8 +19,9 @@
   }
   SUBCASE("are reported once a minute if they are written with other values") {
     int reports = 0;
-    for (std::uint64_t i = 0; i < 300; ++i)
-      reports += items.Add("a", 2 + i, start + Seconds(i)) ? 1 : 0;
+    std::uint64_t digest = 1;
+    for (int i = 0; i < 300; ++i)
+      reports += items.Add("a", ++digest, start + Seconds(i)) ? 1 : 0;
     CHECK(reports == 4);
   }
   SUBCASE("are reported again after they could be used") {
--- a/testing/fuzz/decoders_fuzz.cc
+++ b/testing/fuzz/decoders_fuzz.cc
@@ -1,15 +1,19 @@
-// Fuzzes the decoders of untrusted input. The first byte selects the decoder,
-// the rest is its input. Each input must give a result; none may end the
-// process. docs/DEVELOPERS.md describes longer runs.
+// Fuzzes the decoders of untrusted input, and what is kept of it. The first
+// byte selects the decoder, the rest is its input. Each input must give a
+// result; none may end the process or have more memory kept than the limits
+// allow. docs/DEVELOPERS.md describes longer runs.
 
 #include <algorithm>
 #include <cstdint>
+#include <cstdlib>
 #include <string>
 #include <string_view>
 #include <utility>
 
+#include "discovery/discovery_engine.h"
 #include "dispatch/internal/record_merge.h"
 #include "net/feed_codec.h"
+#include "net/feed_encoder.h"
 #include "net/forward_codec.h"
 #include "net/internal/response_reader.h"
 #include "net/quarantine_codec.h"
@@ -22,6 +26,12 @@
 namespace {
 
 constexpr std::size_t kMaxBodyBytes = 4096;
+constexpr int kMaxWrites = 24;
+
+void Require(bool condition) {
+  if (!condition)
+    std::abort();
+}
 
 std::string TakeLine(std::string_view* text) {
   const std::size_t end = std::min(text->find('\n'), text->size());
@@ -96,10 +106,101 @@
   detail::MergeGreatest({reply.body, reply.signature}, 5);
 }
 
-void DecodeStoreItem(std::string_view text) {
+void ShortenStoreItem(std::string_view text) {
   const std::string key = TakeLine(&text);
-  std::optional<Error> error;
-  DecodeItem(key, std::string(text), &error);
+  const RawItem item{key, std::string(text), 1};
+  const DecodedItem decoded = DecodeStoreItem(item);
+  if (!decoded.short_value)
+    return;
+  Require(decoded.short_value->size() < 2 * kMaxEntryValueBytes);
+  const DecodedItem again = DecodeStoreItem({key, decoded.short_value, 1});
+  Require(!again.fault && again.item->index() == decoded.item->index());
+}
+
+// Returns a value of a write: the text after a tab, or one that is built from
+// the text after a letter.
+std::string TakeValue(std::string_view text) {
+  if (text.empty() || text.front() == '\t')
+    return std::string(text.substr(std::min<std::size_t>(text.size(), 1)));
+  const std::string rest(text.substr(1));
+  const std::string long_text(1 + rest.size() * 100, 'x');
+  switch (text.front()) {
+    case 's':
+      return R"({"Service":")" + rest + R"(","Address":"10.0.0.1:80",)" +
+             R"("Zone":"z","Version":"","Slots":1,"State":"ready",)" +
+             R"("WarmupLeftMs":0,"Sequence":1,"note":")" + long_text + "\"}";
+    case 'i':
+      return EncodeInstance({"i", "z", "10.0.0.1:1", 1, 100});
+    case 'u':
+      return long_text;
+    default:
+      return rest;
+  }
+}
+
+// Each line is a write to the store: what brings it to the instance (a letter),
+// its key up to a colon, and its value.
+void WriteToStore(std::string_view text) {
+  DiscoverySettings settings;
+  settings.own = {"own", "z", "10.0.0.2:1", 1, 100};
+  settings.regions = {{"z", "region"}};
+  settings.decode = DecodeStoreItem;
+  settings.limits.max_server_bytes = 4000;
+  settings.limits.max_entry_bytes = 5000;
+  settings.limits.max_change_bytes = 2000;
+  settings.limits.max_refused_items = 4;
+  const DiscoveryLimits limits = settings.limits;
+  // A listing is kept besides the entries until it is complete. The own entry
+  // and the routes, which are short here, aren't counted among them.
+  const std::size_t max_bytes =
+      2 * limits.max_entry_bytes + limits.max_change_bytes + 2 * kMaxBodyBytes;
+  DiscoveryEngine engine(std::move(settings));
+  Time now = Time(Seconds(100));
+  std::uint64_t revision = 0;
+  for (int writes = 0; writes < kMaxWrites && !text.empty(); ++writes) {
+    const std::string line = TakeLine(&text);
+    const std::size_t colon = std::min(line.find(':'), line.size());
+    FeedReply reply;
+    reply.status = FeedStatus::kOk;
+    reply.era = 1;
+    reply.revision = ++revision;
+    if (colon < line.size()) {
+      const std::string key =
+          line.substr(std::min<std::size_t>(1, colon),
+                      colon - std::min<std::size_t>(1, colon));
+      const std::string_view value = std::string_view(line).substr(colon + 1);
+      RawItem item{key, std::nullopt, revision};
+      if (!value.empty())
+        item.value = TakeValue(value);
+      reply.items.push_back(std::move(item));
+    }
+    now += Seconds(2);
+    engine.Tick(now);
+    engine.TakeActions();
+    const char way = line.empty() ? 'c' : line.front();
+    if (way == 'f' || way == 'w') {
+      reply.whole = way == 'w';
+      engine.OnFeedResponse("other", FeedRequestReason::kFollow,
+                            std::move(reply), now);
+    } else {
+      reply.has_more = way == 'p';
+      if (way == 'h')
+        reply.status = FeedStatus::kHistoryLost;
+      engine.OnStoreReply(std::move(reply), now);
+    }
+    engine.Tick(now);
+    engine.TakeActions();
+    Require(engine.kept_bytes() <= max_bytes);
+  }
+  const FeedReply kept = engine.MakeFeedResponse({}, now);
+  FeedEncoder encoder;
+  HttpResponse response;
+  response.status = TransferStatus::kAnswered;
+  response.http_status = 200;
+  response.body = encoder.Encode(kept, revision % 2 == 0).body;
+  const FeedReply passed_on = DecodePeerFeedReply(response);
+  Require(passed_on.status == FeedStatus::kOk);
+  Require(passed_on.items.size() == kept.items.size());
 }
 
 void Decode(char decoder, std::string_view text) {
@@ -107,7 +208,7 @@
     case 'a':
       return DecodeResponse(text);
     case 'i':
-      return DecodeStoreItem(text);
+      return ShortenStoreItem(text);
     case 's':
       DecodeFeedReply(MakeHttpResponse(text));
       DecodeLeaseReply(MakeHttpResponse(text));
@@ -128,6 +229,12 @@
     case 'n':
       DecodeNotices(text);
       return;
+    case 'e':
+      DecodeExchangeReply(MakeResponse(text));
+      DecodeScope(MakeRequest(text));
+      return;
+    case 'w':
+      return WriteToStore(text);
     case 't':
       DecodeReply(MakeResponse(text));
       return;
