--- a/testing/fuzz/decoders_fuzz.cc
+++ b/testing/fuzz/decoders_fuzz.cc
@@ -122,8 +122,8 @@
 std::string TakeValue(std::string_view text) {
   if (text.empty() || text.front() == '\t')
     return std::string(text.substr(std::min<std::size_t>(text.size(), 1)));
-  const std::string rest(text.substr(1));
-  const std::string long_text(1 + rest.size() * 100, 'x');
+  std::string rest(text.substr(1));
+  std::string long_text(1 + rest.size() * 100, 'x');
   switch (text.front()) {
     case 's':
       return R"({"Service":")" + rest + R"(","Address":"10.0.0.1:80",)" +
