--- a/scripts/check_layers.sh
+++ b/scripts/check_layers.sh
@@ -3,7 +3,7 @@
 # global randomness, and no library may include one above it.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-decisions='src/config src/routing src/limits src/query src/once src/membership
+decisions='src/config src/routing src/limits src/query src/once src/membership src/quota
   src/discovery src/dispatch'
 forbidden='#include <(asio|restinio|curl|grpc|thread|mutex|condition_variable|future|random|fstream|iostream|sys/|unistd)'
 clocks='(steady_clock|system_clock|high_resolution_clock)::now'
--- /dev/null
+++ b/src/quota/quota_owners.cc
@@ -0,0 +1,141 @@
+#include "quota/quota_owners.h"
+
+#include <algorithm>
+#include <string_view>
+#include <tuple>
+#include <utility>
+
+#include "framework/hash.h"
+
+namespace limpetrudder {
+namespace {
+
+// Of a data centre. More would only cost memory and hashing.
+constexpr std::size_t kMaxCandidates = 8;
+
+// A killed instance leaves the list of members within a few seconds.
+constexpr Duration kSilence = Seconds(1);
+
+// Keeps kMaxCandidates of them, the same ones at all instances.
+void KeepCandidates(std::vector<QuotaMember>* members) {
+  if (members->size() <= kMaxCandidates)
+    return;
+  const auto order = [](const QuotaMember& member) {
+    return std::make_pair(Hash64(member.name), std::string_view(member.name));
+  };
+  std::partial_sort(members->begin(), members->begin() + kMaxCandidates,
+                    members->end(),
+                    [&](const QuotaMember& a, const QuotaMember& b) {
+                      return order(a) < order(b);
+                    });
+  members->resize(kMaxCandidates);
+  members->shrink_to_fit();
+}
+
+}  // namespace
+
+QuotaOwners::QuotaOwners(QuotaMember own,
+                         std::map<std::string, std::string> regions)
+    : own_(std::move(own)), data_centres_{own_.data_centre} {
+  const std::string region = regions[own_.data_centre];
+  for (const bool same_region : {true, false}) {
+    for (const auto& [data_centre, of] : regions) {
+      if (data_centre != own_.data_centre && (of == region) == same_region)
+        data_centres_.push_back(data_centre);
+    }
+  }
+}
+
+void QuotaOwners::SetMembers(const std::vector<QuotaMember>& members,
+                             Time now) {
+  std::map<std::string, std::vector<QuotaMember>> candidates;
+  const auto add = [&candidates](const QuotaMember& member) {
+    auto& list = candidates[member.data_centre];
+    if (!list.empty() && list.front().cores < member.cores)
+      list.clear();
+    if (list.empty() || list.front().cores == member.cores)
+      list.push_back(member);
+  };
+  add(own_);
+  has_others_ = false;
+  if (candidates_.count(own_.data_centre) > 0) {
+    for (const QuotaMember& member : candidates_[own_.data_centre]) {
+      if (member.name != own_.name)
+        former_.push_back(member);
+    }
+  }
+  for (const QuotaMember& member : members) {
+    if (member.name == own_.name)
+      continue;
+    has_others_ = true;
+    add(member);
+    ForgetFormer(member.name);
+  }
+  for (auto& [data_centre, list] : candidates)
+    KeepCandidates(&list);
+  for (auto& [data_centre, list] : candidates) {
+    std::sort(list.begin(), list.end(),
+              [](const QuotaMember& a, const QuotaMember& b) {
+                return a.name < b.name;
+              });
+  }
+  const auto before = candidates_.find(own_.data_centre);
+  if (before == candidates_.end() ||
+      before->second != candidates[own_.data_centre]) {
+    ++epoch_;
+    changed_at_ = now;
+  }
+  if (before == candidates_.end())
+    began_at_ = now;
+  const auto& own_list = candidates[own_.data_centre];
+  if (std::none_of(own_list.begin(), own_list.end(),
+                   [this](const QuotaMember& m) { return is_own(m); })) {
+    former_.clear();
+  }
+  candidates_ = std::move(candidates);
+}
+
+const QuotaMember* QuotaOwners::OwnerIn(const std::string& data_centre,
+                                        const std::string& account) const {
+  const auto found = candidates_.find(data_centre);
+  if (found == candidates_.end())
+    return nullptr;
+  const std::uint64_t seed = Hash64(account);
+  const auto score = [seed](const QuotaMember& member) {
+    return Hash64(member.name, seed);
+  };
+  return &*std::max_element(found->second.begin(), found->second.end(),
+                            [&](const QuotaMember& a, const QuotaMember& b) {
+                              return std::make_tuple(score(a), a.name) <
+                                     std::make_tuple(score(b), b.name);
+                            });
+}
+
+std::vector<const QuotaMember*> QuotaOwners::Owners(
+    const std::string& account) const {
+  std::vector<const QuotaMember*> owners;
+  for (const std::string& data_centre : data_centres_) {
+    if (const QuotaMember* owner = OwnerIn(data_centre, account))
+      owners.push_back(owner);
+  }
+  return owners;
+}
+
+void QuotaOwners::ForgetFormer(const std::string& name) {
+  std::erase_if(former_, [&name](const QuotaMember& member) {
+    return member.name == name;
+  });
+}
+
+void QuotaOwners::OnSilent(const std::string& name, Time now) {
+  std::erase_if(silent_until_,
+                [now](const auto& entry) { return entry.second <= now; });
+  silent_until_[name] = now + kSilence;
+}
+
+bool QuotaOwners::IsSilent(const std::string& name, Time now) const {
+  const auto found = silent_until_.find(name);
+  return found != silent_until_.end() && now < found->second;
+}
+
+}  // namespace limpetrudder
