--- a/scripts/check_layers.sh
+++ b/scripts/check_layers.sh
@@ -3,8 +3,8 @@
 # global randomness, and no library may include one above it.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-decisions='src/config src/routing src/limits src/query src/once src/membership src/quota
-  src/discovery src/dispatch'
+decisions='src/config src/routing src/limits src/query src/once src/membership
+  src/discovery src/dispatch src/accounts src/quota'
 forbidden='#include <(asio|restinio|curl|grpc|thread|mutex|condition_variable|future|random|fstream|iostream|sys/|unistd)'
 clocks='(steady_clock|system_clock|high_resolution_clock)::now'
 found=$(grep -rnE "$forbidden|$clocks|std::rand\b|random_device" $decisions \
