quota: calls wait for a token of their account's limit

The engine asks for a token when a call of a limited account arrives, holds the call until it has one, and answers 429 (4007) with a time to come back when the limit is used up, 503 when no owner answers. Instances ask each other by POST /quota; an older build's 404 counts as no owner. Off unless the settings have bounds and an account has a limit.

--- a/src/app/dispatch_duty.cc
+++ b/src/app/dispatch_duty.cc
@@ -11,6 +11,7 @@
 #include "framework/logger.h"
 #include "net/forward_codec.h"
 #include "net/quarantine_codec.h"
+#include "net/quota_codec.h"
 #include "platform/caller_codec.h"
 #include "platform/target_codec.h"
 
@@ -170,6 +171,9 @@
       if (const auto notices = DecodeExchangeReply(response))
         engine_.OnQuarantineNotices(*notices, NoticeScope::kChanges, now);
       return;
+    case ProbeKind::kQuota:
+      return engine_.OnQuotaAnswer(probe.quota_ask, DecodeQuotaAnswer(response),
+                                   now);
   }
 }
 
@@ -186,6 +190,21 @@
   RunEngine(now);
 }
 
+void DispatchDuty::OnQuotaAsk(const ServerRequest& request, Responder respond) {
+  const auto ask = DecodeQuotaAsk(request.body);
+  if (!ask) {
+    ServerResponse response;
+    response.status = http_status::kBadRequest;
+    response.body = RefusalBody(ResultCode::kRequestMalformed, "no ask");
+    return respond(std::move(response));
+  }
+  const Time now = SteadyNow();
+  const std::uint64_t ref = next_quota_ref_++;
+  pending_quota_asks_[ref] = std::move(respond);
+  engine_.OnQuotaAsk(ref, *ask, now);
+  RunEngine(now);
+}
+
 void DispatchDuty::Handle(DispatchEvent event, Time now) {
   std::visit([&](auto&& e) { On(std::forward<decltype(e)>(e), now); },
              std::move(event));
@@ -310,8 +329,13 @@
     const PendingProbe timed_out = std::move(found->second);
     pending_probes_.erase(found);
     pool_->Cancel(id);
+    const Time now = SteadyNow();
     if (timed_out.kind == ProbeKind::kInstance)
-      engine_.OnPing(timed_out.name, false, SteadyNow());
+      engine_.OnPing(timed_out.name, false, now);
+    if (timed_out.kind == ProbeKind::kQuota) {
+      engine_.OnQuotaAnswer(timed_out.quota_ask, std::nullopt, now);
+      RunEngine(now);
+    }
   });
 }
 
@@ -413,6 +437,45 @@
                {"pressure", action.pressure}});
 }
 
+void DispatchDuty::Execute(const AskQuota& action) {
+  SendProbe(EncodeQuotaAsk(action.ask, next_probe_id_),
+            {action.ask.instance, ProbeKind::kQuota, action.ask.id});
+}
+
+void DispatchDuty::Execute(const AnswerQuota& action) {
+  const auto found = pending_quota_asks_.find(action.answer.ref);
+  if (found == pending_quota_asks_.end())
+    return;
+  const Responder respond = std::move(found->second);
+  pending_quota_asks_.erase(found);
+  respond(EncodeQuotaAnswer(action.answer.answer));
+}
+
+void DispatchDuty::Execute(const AccountLimitChange& action) {
+  const QuotaChange& change = action.change;
+  CountAndLog(LogLevel::kInfo, change.limited ? "quota_limited" : "quota_free",
+              {{"account", change.account},
+               {"rate", change.limit.rate},
+               {"burst", change.limit.burst},
+               {"asked", change.asked},
+               {"granted", change.granted}});
+}
+
+void DispatchDuty::Execute(const QuotaActivity& action) {
+  const QuotaCounts& counts = action.counts;
+  const auto add = [this](const char* name, std::uint64_t count) {
+    if (count > 0)
+      state_->metrics().Add(name, count);
+  };
+  add("quota_asks", counts.asks);
+  add("quota_transfers", counts.transfers);
+  add("quota_claims", counts.claims);
+  add("quota_granted", counts.granted);
+  add("quota_refused", counts.refused);
+  add("quota_fallbacks", counts.fallbacks);
+  add("quota_no_owner", counts.no_owner);
+}
+
 void DispatchDuty::Execute(const PacingChange& action) {
   CountAndLog(LogLevel::kInfo, action.paced ? "server_paced" : "server_unpaced",
               {{"server", action.server},
--- a/src/app/dispatch_duty.h
+++ b/src/app/dispatch_duty.h
@@ -84,6 +84,9 @@
   // Call on the duty's thread.
   void OnExchange(const ServerRequest& request, const Responder& respond);
 
+  // Handles another instance's ask for tokens. Call on the duty's thread.
+  void OnQuotaAsk(const ServerRequest& request, Responder respond);
+
   // Whether other instances should forward calls to this one. Call on the
   // duty's thread.
   bool has_server_contact() const { return engine_.has_server_contact(); }
@@ -104,11 +107,12 @@
     Responder respond;
   };
 
-  // A health probe, a ping or notices that have no response yet.
-  enum class ProbeKind { kServer, kInstance, kExchange, kChange };
+  // A health probe, a ping, notices or an ask that have no response yet.
+  enum class ProbeKind { kServer, kInstance, kExchange, kChange, kQuota };
   struct PendingProbe {
     std::string name;  // Of the server or instance.
     ProbeKind kind = ProbeKind::kServer;
+    std::uint64_t quota_ask = 0;  // Its id, if it is one.
   };
 
   void OnRequest(ServerRequest request, Responder respond);
@@ -156,6 +160,10 @@
   void Execute(const PacingChange& action);
   void Execute(const ServerCold& action);
   void Execute(const DataCentreChange& action);
+  void Execute(const AskQuota& action);
+  void Execute(const AnswerQuota& action);
+  void Execute(const AccountLimitChange& action);
+  void Execute(const QuotaActivity& action);
   void Execute(const ServerContactChange& action);
   // Adds the call to the metrics and logs it.
   void RecordCall(const CallRecord& record);
@@ -172,6 +180,8 @@
   std::unordered_map<std::uint64_t, std::vector<CallId>> calls_by_connection_;
   std::unordered_map<std::uint64_t, PendingProbe> pending_probes_;
   std::unordered_set<AttemptId> pending_forwards_;
+  std::unordered_map<std::uint64_t, Responder> pending_quota_asks_;  // By ref.
+  std::uint64_t next_quota_ref_ = 1;
   CallId next_call_id_ = 1;
   std::uint64_t next_probe_id_;
 };
--- a/src/app/entry_app.cc
+++ b/src/app/entry_app.cc
@@ -10,6 +10,7 @@
 #include "framework/logger.h"
 #include "net/forward_codec.h"
 #include "net/quarantine_codec.h"
+#include "net/quota_codec.h"
 #include "platform/feed_codec.h"
 
 namespace limpetrudder {
@@ -113,12 +114,13 @@
       feed_client_(&http_client_),
       dispatch_mailbox_(kDispatchQueueCapacity, &dispatch_duty_),
       discovery_mailbox_(kDiscoveryQueueCapacity, &discovery_duty_),
-      dispatch_duty_({OwnEntry(settings_), settings_.regions,
-                      settings_.retry_budget, settings_.warmup,
-                      Hash64(settings_.instance,
-                             static_cast<std::uint64_t>(UnixMillis()))},
-                     MaxBufferedBytes(settings_),
-                     &state_),
+      dispatch_duty_(
+          {OwnEntry(settings_), settings_.regions, settings_.retry_budget,
+           settings_.warmup,
+           Hash64(settings_.instance, static_cast<std::uint64_t>(UnixMillis())),
+           settings_.quota},
+          MaxBufferedBytes(settings_),
+          &state_),
       discovery_duty_(MakeDiscoverySettings(settings_), MakeTransport()),
       ready_server_(
           MakeServerSettings(settings_.ready_address,
@@ -223,6 +225,8 @@
     return OnFeedRequest(request, respond);
   if (request.path == kQuarantinePath)
     return dispatch_duty_.OnExchange(request, respond);
+  if (request.path == kQuotaPath)
+    return dispatch_duty_.OnQuotaAsk(request, respond);
   if (request.path == kPingPath) {
     response.status = dispatch_duty_.has_server_contact()
                           ? http_status::kOk
--- a/src/app/entry_settings.cc
+++ b/src/app/entry_settings.cc
@@ -43,6 +43,15 @@
         "slack": {"type": "number", "minimum": 0, "maximum": 1000000}
       }
     },
+    "quota": {
+      "type": "object", "additionalProperties": false,
+      "required": ["window", "overage", "slack"],
+      "properties": {
+        "window": {"type": "number", "exclusiveMinimum": 0, "maximum": 3600},
+        "overage": {"type": "number", "minimum": 0, "maximum": 100},
+        "slack": {"type": "number", "minimum": 0, "maximum": 1000000}
+      }
+    },
     "stop_bound_ms": {"type": "integer", "minimum": 0, "maximum": 120000},
     "log_level": {"enum": ["debug", "info", "warning", "error"]}
   }
@@ -66,6 +75,11 @@
     const auto& warmup = json.at("warmup");
     settings.warmup = {warmup.at("overage"), warmup.at("slack")};
   }
+  if (json.contains("quota")) {
+    const auto& quota = json.at("quota");
+    settings.quota = {Scaled(Seconds(1), quota.at("window")),
+                      quota.at("overage"), quota.at("slack")};
+  }
   settings.stop_bound = Millis(json.at("stop_bound_ms").get<std::int64_t>());
   settings.log_level =
       ValueOf(kLogLevelNames, json.value("log_level", std::string("info")))
--- a/src/app/entry_settings.h
+++ b/src/app/entry_settings.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include <nlohmann/json.hpp>
@@ -32,6 +33,8 @@
   double memory_mb = 256;
   RetryBudgetSettings retry_budget;
   WarmupBounds warmup;
+  // Not set: the limits of client accounts aren't applied.
+  std::optional<QuotaBounds> quota;
   Duration stop_bound{0};  // From the stop signal to the exit.
   LogLevel log_level = LogLevel::kInfo;
 };
--- a/src/app/tests/entry_settings_test.cc
+++ b/src/app/tests/entry_settings_test.cc
@@ -47,6 +47,17 @@
     json["warmup"]["overage"] = 0;
     CHECK(SingleFault(json, "/warmup/overage") == ResultCode::kFieldOutOfRange);
   }
+  SUBCASE("the bounds of client accounts are optional") {
+    CHECK_FALSE(ReadEntrySettings(json).assume_value().quota);
+    json["quota"] = {{"window", 5}, {"overage", 0.1}, {"slack", 20}};
+    const auto quota = ReadEntrySettings(json).assume_value().quota;
+    REQUIRE(quota);
+    CHECK(quota->window == Seconds(5));
+    CHECK(quota->overage == 0.1);
+    CHECK(quota->slack == 20);
+    json["quota"]["window"] = 0;
+    CHECK(SingleFault(json, "/quota/window") == ResultCode::kFieldOutOfRange);
+  }
   SUBCASE("entry settings without a store address are refused") {
     json.erase("store_address");
     CHECK(SingleFault(json, "") == ResultCode::kFieldMissing);
--- a/src/dispatch/dispatch_engine.cc
+++ b/src/dispatch/dispatch_engine.cc
@@ -81,6 +81,7 @@
   profiles_.RetainOnly(*routes_);
   split_.RetainOnly(*routes_);
   admission_.RetainOnly(*routes_);
+  UpdateQuotas(now);
   Tick(now);
 }
 
@@ -114,12 +115,18 @@
   coordinators_.Update(instances);
   servers_.SetInstances(instances, now);
   peers_.clear();
+  is_listed_ = false;
   for (const auto& instance : instances) {
     if (instance.name != settings_.own.name)
       peers_.push_back(instance);
+    else
+      is_listed_ = true;
   }
   exchange_.SetPeerCount(peers_.size());
   trial_owners_.SetInstances(instances);
+  if (!members_known_at_)
+    members_known_at_ = now;
+  SetQuotaMembers(now);
   // NOTE The instance's share of connections and budgets grows with a delay:
   // entries may be missing only because the store was unavailable.
   FleetComposition fleet{0, 0, 0};
@@ -217,9 +224,14 @@
     return Refuse(active->call, http_status::kUnavailable,
                   ResultCode::kServersUnreachable, std::nullopt);
   calls_[active->call.id] = std::move(owned);
-  if (TryForward(active, now))
-    return ScheduleWakeup(active, now);
-  StartLocally(active, now);
+  if (TakeToken(active, now))
+    StartAdmitted(active, now);
+}
+
+void DispatchEngine::StartAdmitted(ActiveCall* call, Time now) {
+  if (TryForward(call, now))
+    return ScheduleWakeup(call, now);
+  StartLocally(call, now);
 }
 
 void DispatchEngine::StartLocally(ActiveCall* call, Time now) {
@@ -300,6 +312,10 @@
   quarantine_.RemoveExpired(now);
   ExchangeNotices(exchange_.Tick(quarantine_.StateOfNotices(now), now, &next),
                   now);
+  if (quotas_) {
+    next = std::min(next, quotas_->Tick(now));
+    HandleQuotaOutputs(now);
+  }
   for (auto& change : admission_.TakeChanges(now))
     actions_.emplace_back(std::move(change));
   if (now >= starting_until_) {
--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -27,6 +27,7 @@
 #include "dispatch/internal/weighted_split.h"
 #include "framework/random.h"
 #include "limits/retry_budget.h"
+#include "quota/account_quotas.h"
 #include "routing/route_table.h"
 
 namespace limpetrudder {
@@ -37,6 +38,8 @@
   RetryBudgetSettings retry_budget;
   WarmupBounds warmup;
   std::uint64_t seed = 0;
+  // Not set: calls aren't bound by the limits of accounts.
+  std::optional<QuotaBounds> quota;
 };
 
 // Routes each caller's request to one server of a service, or fans it out to
@@ -91,6 +94,14 @@
   // Returns the answer to another instance's ExchangeQuarantine of scope kAll.
   std::vector<QuarantineNotice> QuarantineNotices(Time now) const;
 
+  // Another instance asks for tokens. An AnswerQuota with this `ref` follows.
+  void OnQuotaAsk(std::uint64_t ref, const QuotaAsk& ask, Time now);
+
+  // The result of an AskQuota; nothing if there was no answer.
+  void OnQuotaAnswer(std::uint64_t id,
+                     const std::optional<QuotaAnswer>& answer,
+                     Time now);
+
   // The instance stops and ends at `end`. Refuses calls from now on whose
   // timeouts end later, so that their callers ask other instances in time.
   void OnStopping(Time end);
@@ -283,6 +294,19 @@
   void OnServerResponse(Time now);
   // Finds out whether contact with the servers is lost, and probes them then.
   void CheckServerContact(Time now, Time* next);
+  // Begins or ends to apply limits, as the routes have some or none.
+  void UpdateQuotas(Time now);
+  void EndQuotas(Time now);
+  void SetQuotaMembers(Time now);
+  // Spends a token on the call. Returns false if it waits for one or was
+  // refused.
+  bool TakeToken(ActiveCall* call, Time now);
+  void OnQuotaDecision(const QuotaDecision& decision, Time now);
+  void HandleQuotaOutputs(Time now);
+  // Goes on with a call that is within its account's limit.
+  void StartAdmitted(ActiveCall* call, Time now);
+  // A call ends: it doesn't wait any more, or its token is of use to another.
+  void ReleaseToken(const ActiveCall& call, Time now);
   // Admits and starts the call here, or refuses it.
   void StartLocally(ActiveCall* call, Time now);
   void ForwardWhole(ActiveCall* call,
@@ -451,6 +475,9 @@
   std::vector<CrashCheck> crash_checks_;
   std::vector<InstanceEntry> peers_;  // The other live instances.
   detail::QuarantineExchange exchange_;
+  std::unique_ptr<AccountQuotas> quotas_;    // Null: there are no limits.
+  std::optional<Time> members_known_at_;     // When instances were first known.
+  bool is_listed_ = false;                   // Among the live instances.
   std::set<std::string> down_coordinators_;  // To be pinged.
   std::vector<DispatchAction> actions_;
   AttemptId next_attempt_ = 1;
--- a/src/dispatch/dispatch_engine_answers.cc
+++ b/src/dispatch/dispatch_engine_answers.cc
@@ -193,6 +193,7 @@
 void DispatchEngine::ReleaseCall(ActiveCall* call, Time now, bool cancel_now) {
   if (call->trial_claimed_at != Time::min() && !call->may_have_run())
     quarantine_.ReleaseTrial(call->digest, call->trial_claimed_at);
+  ReleaseToken(*call, now);
   if (call->coordinator_attempt != 0)
     OrphanAttempt(call->coordinator_attempt, cancel_now, now);
   for (const auto& batch : call->batches) {
--- a/src/dispatch/dispatch_types.h
+++ b/src/dispatch/dispatch_types.h
@@ -12,6 +12,7 @@
 #include "framework/enum_names.h"
 #include "framework/result_code.h"
 #include "framework/time.h"
+#include "quota/quota_types.h"
 #include "routing/allowed_regions.h"
 
 namespace limpetrudder {
@@ -403,6 +404,27 @@
   std::uint32_t in_flight = 0;
 };
 
+// Asks another instance for tokens of an account's limit.
+struct AskQuota {
+  OutgoingQuotaAsk ask;
+};
+
+// The answer to another instance's ask.
+struct AnswerQuota {
+  OutgoingQuotaAnswer answer;
+};
+
+// This instance began to refuse an account's calls at its share of the limit,
+// or stopped.
+struct AccountLimitChange {
+  QuotaChange change;
+};
+
+// What the limits of accounts did since the last time.
+struct QuotaActivity {
+  QuotaCounts counts;
+};
+
 using DispatchAction = std::variant<SendToServer,
                                     ForwardCall,
                                     FetchRoutes,
@@ -421,7 +443,11 @@
                                     PacingChange,
                                     ServerCold,
                                     ServerContactChange,
-                                    DataCentreChange>;
+                                    DataCentreChange,
+                                    AskQuota,
+                                    AnswerQuota,
+                                    AccountLimitChange,
+                                    QuotaActivity>;
 
 }  // namespace limpetrudder
 
--- a/src/dispatch/internal/active_call.h
+++ b/src/dispatch/internal/active_call.h
@@ -76,6 +76,9 @@
   // Data centres of the instances that refused it since they reach too few
   // servers.
   std::vector<std::string> unreachable_from;
+  // It waits for a token of its account's limit.
+  bool awaits_token = false;
+  Time token_valid_until{};  // Of the one that it got.
   std::vector<SubQuery> sub_queries;
   std::vector<Batch> batches;
   // Set once the latency target has passed and the pending attempts are
@@ -117,6 +120,11 @@
     return attempts;
   }
 
+  // Whether it was sent to any server or instance.
+  bool was_sent() const {
+    return attempts_started() > 0 || !record.coordinator.empty();
+  }
+
   // Whether any server has run it or may have.
   bool may_have_run() const {
     if (coordinator_attempt != 0)
--- a/src/dispatch/internal/answer_policy.cc
+++ b/src/dispatch/internal/answer_policy.cc
@@ -94,7 +94,7 @@
 }
 
 AnswerDecision DecideAnswer(const ActiveCall& call, Time now) {
-  if (call.coordinator_attempt != 0 || call.candidate) {
+  if (call.coordinator_attempt != 0 || call.candidate || call.awaits_token) {
     return now >= call.deadline ? AnswerDecision::kGiveUp
                                 : AnswerDecision::kWait;
   }
--- a/src/framework/result_code.cc
+++ b/src/framework/result_code.cc
@@ -73,6 +73,8 @@
     {kRequestSuspected, "request_suspected",
      "Servers crashed while they ran the request, which isn't sent to more of "
      "them now."},
+    {kAccountOverLimit, "account_over_limit",
+     "The client account has used up its limit; not run."},
     {kNoServer, "no_server", "No server of the shard may take work."},
     {kServerShed, "server_shed", "A server refused work to shed load."},
     {kServerLeaving, "server_leaving", "A server is draining."},
--- a/src/framework/result_code.h
+++ b/src/framework/result_code.h
@@ -57,6 +57,7 @@
   kQueueFull = 4004,
   kRequestQuarantined = 4005,
   kRequestSuspected = 4006,
+  kAccountOverLimit = 4007,
 
   // routing: 5000 to 5999.
   kNoServer = 5001,
--- a/src/quota/account_quotas.h
+++ b/src/quota/account_quotas.h
@@ -63,6 +63,10 @@
                 const std::optional<QuotaAnswer>& answer,
                 Time now);
 
+  // Answers other instances that wait: there are no limits any more. To be
+  // called before the end of this object.
+  void End() { keeper_.End(); }
+
   // Does what is due and returns when to call it again.
   Time Tick(Time now);
 
--- a/src/quota/quota_keeper.cc
+++ b/src/quota/quota_keeper.cc
@@ -200,6 +200,13 @@
     RefuseHeld(ask.account, share, now);
 }
 
+void QuotaKeeper::End() {
+  for (auto& [account, share] : shares_) {
+    for (const HeldAsk& ask : std::exchange(share.held, {}))
+      Answer(ask.ref, {.is_owner = true, .tokens = ask.tokens});
+  }
+}
+
 void QuotaKeeper::GiveTo(Share* share,
                          std::uint64_t ref,
                          double tokens,
--- a/src/quota/quota_keeper.h
+++ b/src/quota/quota_keeper.h
@@ -42,6 +42,9 @@
                 const std::optional<QuotaAnswer>& answer,
                 Time now);
 
+  // Answers the asks that wait for transfers: there are no limits any more.
+  void End();
+
   // Another instance was heard, so that this one isn't cut off from all.
   void OnHeard(Time now) { heard_at_ = now; }
 
--- a/src/quota/quota_owners.cc
+++ b/src/quota/quota_owners.cc
@@ -16,18 +16,18 @@
 // A killed instance leaves the list of members within a few seconds.
 constexpr Duration kSilence = Seconds(1);
 
-// Keeps kMaxCandidates of them, the same ones at all instances.
+// Keeps kMaxCandidates of them, the same ones in the same order at all
+// instances.
 void KeepCandidates(std::vector<QuotaMember>* members) {
-  if (members->size() <= kMaxCandidates)
-    return;
   const auto order = [](const QuotaMember& member) {
     return std::make_pair(Hash64(member.name), std::string_view(member.name));
   };
-  std::partial_sort(members->begin(), members->begin() + kMaxCandidates,
-                    members->end(),
-                    [&](const QuotaMember& a, const QuotaMember& b) {
-                      return order(a) < order(b);
-                    });
+  std::sort(members->begin(), members->end(),
+            [&](const QuotaMember& a, const QuotaMember& b) {
+              return order(a) < order(b);
+            });
+  if (members->size() <= kMaxCandidates)
+    return;
   members->resize(kMaxCandidates);
   members->shrink_to_fit();
 }
@@ -56,38 +56,27 @@
     if (list.empty() || list.front().cores == member.cores)
       list.push_back(member);
   };
-  add(own_);
   has_others_ = false;
-  if (candidates_.count(own_.data_centre) > 0) {
-    for (const QuotaMember& member : candidates_[own_.data_centre]) {
-      if (member.name != own_.name)
-        former_.push_back(member);
-    }
+  bool is_listed = false;
+  for (const QuotaMember& member : candidates_[own_.data_centre]) {
+    if (member.name != own_.name)
+      former_.push_back(member);
   }
   for (const QuotaMember& member : members) {
-    if (member.name == own_.name)
-      continue;
-    has_others_ = true;
     add(member);
     ForgetFormer(member.name);
+    (member.name == own_.name ? is_listed : has_others_) = true;
   }
+  if (!has_others_ && !is_listed)
+    add(own_);
   for (auto& [data_centre, list] : candidates)
     KeepCandidates(&list);
-  for (auto& [data_centre, list] : candidates) {
-    std::sort(list.begin(), list.end(),
-              [](const QuotaMember& a, const QuotaMember& b) {
-                return a.name < b.name;
-              });
-  }
-  const auto before = candidates_.find(own_.data_centre);
-  if (before == candidates_.end() ||
-      before->second != candidates[own_.data_centre]) {
-    ++epoch_;
+  const auto& own_list = candidates[own_.data_centre];
+  if (epoch_ == 0 || candidates_[own_.data_centre] != own_list) {
+    if (++epoch_ == 1)
+      began_at_ = now;
     changed_at_ = now;
   }
-  if (before == candidates_.end())
-    began_at_ = now;
-  const auto& own_list = candidates[own_.data_centre];
   if (std::none_of(own_list.begin(), own_list.end(),
                    [this](const QuotaMember& m) { return is_own(m); })) {
     former_.clear();
@@ -98,7 +87,7 @@
 const QuotaMember* QuotaOwners::OwnerIn(const std::string& data_centre,
                                         const std::string& account) const {
   const auto found = candidates_.find(data_centre);
-  if (found == candidates_.end())
+  if (found == candidates_.end() || found->second.empty())
     return nullptr;
   const std::uint64_t seed = Hash64(account);
   const auto score = [seed](const QuotaMember& member) {
--- a/src/quota/quota_owners.h
+++ b/src/quota/quota_owners.h
@@ -21,7 +21,8 @@
   // number of shares is that of the data centres, which all instances know.
   QuotaOwners(QuotaMember own, std::map<std::string, std::string> regions);
 
-  // Replaces the live instances, of which this one counts as one.
+  // Replaces the live instances. This one owns nothing while others are listed
+  // and it isn't, since they take it for gone.
   void SetMembers(const std::vector<QuotaMember>& members, Time now);
 
   // Returns the owner of `data_centre`'s share, or null if it has no instance.
--- a/src/quota/quota_types.h
+++ b/src/quota/quota_types.h
@@ -126,6 +126,8 @@
   std::uint64_t refused = 0;    // Calls, over the limit.
   std::uint64_t fallbacks = 0;  // Asks to another than the nearest owner.
   std::uint64_t no_owner = 0;   // Calls for which no owner answered.
+
+  bool operator==(const QuotaCounts&) const = default;
 };
 
 // What the quotas want done, in order.
--- a/src/quota/tests/quota_fleet.cc
+++ b/src/quota/tests/quota_fleet.cc
@@ -55,6 +55,8 @@
 void QuotaFleet::Start(std::size_t instance) {
   Node& node = nodes_[instance];
   node.alive = true;
+  node.frozen_until = Time{};
+  ++node.process;
   node.tick_at = kNever;
   node.quotas = std::make_unique<AccountQuotas>(bounds_, node.member, regions_,
                                                 random_.Next());
@@ -96,16 +98,15 @@
 }
 
 void QuotaFleet::AtNode(Time at, std::size_t node, std::function<void()> run) {
-  At(at,
-     [this, node, quotas = nodes_[node].quotas.get(), run = std::move(run)] {
-       Node& target = nodes_[node];
-       if (!target.alive || target.quotas.get() != quotas)
-         return;
-       if (now_ < target.frozen_until)
-         return AtNode(target.frozen_until, node, run);
-       run();
-       Settle(node);
-     });
+  At(at, [this, node, process = nodes_[node].process, run = std::move(run)] {
+    Node& target = nodes_[node];
+    if (!target.alive || target.process != process)
+      return;
+    if (now_ < target.frozen_until)
+      return AtNode(target.frozen_until, node, run);
+    run();
+    Settle(node);
+  });
 }
 
 void QuotaFleet::ScheduleCall(const std::string& account) {
@@ -250,8 +251,9 @@
       view.push_back(node.member);
   }
   owners.SetMembers(view, now_);
-  return by_name_.at(
-      owners.OwnerIn("dc" + std::to_string(data_centre), account)->name);
+  const QuotaMember* owner =
+      owners.OwnerIn("dc" + std::to_string(data_centre), account);
+  return owner != nullptr ? by_name_.at(owner->name) : data_centre;
 }
 
 std::vector<std::size_t> QuotaFleet::InDataCentre(
--- a/src/quota/tests/quota_fleet.h
+++ b/src/quota/tests/quota_fleet.h
@@ -86,6 +86,7 @@
     bool alive = true;
     Time frozen_until{};
     std::unique_ptr<AccountQuotas> quotas;
+    int process = 0;  // Counts the starts.
     Time tick_at = kNever;
     std::uint64_t messages = 0;  // Received.
   };
--- a/src/quota/tests/quota_fleet_test.cc
+++ b/src/quota/tests/quota_fleet_test.cc
@@ -159,8 +159,10 @@
           if (i != gone)
             view.push_back(i);
         }
-        for (std::size_t i = data_centre; i < fleet.size(); i += 12)
-          fleet.SetView(i, view);
+        for (std::size_t i = data_centre; i < fleet.size(); i += 12) {
+          if (i != gone)
+            fleet.SetView(i, view);
+        }
         fleet.RunUntil(fleet.now() + Millis(1500));
       }
       fleet.SpreadViews(Seconds(2));
@@ -211,5 +213,51 @@
   }
 }
 
+// Disturbs the fleet at random for some seconds: processes are killed and
+// started, frozen, cut off by data centre, and lists of members lag.
+void Disturb(QuotaFleet* fleet, std::uint64_t seed) {
+  Random random(seed);
+  while (fleet->now() < kEnd) {
+    const std::size_t instance = random.Below(fleet->size());
+    const std::size_t owner = fleet->OwnerOf("greedy", random.Below(6));
+    switch (random.Below(6)) {
+      case 0:
+        fleet->Kill(owner);
+        break;
+      case 1:
+        fleet->Start(instance);
+        break;
+      case 2:
+        fleet->Freeze(owner, fleet->now() + Millis(1000 + random.Below(6000)));
+        break;
+      case 3: {
+        const auto side = fleet->InDataCentre(random.Below(6));
+        fleet->Cut({side.begin(), side.end()});
+        break;
+      }
+      case 4:
+        fleet->Cut({});
+        break;
+      default:
+        break;
+    }
+    fleet->RunUntil(fleet->now() + Millis(500 + random.Below(1500)));
+    fleet->SpreadViews(Millis(500 + random.Below(2000)));
+  }
+}
+
+TEST_CASE("An account is kept to its limit under random disturbances") {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    CAPTURE(seed);
+    QuotaFleet fleet(24, kBounds, seed);
+    fleet.SetFaults({0.02, 0.05, 0.02});
+    fleet.SetDemand(
+        Greedy(seed % 3 == 0 ? 0.5 : (seed % 3 == 1 ? 16 : 120), 6));
+    fleet.RunUntil(kCalm);
+    Disturb(&fleet, seed);
+    CheckBound(fleet);
+  }
+}
+
 }  // namespace
 }  // namespace limpetrudder
