--- a/src/app/entry_app.cc
+++ b/src/app/entry_app.cc
@@ -102,6 +102,7 @@
   discovery.own = OwnEntry(settings);
   discovery.regions = settings.regions;
   discovery.decode = DecodeAndLogFault;
+  discovery.confirms_routes = settings.key_confirmation_bound.has_value();
   return discovery;
 }
 
@@ -118,7 +119,7 @@
           {OwnEntry(settings_), settings_.regions, settings_.retry_budget,
            settings_.warmup,
            Hash64(settings_.instance, static_cast<std::uint64_t>(UnixMillis())),
-           settings_.quota},
+           settings_.key_confirmation_bound, settings_.quota},
           MaxBufferedBytes(settings_),
           &state_),
       discovery_duty_(MakeDiscoverySettings(settings_), MakeTransport()),
@@ -233,7 +234,10 @@
                           : http_status::kUnavailable;
     response.content_type.clear();
   } else if (request.path == kMetricsPath) {
-    response.body = state_.metrics().Snapshot().dump();
+    nlohmann::json metrics = state_.metrics().Snapshot();
+    if (auto accounts = dispatch_duty_.AccountMetrics(); !accounts.is_null())
+      metrics["accounts"] = std::move(accounts);
+    response.body = metrics.dump();
   } else {
     response.status = http_status::kNotFound;
     response.body = RefusalBody(ResultCode::kNoSuchPath, "no such path");
--- a/src/app/entry_settings.h
+++ b/src/app/entry_settings.h
@@ -35,6 +35,9 @@
   WarmupBounds warmup;
   // Not set: the limits of client accounts aren't applied.
   std::optional<QuotaBounds> quota;
+  // Set if calls of accounts are refused once the instance has had no news of
+  // the configuration for this long.
+  std::optional<Duration> key_confirmation_bound;
   Duration stop_bound{0};  // From the stop signal to the exit.
   LogLevel log_level = LogLevel::kInfo;
 };
