--- a/src/dispatch/tests/fleet_session.cc
+++ b/src/dispatch/tests/fleet_session.cc
@@ -99,7 +99,8 @@
                        options_.budget,
                        {},
                        17 + instance,
-                       options_.key_confirmation_bound});
+                       options_.key_confirmation_bound,
+                       options_.quota});
   engines_[instance]->OnInstances(instances_, now_);
   engines_[instance]->OnServers(change, now_);
 }
@@ -480,6 +481,16 @@
        });
   } else if (const auto* exchange = std::get_if<ExchangeQuarantine>(&action)) {
     Exchange(instance, *exchange);
+  } else if (const auto* ask = std::get_if<AskQuota>(&action)) {
+    AskForTokens(instance, ask->ask);
+  } else if (const auto* answer = std::get_if<AnswerQuota>(&action)) {
+    const auto [to, id] = quota_refs_.at(answer->answer.ref);
+    AtInstance(now_ + NetworkTime(options_.instances[instance],
+                                  options_.instances[to]),
+               to, [this, to, id, reply = answer->answer.answer] {
+                 engines_[to]->OnQuotaAnswer(id, reply, now_);
+                 RunEngine(to);
+               });
   } else if (const auto* probe = std::get_if<ProbeHealth>(&action)) {
     Probe(instance, *probe);
   } else if (const auto* contact = std::get_if<ServerContactChange>(&action)) {
@@ -513,6 +524,20 @@
      });
 }
 
+void FleetSession::AskForTokens(std::size_t instance,
+                                const OutgoingQuotaAsk& ask) {
+  ++quota_asks_;
+  const std::size_t other = IndexOf(ask.instance);
+  const std::uint64_t ref = next_quota_ref_++;
+  quota_refs_[ref] = {instance, ask.id};
+  AtInstance(now_ + NetworkTime(options_.instances[instance],
+                                options_.instances[other]),
+             other, [this, other, ref, ask = ask.ask] {
+               engines_[other]->OnQuotaAsk(ref, ask, now_);
+               RunEngine(other);
+             });
+}
+
 void FleetSession::Exchange(std::size_t instance,
                             const ExchangeQuarantine& exchange) {
   ++exchanges_;
--- a/src/dispatch/tests/fleet_session.h
+++ b/src/dispatch/tests/fleet_session.h
@@ -125,6 +125,7 @@
     // The share of the requests of death that are answered shortly before the
     // server crashes.
     double answered_before_crash = 0;
+    std::optional<QuotaBounds> quota;
     // The share of the messages about suspected requests that are lost, and the
     // most by which the others are delayed, each by another time.
     double exchange_loss = 0;
@@ -241,6 +242,8 @@
   // Data centres of the instances to which bodies were forwarded.
   const std::set<std::string>& forwarded_to() const { return forwarded_to_; }
   int probes() const { return probes_; }
+  // Asks for tokens of accounts' limits, between instances.
+  int quota_asks() const { return quota_asks_; }
   // Messages between instances about suspected and quarantined requests.
   int exchanges() const { return exchanges_; }
   // Notices in these messages and in the replies.
@@ -281,6 +284,7 @@
   void Forward(std::size_t instance, const ForwardCall& forward);
   void Complete(std::size_t instance, CompleteCall done);
   void Exchange(std::size_t instance, const ExchangeQuarantine& exchange);
+  void AskForTokens(std::size_t instance, const OutgoingQuotaAsk& ask);
   void Abort(std::size_t instance, AttemptId attempt);
   void SendForCaller(std::size_t caller);
   // Calls `send` at random times, `per_second` on average.
@@ -325,6 +329,10 @@
   int probes_ = 0;
   int contact_losses_ = 0;
   int exchanges_ = 0;
+  int quota_asks_ = 0;
+  // Who asked, and with which id.
+  std::map<std::uint64_t, std::pair<std::size_t, std::uint64_t>> quota_refs_;
+  std::uint64_t next_quota_ref_ = 1;
   std::size_t exchanged_notices_ = 0;
   std::size_t max_shards_down_ = 0;
   std::vector<Time> deadly_arrivals_;
--- a/src/net/tests/quota_codec_test.cc
+++ b/src/net/tests/quota_codec_test.cc
@@ -33,6 +33,9 @@
     CHECK(decoded->purpose == ask.ask.purpose);
     CHECK(decoded->tokens == ask.ask.tokens);
   }
+  SUBCASE("is short") {
+    CHECK(EncodeQuotaAsk(ask, 9).bytes.size() <= 180);
+  }
   SUBCASE("is left unanswered if it can't be read") {
     for (const char* body :
          {"", "{}", "[", "[1]", "null",
@@ -60,6 +63,9 @@
     CHECK(decoded->life == answer.life);
     CHECK(decoded->retry_after == answer.retry_after);
   }
+  SUBCASE("is short") {
+    CHECK(EncodeQuotaAnswer(answer).body.size() <= 80);
+  }
   SUBCASE("of an older build says that it owns nothing") {
     const auto decoded =
         DecodeQuotaAnswer(Response(http_status::kNotFound, "{}"));
--- a/src/quota/quota_gate.cc
+++ b/src/quota/quota_gate.cc
@@ -8,7 +8,7 @@
 
 // An owner whose share lacks tokens answers after it has asked the owners of
 // the others.
-constexpr Duration kAskTimeout = Millis(110);
+constexpr Duration kAskTimeout = Millis(60);
 
 // Owners that are asked for one call, one after the other.
 constexpr std::size_t kMaxTries = 3;
@@ -177,7 +177,9 @@
   asks_.erase(found);
   Account& account = accounts_[name];
   account.ask = 0;
-  if (!answer)
+  if (answer)
+    owners_->OnAnswered(account.asked);
+  else
     owners_->OnSilent(account.asked, now);
   if (!answer || !answer->is_owner) {
     if (!account.waiting.empty())
--- a/src/quota/quota_keeper.cc
+++ b/src/quota/quota_keeper.cc
@@ -28,8 +28,8 @@
 constexpr Duration kFreezeGap = Millis(2500);
 
 // Two rounds of a transfer and a round trip within a region take less than an
-// instance waits for an answer.
-constexpr Duration kRoundTime = Millis(45);
+// instance waits for an answer; one round takes a round trip between regions.
+constexpr Duration kRoundTime = Millis(26);
 constexpr std::uint32_t kMaxRounds = 2;
 
 // Between two transfers of a share, if the first one didn't bring enough;
--- a/src/quota/quota_owners.cc
+++ b/src/quota/quota_owners.cc
@@ -13,8 +13,10 @@
 // Of a data centre. More would only cost memory and hashing.
 constexpr std::size_t kMaxCandidates = 8;
 
-// A killed instance leaves the list of members within a few seconds.
-constexpr Duration kSilence = Seconds(1);
+// A killed instance leaves the list of members within a few seconds; one that
+// has become slow stays.
+constexpr Duration kMinSilence = Seconds(1);
+constexpr Duration kMaxSilence = Seconds(8);
 
 // Keeps kMaxCandidates of them, the same ones in the same order at all
 // instances.
@@ -117,14 +119,19 @@
 }
 
 void QuotaOwners::OnSilent(const std::string& name, Time now) {
-  std::erase_if(silent_until_,
-                [now](const auto& entry) { return entry.second <= now; });
-  silent_until_[name] = now + kSilence;
+  std::erase_if(silences_, [now](const auto& entry) {
+    return now - entry.second.until > kMaxSilence;
+  });
+  Silence& silence = silences_[name];
+  if (now < silence.until)
+    return;
+  silence.time = std::clamp(2 * silence.time, kMinSilence, kMaxSilence);
+  silence.until = now + silence.time;
 }
 
 bool QuotaOwners::IsSilent(const std::string& name, Time now) const {
-  const auto found = silent_until_.find(name);
-  return found != silent_until_.end() && now < found->second;
+  const auto found = silences_.find(name);
+  return found != silences_.end() && now < found->second.until;
 }
 
 }  // namespace limpetrudder
--- a/src/quota/quota_owners.h
+++ b/src/quota/quota_owners.h
@@ -33,8 +33,10 @@
   // its region, the others.
   std::vector<const QuotaMember*> Owners(const std::string& account) const;
 
-  // An instance didn't answer. It is asked last for a while.
+  // An instance didn't answer. It is asked last for a while, which is longer
+  // the next time.
   void OnSilent(const std::string& name, Time now);
+  void OnAnswered(const std::string& name) { silences_.erase(name); }
   bool IsSilent(const std::string& name, Time now) const;
 
   // Whether this instance owns its data centre's share.
@@ -62,13 +64,18 @@
   Time began_at() const { return began_at_; }
 
  private:
+  struct Silence {
+    Time until{};
+    Duration time{0};
+  };
+
   const QuotaMember own_;
   // This one first, then those of its region.
   std::vector<std::string> data_centres_;
   // By data centre: those that may own a share.
   std::map<std::string, std::vector<QuotaMember>> candidates_;
   std::vector<QuotaMember> former_;
-  std::map<std::string, Time> silent_until_;  // By instance name.
+  std::map<std::string, Silence> silences_;  // By instance name.
   bool has_others_ = false;
   std::uint64_t epoch_ = 0;
   Time changed_at_{};
--- a/src/report/log_report.cc
+++ b/src/report/log_report.cc
@@ -54,15 +54,16 @@
 
 // Returns a row of a table, without a line break.
 std::string Row(const std::string& name, const CallCounts& counts) {
-  return fmt::format("{:<20} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7}", name,
-                     counts.calls, counts.served, counts.in_part, counts.late,
-                     counts.refused, counts.failed, counts.denied);
+  return fmt::format("{:<20} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7}",
+                     name, counts.calls, counts.served, counts.in_part,
+                     counts.late, counts.refused, counts.over_limit,
+                     counts.failed, counts.denied);
 }
 
 std::string HeaderRow(const char* first) {
-  return fmt::format("{:<20} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7}", first,
-                     "calls", "served", "in part", "late", "refused", "failed",
-                     "denied");
+  return fmt::format("{:<20} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7} {:>7}",
+                     first, "calls", "served", "in part", "late", "refused",
+                     "limited", "failed", "denied");
 }
 
 std::string Reasons(const char* title,
@@ -84,10 +85,10 @@
 }  // namespace
 
 Json ToJson(const CallCounts& counts) {
-  return {{"calls", counts.calls},     {"served", counts.served},
-          {"in_part", counts.in_part}, {"late", counts.late},
-          {"refused", counts.refused}, {"failed", counts.failed},
-          {"denied", counts.denied}};
+  return {{"calls", counts.calls},           {"served", counts.served},
+          {"in_part", counts.in_part},       {"late", counts.late},
+          {"refused", counts.refused},       {"failed", counts.failed},
+          {"over_limit", counts.over_limit}, {"denied", counts.denied}};
 }
 
 void CallCounts::Add(int status, ResultCode code, bool is_late, bool parts) {
@@ -95,6 +96,7 @@
   if (status == http_status::kUnavailable ||
       status == http_status::kTooManyRequests) {
     ++refused;
+    over_limit += code == ResultCode::kAccountOverLimit ? 1 : 0;
   } else if (code == ResultCode::kAccountUnknown) {
     ++denied;
   } else if (status >= http_status::kInternalError) {
@@ -114,6 +116,7 @@
   late += other.late;
   refused += other.refused;
   failed += other.failed;
+  over_limit += other.over_limit;
   denied += other.denied;
   return *this;
 }
--- a/src/report/log_report.h
+++ b/src/report/log_report.h
@@ -21,7 +21,8 @@
   std::uint64_t late = 0;     // Served after the latency target.
   std::uint64_t refused = 0;  // Not run; the caller was told when to retry.
   std::uint64_t failed = 0;
-  std::uint64_t denied = 0;  // Their keys belong to no account.
+  std::uint64_t over_limit = 0;  // Of the refused ones, beyond the account's.
+  std::uint64_t denied = 0;      // Their keys belong to no account.
 
   CallCounts& operator+=(const CallCounts& other);
 
