quota: an instance that starts again under its entry owns its shares at once

An instance that its first list names follows an earlier process of its own, so no other one owns its shares. Other new owners add tokens at half the rate until they are settled; a part of the burst is added to the rate, as a window's calls may include one each time.

--- a/src/quota/quota_gate.cc
+++ b/src/quota/quota_gate.cc
@@ -117,7 +117,10 @@
   if (owner == nullptr) {
     outputs_->counts.no_owner += account->asked_for;
     account->tried.clear();
-    return RefuseAsked(account, QuotaVerdict::kNoOwner, kRetryNoOwner);
+    const Duration owned_after =
+        std::exchange(account->owned_after, Duration(0));
+    return RefuseAsked(account, QuotaVerdict::kNoOwner,
+                       std::max(kRetryNoOwner, owned_after));
   }
   account->ask = next_id_;
   account->asked = owner->name;
@@ -182,11 +185,15 @@
   else
     owners_->OnSilent(account.asked, now);
   if (!answer || !answer->is_owner) {
+    if (answer) {
+      account.owned_after = std::max(account.owned_after, answer->retry_after);
+    }
     if (!account.waiting.empty())
       AskNext(name, &account, now);
     return;
   }
   account.tried.clear();
+  account.owned_after = Duration(0);
   if (answer->tokens >= 1) {
     account.lots.push_back({account.sent + answer->life, answer->tokens});
     ServeWaiting(&account, now);
--- a/src/quota/quota_gate.h
+++ b/src/quota/quota_gate.h
@@ -58,7 +58,9 @@
     std::uint64_t ask = 0;  // The id of the pending one; 0: none.
     std::string asked;      // The instance.
     Time sent{};
-    std::size_t asked_for = 0;       // Calls that waited when it was sent.
+    std::size_t asked_for = 0;  // Calls that waited when it was sent.
+    // When one of those may own a share, as it said.
+    Duration owned_after{0};
     std::vector<std::string> tried;  // Instances, for these calls.
     // Calls in the current and in the last period.
     Time period_began{};
--- a/src/quota/quota_keeper.cc
+++ b/src/quota/quota_keeper.cc
@@ -7,12 +7,13 @@
 namespace limpetrudder {
 namespace {
 
-// A new owner grants no more than it starts with until instances with an older
-// list of members have stopped asking the former one.
+// A new owner adds tokens at this part of the rate until instances with an
+// older list of members have stopped asking the former one.
 constexpr Duration kSettleTime = Seconds(3);
+constexpr double kSettlingRate = 0.5;
 
 // The list of members of an instance that has just started may be incomplete.
-constexpr Duration kMinOwnerAge = Millis(1500);
+constexpr Duration kMinOwnerAge = Millis(1200);
 
 // An instance that has heard no other one for longer may have been replaced.
 constexpr Duration kMaxUnheard = Seconds(2);
@@ -86,16 +87,17 @@
   BeginAnew(now + kSettleTime);
 }
 
-void QuotaKeeper::BeginAnew(Time mints_from) {
+void QuotaKeeper::BeginAnew(Time settled_at) {
   for (auto& [account, share] : shares_) {
     share.tokens = std::min(share.tokens, TermsOf(share).start);
-    share.mints_from = mints_from;
+    share.settled_at = settled_at;
+    share.refilled = std::max(share.refilled, settled_at - kSettleTime);
   }
 }
 
 void QuotaKeeper::Yield(Time now) {
   yields_until_ = now + kYieldTime;
-  BeginAnew(yields_until_);
+  BeginAnew(yields_until_ + kSettleTime);
 }
 
 QuotaTerms QuotaKeeper::TermsOf(const Share& share) const {
@@ -112,9 +114,10 @@
     Share& share = shares_[account];
     share.limit = limit;
     share.epoch = owners_->epoch();
-    share.mints_from =
-        std::max(owners_->changed_at() + kSettleTime, yields_until_);
-    share.refilled = share.mints_from;
+    const bool continues = owners_->continues() && owners_->epoch() == 1;
+    share.settled_at = std::max(owners_->changed_at(), yields_until_) +
+                       (continues ? Duration(0) : kSettleTime);
+    share.refilled = std::max(owners_->changed_at(), yields_until_);
     share.tokens = std::min(TermsOf(share).start, TermsOf(share).depth);
     share.demand_at = now;
     share.transfer_interval = kMinTransferInterval;
@@ -130,7 +133,7 @@
     share.epoch = owners_->epoch();
     if (!share.owned || !was_owned) {
       share.tokens = std::min(share.tokens, TermsOf(share).start);
-      share.mints_from = now + kSettleTime;
+      share.settled_at = now + kSettleTime;
     }
   }
   return share.owned ? &share : nullptr;
@@ -138,10 +141,11 @@
 
 void QuotaKeeper::Refill(Share* share, Time now) const {
   const QuotaTerms terms = TermsOf(*share);
-  const Time from = std::max(share->refilled, share->mints_from);
-  if (share->owned && from < now && share->tokens < terms.depth) {
-    share->tokens = std::min(share->tokens + terms.rate * SecondsOf(now - from),
-                             terms.depth);
+  if (share->owned && share->refilled < now && share->tokens < terms.depth) {
+    const Time settled = std::clamp(share->settled_at, share->refilled, now);
+    const double seconds = SecondsOf(now - settled) +
+                           kSettlingRate * SecondsOf(settled - share->refilled);
+    share->tokens = std::min(share->tokens + terms.rate * seconds, terms.depth);
   }
   // NOTE A transfer may gather a whole token where the depth is less.
   if (!share->transfer)
@@ -174,10 +178,11 @@
   const bool is_cut_off =
       owners_->has_others() &&
       (heard_at_ == Time::min() || now - heard_at_ > kMaxUnheard);
-  if (owners_->epoch() == 0 || is_cut_off || now < yields_until_ ||
-      now - owners_->began_at() < kMinOwnerAge) {
+  if (owners_->epoch() == 0 || is_cut_off || now < yields_until_)
     return Answer(ref, {});
-  }
+  const Duration age = now - owners_->began_at();
+  if (age < kMinOwnerAge && !owners_->continues())
+    return Answer(ref, {.retry_after = kMinOwnerAge - age});
   const auto limit = (*limits_)(ask.account);
   // NOTE The routes in force here are older than the account's limit.
   if (!limit) {
--- a/src/quota/quota_keeper.h
+++ b/src/quota/quota_keeper.h
@@ -78,7 +78,7 @@
     QuotaLimit limit;
     double tokens = 0;
     Time refilled{};
-    Time mints_from{};  // No tokens are added before.
+    Time settled_at{};  // Fewer tokens are added before.
     std::uint64_t epoch = 0;
     bool owned = true;
     double demand = 0;  // Tokens asked for per second, smoothed.
@@ -108,8 +108,8 @@
   // Begins anew if the process was frozen: others may have owned the shares
   // since.
   void NoteTime(Time now);
-  // Takes back what the shares have saved. They get no tokens until then.
-  void BeginAnew(Time mints_from);
+  // Takes back what the shares have saved. They are settled again from then.
+  void BeginAnew(Time settled_at);
   void Yield(Time now);
   // Returns the share of the account, or null if this instance doesn't own it.
   Share* OwnedShare(const std::string& account,
--- a/src/quota/quota_owners.cc
+++ b/src/quota/quota_owners.cc
@@ -75,8 +75,10 @@
     KeepCandidates(&list);
   const auto& own_list = candidates[own_.data_centre];
   if (epoch_ == 0 || candidates_[own_.data_centre] != own_list) {
-    if (++epoch_ == 1)
+    if (++epoch_ == 1) {
       began_at_ = now;
+      continues_ = is_listed && has_others_;
+    }
     changed_at_ = now;
   }
   if (std::none_of(own_list.begin(), own_list.end(),
--- a/src/quota/quota_owners.h
+++ b/src/quota/quota_owners.h
@@ -56,6 +56,9 @@
   std::size_t shares() const { return data_centres_.size(); }
   // Whether there are other live instances.
   bool has_others() const { return has_others_; }
+  // Whether this instance was listed with others from the beginning: it follows
+  // an earlier process of its own, and its list is complete.
+  bool continues() const { return continues_; }
   // Counts the changes of those that may own this data centre's share, and when
   // the last one was; 0 until the first members are set.
   std::uint64_t epoch() const { return epoch_; }
@@ -77,6 +80,7 @@
   std::vector<QuotaMember> former_;
   std::map<std::string, Silence> silences_;  // By instance name.
   bool has_others_ = false;
+  bool continues_ = false;
   std::uint64_t epoch_ = 0;
   Time changed_at_{};
   Time began_at_{};
--- a/src/quota/quota_terms.cc
+++ b/src/quota/quota_terms.cc
@@ -10,6 +10,13 @@
 constexpr Duration kMinGrantLife = Millis(100);
 constexpr Duration kMaxGrantLife = Millis(250);
 
+// A window's calls may include a burst each time, so what the depth leaves is
+// added to the rate, up to this part of a burst for each window. For that, the
+// depth has a part of the burst or a few calls at least.
+constexpr double kRateOfBurst = 0.75;
+constexpr double kDepthOfBurst = 0.5;
+constexpr double kMinDepth = 2;
+
 constexpr double kDepthOfSlack = 0.5;
 constexpr double kStartsOfSlack = 0.5;
 
@@ -32,10 +39,17 @@
   const double starts = kStartsOfSlack * bounds.slack;
   const double bound =
       (limit.rate * window + limit.burst) * (1 + bounds.overage) + bounds.slack;
-  const double depth = std::min(limit.burst + kDepthOfSlack * bounds.slack,
-                                bound - limit.rate * (window + late) - starts);
+  const double spare = bound - starts - limit.rate * (window + late);
+  const double most = limit.burst + kDepthOfSlack * bounds.slack;
+  const double wanted =
+      std::max(kDepthOfBurst * limit.burst, std::min(limit.burst, kMinDepth)) +
+      kDepthOfSlack * bounds.slack;
+  const double added = std::clamp((spare - wanted) / (window + late), 0.0,
+                                  kRateOfBurst * limit.burst / window);
+  const double rate = limit.rate + added;
+  const double depth = std::min(most, spare - added * (window + late));
   const auto count = static_cast<double>(shares);
-  return {limit.rate / count, std::max(depth, 0.0) / count, starts / count};
+  return {rate / count, std::max(depth, 0.0) / count, starts / count};
 }
 
 }  // namespace limpetrudder
--- a/src/quota/quota_types.h
+++ b/src/quota/quota_types.h
@@ -75,7 +75,9 @@
   double spare = 0;   // Left for other shares.
   // How long the tokens are valid, counted from when the ask was sent.
   Duration life{0};
-  Duration retry_after{0};  // If nothing was granted.
+  // If nothing was granted. Of an instance that owns nothing: when it may own a
+  // share, 0 if it doesn't know.
+  Duration retry_after{0};
 };
 
 // A QuotaAsk that is to be sent to another instance. Its answer, or the lack of
