--- a/src/net/quota_codec.cc
+++ b/src/net/quota_codec.cc
@@ -88,8 +88,7 @@
 }
 
 std::optional<QuotaAsk> DecodeQuotaAsk(std::string_view body) {
-  const auto ask =
-      ReadAsk(Json::parse(body, nullptr, /*allow_exceptions=*/false));
+  auto ask = ReadAsk(Json::parse(body, nullptr, /*allow_exceptions=*/false));
   if (!ask)
     Log(LogLevel::kWarning, "quota_ask_unreadable", {{"bytes", body.size()}});
   return ask;
--- a/src/quota/account_quotas.cc
+++ b/src/quota/account_quotas.cc
@@ -73,12 +73,12 @@
         outputs_.asks.push_back(std::move(ask));
       }
     }
-    for (auto& answer : std::exchange(outputs_.answers, {})) {
+    for (const auto& answer : std::exchange(outputs_.answers, {})) {
       if ((answer.ref & kOwnRef) != 0) {
         gate_.OnAnswer(answer.ref & ~kOwnRef, answer.answer, now);
         delivered = true;
       } else {
-        outputs_.answers.push_back(std::move(answer));
+        outputs_.answers.push_back(answer);
       }
     }
   }
