--- a/src/app/dispatch_duty.h
+++ b/src/app/dispatch_duty.h
@@ -93,6 +93,9 @@
   // Call on the duty's thread.
   void OnExchange(const ServerRequest& request, const Responder& respond);
 
+  // Handles another instance's ask for tokens. Call on the duty's thread.
+  void OnQuotaAsk(const ServerRequest& request, Responder respond);
+
   // Returns the counts of the callers' calls of the accounts with the most of
   // them; null if there are no accounts. Call on the duty's thread.
   nlohmann::json AccountMetrics() const;
@@ -117,11 +120,12 @@
     Responder respond;
   };
 
-  // A health probe, a ping or notices that have no response yet.
-  enum class ProbeKind { kServer, kInstance, kExchange, kChange };
+  // A health probe, a ping, notices or an ask that have no response yet.
+  enum class ProbeKind { kServer, kInstance, kExchange, kChange, kQuota };
   struct PendingProbe {
     std::string name;  // Of the server or instance.
     ProbeKind kind = ProbeKind::kServer;
+    std::uint64_t quota_ask = 0;  // Its id, if it is one.
   };
 
   void OnRequest(ServerRequest request, Responder respond);
@@ -172,6 +176,10 @@
   void Execute(const PacingChange& action);
   void Execute(const ServerCold& action);
   void Execute(const DataCentreChange& action);
+  void Execute(const AskQuota& action);
+  void Execute(const AnswerQuota& action);
+  void Execute(const AccountLimitChange& action);
+  void Execute(const QuotaActivity& action);
   void Execute(const ServerContactChange& action);
   // Adds the call to the metrics and logs it.
   void RecordCall(const CallRecord& record);
@@ -189,6 +197,8 @@
   std::unordered_map<std::uint64_t, std::vector<CallId>> calls_by_connection_;
   std::unordered_map<std::uint64_t, PendingProbe> pending_probes_;
   std::unordered_set<AttemptId> pending_forwards_;
+  std::unordered_map<std::uint64_t, Responder> pending_quota_asks_;  // By ref.
+  std::uint64_t next_quota_ref_ = 1;
   // Keyed by name; only accounts of the routes in force, and none.
   std::map<std::string, CallCounts> calls_by_account_;
   Time last_shed_log_{};
--- a/src/app/entry_app.cc
+++ b/src/app/entry_app.cc
@@ -11,6 +11,7 @@
 #include "framework/logger.h"
 #include "net/forward_codec.h"
 #include "net/quarantine_codec.h"
+#include "net/quota_codec.h"
 #include "platform/feed_codec.h"
 
 namespace limpetrudder {
@@ -114,7 +115,7 @@
           {OwnEntry(settings_), settings_.regions, settings_.retry_budget,
            settings_.warmup,
            Hash64(settings_.instance, static_cast<std::uint64_t>(UnixMillis())),
-           settings_.key_confirmation_bound},
+           settings_.key_confirmation_bound, settings_.quota},
           MaxBufferedBytes(settings_),
           MakeConnectionShares(settings_).callers,
           &state_),
@@ -224,6 +225,8 @@
     return OnFeedRequest(request, respond);
   if (request.path == kQuarantinePath)
     return dispatch_duty_.OnExchange(request, respond);
+  if (request.path == kQuotaPath)
+    return dispatch_duty_.OnQuotaAsk(request, respond);
   if (request.path == kPingPath) {
     response.status = dispatch_duty_.has_server_contact()
                           ? http_status::kOk
--- a/src/app/entry_settings.cc
+++ b/src/app/entry_settings.cc
@@ -44,6 +44,15 @@
         "slack": {"type": "number", "minimum": 0, "maximum": 1000000}
       }
     },
+    "quota": {
+      "type": "object", "additionalProperties": false,
+      "required": ["window", "overage", "slack"],
+      "properties": {
+        "window": {"type": "number", "exclusiveMinimum": 0, "maximum": 3600},
+        "overage": {"type": "number", "minimum": 0, "maximum": 100},
+        "slack": {"type": "number", "minimum": 0, "maximum": 1000000}
+      }
+    },
     "key_confirmation": {
       "type": "object", "additionalProperties": false,
       "required": ["strict", "bound_ms"],
@@ -77,6 +86,11 @@
     const auto& warmup = json.at("warmup");
     settings.warmup = {warmup.at("overage"), warmup.at("slack")};
   }
+  if (json.contains("quota")) {
+    const auto& quota = json.at("quota");
+    settings.quota = {Scaled(Seconds(1), quota.at("window")),
+                      quota.at("overage"), quota.at("slack")};
+  }
   if (json.contains("key_confirmation")) {
     const auto& confirmation = json.at("key_confirmation");
     if (confirmation.at("strict").get<bool>()) {
--- a/src/app/entry_settings.h
+++ b/src/app/entry_settings.h
@@ -35,6 +35,8 @@
   std::uint32_t max_descriptors = 4096;
   RetryBudgetSettings retry_budget;
   WarmupBounds warmup;
+  // Not set: the limits of client accounts aren't applied.
+  std::optional<QuotaBounds> quota;
   // Set if calls of accounts are refused once the instance has had no news of
   // the configuration for this long.
   std::optional<Duration> key_confirmation_bound;
--- a/src/dispatch/internal/active_call.h
+++ b/src/dispatch/internal/active_call.h
@@ -79,6 +79,9 @@
   // Instances that were to serve it instead of this one and refused it for
   // other reasons, as when they stop.
   std::vector<std::string> refused_by;
+  // It waits for a token of its account's limit.
+  bool awaits_token = false;
+  Time token_valid_until{};  // Of the one that it got.
   std::vector<SubQuery> sub_queries;
   std::vector<Batch> batches;
   // Set once the latency target has passed and the pending attempts are
@@ -120,6 +123,11 @@
     return attempts;
   }
 
+  // Whether it was sent to any server or instance.
+  bool was_sent() const {
+    return attempts_started() > 0 || !record.coordinator.empty();
+  }
+
   // Whether any server has run it or may have.
   bool may_have_run() const {
     if (coordinator_attempt != 0)
