soak: servers whose responses follow odd bytes

Late responses without an id, one with status 000 and text, before every fifth response of a connection on which the server has echoed an id, in place of half the delays and one-way cuts; no random number of its own.

--- a/testing/soak/soak.cc
+++ b/testing/soak/soak.cc
@@ -626,7 +626,12 @@
                          [server] { server->SetFault(ServerFault::kNone, 0); });
   }
   if (choice < 8) {
-    const auto mode = static_cast<ProxyMode>(1 + (choice - 4));
+    auto mode = static_cast<ProxyMode>(1 + (choice - 4));
+    // NOTE As above, without a random number of its own.
+    if (index % 2 == 1 &&
+        (mode == ProxyMode::kDelay || mode == ProxyMode::kOneWay)) {
+      mode = ProxyMode::kOddBytes;
+    }
     Log(server->id() + " proxy " + std::string(NameOf(kProxyModeNames, mode)));
     proxy->SetMode(mode);
     return EndFaultAfter(duration, [proxy] {
--- a/testing/soak/tcp_proxy.cc
+++ b/testing/soak/tcp_proxy.cc
@@ -10,6 +10,20 @@
 constexpr char kUnfinishedHead[] = "HTTP/1.1 200 OK\r\nServer-Stamp: ";
 constexpr char kFinishedHead[] = "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n\r\n";
 
+// Sent in turn before every kOddInterval-th response. Only a connection on
+// which the server has echoed an id gets them.
+constexpr std::array<std::string_view, 4> kOddBytes{
+    "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+    "Content-Length: 0\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nServer-Stamp: late\r\nContent-Length: 16\r\n\r\n"
+    "zzzzzzzzzzzzzzzz",
+    "HTTP/1.1 000 None\r\nServer-Stamp: none\r\nContent-Length: 0\r\n\r\n",
+    "odd bytes\r\n\r\n",
+};
+constexpr std::size_t kOddInterval = 5;
+constexpr std::string_view kResponseStart = "HTTP/1.1 ";
+constexpr std::string_view kIdHeader = "\r\nRequest-Id: ";
+
 }  // namespace
 
 TcpProxy::TcpProxy(asio::io_context* context,
@@ -97,7 +111,11 @@
   auto& to = to_server ? connection->server : connection->client;
   auto& buffer =
       to_server ? connection->request_buffer : connection->response_buffer;
-  asio::async_write(to, asio::buffer(buffer.data(), size),
+  const std::string_view odd =
+      to_server ? std::string_view() : OddBytesBefore(connection.get(), size);
+  const std::array<asio::const_buffer, 2> bytes{
+      asio::buffer(odd.data(), odd.size()), asio::buffer(buffer.data(), size)};
+  asio::async_write(to, bytes,
                     [this, connection, to_server](const asio::error_code& error,
                                                   std::size_t) {
                       if (error)
@@ -109,6 +127,20 @@
                     });
 }
 
+std::string_view TcpProxy::OddBytesBefore(Connection* connection,
+                                          std::size_t size) {
+  const std::string_view bytes(connection->response_buffer.data(), size);
+  if (!bytes.starts_with(kResponseStart))
+    return {};
+  const bool answered = connection->answered;
+  connection->answered |= bytes.find(kIdHeader) != std::string_view::npos;
+  if (!answered || ModeOf(*connection) != ProxyMode::kOddBytes ||
+      ++odd_responses_ % kOddInterval != 0) {
+    return {};
+  }
+  return kOddBytes[odd_responses_ / kOddInterval % kOddBytes.size()];
+}
+
 void TcpProxy::SendEndlessResponse(const ConnectionPtr& connection) {
   const char* head =
       ++endless_responses_ % 2 == 0 ? kUnfinishedHead : kFinishedHead;
--- a/testing/soak/tcp_proxy.h
+++ b/testing/soak/tcp_proxy.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <asio.hpp>
@@ -22,15 +23,19 @@
   kOneWay,   // Forwards requests and drops responses.
   kRefuse,   // Resets new connections at once.
   kEndless,  // Responds to requests with a response that never ends.
+  // Some responses follow bytes that answer no request: late responses without
+  // an id, one without a valid status, or text.
+  kOddBytes,
 };
 
-inline constexpr EnumNames<ProxyMode, 6> kProxyModeNames{{
+inline constexpr EnumNames<ProxyMode, 7> kProxyModeNames{{
     {ProxyMode::kPass, "pass"},
     {ProxyMode::kDelay, "delay"},
     {ProxyMode::kSilent, "silent"},
     {ProxyMode::kOneWay, "one_way"},
     {ProxyMode::kRefuse, "refuse"},
     {ProxyMode::kEndless, "endless"},
+    {ProxyMode::kOddBytes, "odd_bytes"},
 }};
 
 inline constexpr Duration kProxyDelay = Millis(120);
@@ -72,6 +77,7 @@
     Tcp::socket server;
     std::array<char, 16384> request_buffer{};
     std::array<char, 16384> response_buffer{};
+    bool answered = false;  // Has forwarded a response that echoes an id.
     bool endless = false;
     bool cut = false;  // Has the mode `cut_mode_`.
   };
@@ -87,6 +93,8 @@
   void Forward(const ConnectionPtr& connection,
                bool to_server,
                std::size_t size);
+  // Returns the bytes to send before the next `size` bytes of a response.
+  std::string_view OddBytesBefore(Connection* connection, std::size_t size);
   void SendEndlessResponse(const ConnectionPtr& connection);
   static void Close(const ConnectionPtr& connection, bool reset);
 
@@ -97,7 +105,8 @@
   ProxyMode mode_ = ProxyMode::kPass;
   ClientFilter is_cut_;
   ProxyMode cut_mode_ = ProxyMode::kPass;
-  int endless_responses_ = 0;  // Endless responses started so far.
+  int endless_responses_ = 0;      // Endless responses started so far.
+  std::size_t odd_responses_ = 0;  // Responses in the mode kOddBytes so far.
   std::vector<std::weak_ptr<Connection>> connections_;
 };
 
