--- a/src/dispatch/dispatch_engine.h
+++ b/src/dispatch/dispatch_engine.h
@@ -503,10 +503,10 @@
   AttemptId next_attempt_ = 1;
   std::uint32_t fleet_size_ = 0;  // In instances.
   Time fleet_size_at_{};
-  bool pacing_started_ = false;   // For any server since the last tick.
+  bool pacing_started_ = false;  // For any server since the last tick.
   std::optional<Time> without_routes_since_;  // The first call refused for it.
-  Time starting_until_ = kNever;  // End of the start-up phase.
-  Time end_ = kNever;             // Of a stopping instance.
+  Time starting_until_ = kNever;              // End of the start-up phase.
+  Time end_ = kNever;                         // Of a stopping instance.
 };
 
 }  // namespace limpetrudder
