--- a/src/dispatch/internal/active_call.h
+++ b/src/dispatch/internal/active_call.h
@@ -125,9 +125,7 @@
   }
 
   // Whether it was sent to any server or instance.
-  bool was_sent() const {
-    return attempts_started() > 0 || was_forwarded;
-  }
+  bool was_sent() const { return attempts_started() > 0 || was_forwarded; }
 
   // Whether any server has run it or may have.
   bool may_have_run() const {
