--- a/src/quota/tests/quota_fleet_test.cc
+++ b/src/quota/tests/quota_fleet_test.cc
@@ -240,7 +240,9 @@
         fleet->Start(instance);
         break;
       case 2:
-        fleet->Freeze(owner, fleet->now() + Millis(1000 + random.Below(6000)));
+        fleet->Freeze(owner,
+                      fleet->now() + Millis(1000 + static_cast<std::int64_t>(
+                                                       random.Below(6000))));
         break;
       case 3: {
         const auto side = fleet->InDataCentre(random.Below(6));
@@ -253,8 +255,10 @@
       default:
         break;
     }
-    fleet->RunUntil(fleet->now() + Millis(500 + random.Below(1500)));
-    fleet->SpreadViews(Millis(500 + random.Below(2000)));
+    fleet->RunUntil(fleet->now() + Millis(500 + static_cast<std::int64_t>(
+                                                    random.Below(1500))));
+    fleet->SpreadViews(
+        Millis(500 + static_cast<std::int64_t>(random.Below(2000))));
   }
 }
 
