--- a/src/quota/tests/quota_fleet_test.cc
+++ b/src/quota/tests/quota_fleet_test.cc
@@ -1,4 +1,5 @@
 #include <doctest/doctest.h>
+#include <cstdint>
 
 #include <algorithm>
 #include <cmath>
