--- a/src/quota/tests/quota_fleet_test.cc
+++ b/src/quota/tests/quota_fleet_test.cc
@@ -1,8 +1,8 @@
 #include <doctest/doctest.h>
-#include <cstdint>
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
