--- a/review/common-2/harness.h
+++ b/review/common-2/harness.h
@@ -939,6 +939,7 @@
     pid_ = 0;
   }
 
+  pid_t pid() const { return pid_; }
   std::uint16_t front() const { return front_; }
   std::uint16_t peer() const { return peer_; }
   const std::string& name() const { return name_; }
