--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -9,10 +9,10 @@
 
 using namespace review;
 
-constexpr int kRequests = 600;
+constexpr int kRequests = 1500;
 // One of the two servers breaks off one in this many of its answers.
 constexpr int kBrokenShare = 50;
-constexpr std::size_t kLongBody = 240'000;  // MaxBodyBytes is 262,144.
+constexpr std::size_t kLongBody = 260'000;  // MaxBodyBytes is 262,144.
 constexpr std::size_t kShortBody = 200;
 constexpr std::size_t kAnswerBytes = 12'000;
 
@@ -42,7 +42,7 @@
     const auto run = [&](Server* server, Request* request, Socket* socket) {
       const std::string id = HeaderOf(request->headers, "request-id");
       std::string read;
-      if (!ReadBytes(socket, std::min<std::size_t>(request->content_length, 8000),
+      if (!ReadBytes(socket, std::min<std::size_t>(request->content_length, 1000),
                      5, &read)) {
         return false;
       }
@@ -82,7 +82,7 @@
       return false;
     };
     // A link with segments as on Ethernet and small windows.
-    const Listener::Options link{.max_segment = 1448, .receive_buffer = 16384};
+    const Listener::Options link{.max_segment = 1448, .receive_buffer = 4096};
     Server first(&store, "i-1", "notes", run, /*early=*/true, link);
     Server second(&store, "i-2", "notes", run, /*early=*/true, link);
     Entry entry(binary, folder.path(), "frontend-here-1", store.port());
--- a/review/common-2/harness.h
+++ b/review/common-2/harness.h
@@ -313,21 +313,35 @@
          (status < 300 ? " OK" : " Refused");
 }
 
-// Returns a free loopback port. It is freed again, so that another process can
-// listen on it.
-inline std::uint16_t FreePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  if (bind(fd, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
-      getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
-    throw std::runtime_error("no free port");
+// A free loopback port that stays reserved for a process that this one starts:
+// it is bound here, but not listened on, so that a socket that reuses addresses
+// can take it, and nobody else gets it.
+class ReservedPort {
+ public:
+  ReservedPort() {
+    fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    if (bind(fd_, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
+        getsockname(fd_, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
+      throw std::runtime_error("no free port");
+    }
+    const int on = 1;
+    setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    port_ = ntohs(address.sin_port);
   }
-  close(fd);
-  return ntohs(address.sin_port);
-}
+  ReservedPort(const ReservedPort&) = delete;
+  ReservedPort& operator=(const ReservedPort&) = delete;
+  ~ReservedPort() { close(fd_); }
+
+  std::uint16_t port() const { return port_; }
+
+ private:
+  int fd_ = -1;
+  std::uint16_t port_ = 0;
+};
 
 // Accepts connections on a loopback port and calls `handler` for each, on a
 // thread of its own.
@@ -376,8 +390,8 @@
       for (const int fd : connections_)
         shutdown(fd, SHUT_RDWR);
     }
-    for (auto& thread : threads_)
-      thread.join();
+    std::unique_lock lock(mutex_);
+    ended_.wait(lock, [this] { return running_ == 0; });
   }
 
   std::uint16_t port() const { return port_; }
@@ -393,13 +407,19 @@
       {
         const std::lock_guard lock(mutex_);
         connections_.insert(fd);
+        ++running_;
       }
-      threads_.emplace_back([this, fd] {
-        Socket socket(fd);
-        handler_(&socket);
+      std::thread([this, fd] {
+        {
+          Socket socket(fd);
+          handler_(&socket);
+          const std::lock_guard lock(mutex_);
+          connections_.erase(fd);
+        }
         const std::lock_guard lock(mutex_);
-        connections_.erase(fd);
-      });
+        --running_;
+        ended_.notify_all();
+      }).detach();
     }
   }
 
@@ -408,8 +428,9 @@
   std::uint16_t port_ = 0;
   std::atomic<bool> stopping_{false};
   std::mutex mutex_;
+  std::condition_variable ended_;
+  int running_ = 0;  // Threads of connections.
   std::set<int> connections_;
-  std::vector<std::thread> threads_;
   std::thread thread_;
 };
 
@@ -846,6 +867,33 @@
   return Exchange(&socket, bytes, timeout);
 }
 
+// The processes that run, so that an end of this program from outside or by a
+// fault ends them too.
+inline std::atomic<pid_t> running_processes[16];
+
+inline void KillProcesses() {
+  for (auto& pid : running_processes) {
+    if (const pid_t running = pid.exchange(0); running > 0)
+      kill(running, SIGKILL);
+  }
+}
+
+inline void Remember(pid_t pid) {
+  for (auto& slot : running_processes) {
+    pid_t free = 0;
+    if (slot.compare_exchange_strong(free, pid))
+      return;
+  }
+}
+
+inline void Forget(pid_t pid) {
+  for (auto& slot : running_processes) {
+    pid_t known = pid;
+    if (slot.compare_exchange_strong(known, 0))
+      return;
+  }
+}
+
 // An entry instance: a process of the deployed program.
 class Entry {
  public:
@@ -861,19 +909,16 @@
                                                               "region"}})
       : binary_(std::move(binary)),
         folder_(std::move(folder)),
-        name_(std::move(name)),
-        front_(FreePort()),
-        ready_(FreePort()),
-        peer_(FreePort()) {
+        name_(std::move(name)) {
     const auto address = [](std::uint16_t port) {
       return "127.0.0.1:" + std::to_string(port);
     };
     const Json settings = {{"instance", name_},
                            {"data_centre", data_centre},
                            {"regions", regions},
-                           {"caller_address", address(front_)},
-                           {"ready_address", address(ready_)},
-                           {"peer_address", address(peer_)},
+                           {"caller_address", address(front())},
+                           {"ready_address", address(ready_.port())},
+                           {"peer_address", address(peer())},
                            {"store_address", address(store_port)},
                            {"cores", 0.25},
                            {"link_mbps", 1000.0},
@@ -902,10 +947,11 @@
     posix_spawn_file_actions_destroy(&files);
     if (error != 0)
       throw std::runtime_error("can't start " + binary_);
+    Remember(pid_);
   }
 
   bool IsReady() const {
-    return Ask(ready_,
+    return Ask(ready_.port(),
                "GET /limpetrudder/readyz HTTP/1.1\r\nHost: here\r\n\r\n", 1)
                .status == 200;
   }
@@ -921,8 +967,10 @@
 
   // Whether the process still runs.
   bool IsRunning() {
-    if (pid_ > 0 && waitpid(pid_, &exit_status_, WNOHANG) == pid_)
+    if (pid_ > 0 && waitpid(pid_, &exit_status_, WNOHANG) == pid_) {
+      Forget(pid_);
       pid_ = 0;
+    }
     return pid_ > 0;
   }
 
@@ -936,12 +984,13 @@
       return;
     kill(pid_, SIGKILL);
     waitpid(pid_, &exit_status_, 0);
+    Forget(pid_);
     pid_ = 0;
   }
 
   pid_t pid() const { return pid_; }
-  std::uint16_t front() const { return front_; }
-  std::uint16_t peer() const { return peer_; }
+  std::uint16_t front() const { return front_.port(); }
+  std::uint16_t peer() const { return peer_.port(); }
   const std::string& name() const { return name_; }
 
  private:
@@ -950,9 +999,9 @@
   const std::string binary_;
   const std::string folder_;
   const std::string name_;
-  const std::uint16_t front_;
-  const std::uint16_t ready_;
-  const std::uint16_t peer_;
+  const ReservedPort front_;
+  const ReservedPort ready_;
+  const ReservedPort peer_;
   pid_t pid_ = 0;
   int exit_status_ = 0;
 };
@@ -1037,6 +1086,12 @@
     return 2;
   }
   std::signal(SIGPIPE, SIG_IGN);
+  for (const int signal : {SIGTERM, SIGINT, SIGABRT}) {
+    std::signal(signal, [](int) {
+      KillProcesses();
+      _exit(2);
+    });
+  }
   Seconds();
   try {
     Record record(arguments[2]);
