Review: a storm of large configurations stops all reading of the store

Cause: a read of changes that takes longer than 1.2 s on the link is thrown away and asked for again from the same revision.

--- a/review/common-3/rig.h
+++ b/review/common-3/rig.h
@@ -373,9 +373,12 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-// The platform's store. Pages hold 500 items or 1 MB at most.
+// The platform's store. Pages hold 500 items or 1 MB at most, and the history
+// HistoryS.
 class Store {
  public:
+  static constexpr double kHistoryMs = 20000;
+
   struct Item {
     std::string value;
     std::uint64_t revision = 0;
@@ -572,6 +575,10 @@
     }
     Json events = Json::array();
     for (const Event& e : history_) {
+      if (e.at < Now() - kHistoryMs && e.revision > after) {
+        *status = 410;
+        return;
+      }
       if (e.revision <= after)
         continue;
       events.push_back(e.item ? Row(e.key, *e.item)
@@ -645,6 +652,74 @@
   Listener listener_;
 };
 
+// A machine's link: connections to a port that together carry so many bytes a
+// second from there.
+class SlowLink {
+ public:
+  SlowLink(int target, double bytes_per_second)
+      : target_(target), rate_(bytes_per_second) {
+    fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in a = Loopback(0);
+    socklen_t size = sizeof(a);
+    if (bind(fd_, reinterpret_cast<sockaddr*>(&a), size) != 0 ||
+        listen(fd_, 512) != 0)
+      CannotRun("can't listen");
+    getsockname(fd_, reinterpret_cast<sockaddr*>(&a), &size);
+    port_ = ntohs(a.sin_port);
+    std::thread([this] {
+      while (true) {
+        const int fd = accept4(fd_, nullptr, nullptr, SOCK_CLOEXEC);
+        if (fd >= 0)
+          std::thread([this, fd] { Carry(fd); }).detach();
+      }
+    }).detach();
+  }
+  int port() const { return port_; }
+
+ private:
+  void Carry(int fd) {
+    const auto client = std::make_shared<Conn>(fd);
+    const std::shared_ptr<Conn> server = Connect(target_);
+    if (!server)
+      return;
+    const auto end = [client, server] {
+      shutdown(client->fd(), SHUT_RDWR);
+      shutdown(server->fd(), SHUT_RDWR);
+    };
+    std::thread([client, server, end] {
+      char buffer[8192];
+      while (true) {
+        const ssize_t n = recv(client->fd(), buffer, sizeof(buffer), 0);
+        if (n <= 0 ||
+            !server->Write({buffer, static_cast<std::size_t>(n)}))
+          return end();
+      }
+    }).detach();
+    char buffer[8192];
+    while (true) {
+      const ssize_t n = recv(server->fd(), buffer, sizeof(buffer), 0);
+      if (n <= 0)
+        return end();
+      double at = 0;
+      {
+        std::lock_guard lock(mutex_);
+        free_at_ = std::max(free_at_, Now()) +
+                   1000.0 * static_cast<double>(n) / rate_;
+        at = free_at_;
+      }
+      SleepUntil(at);
+      if (!client->Write({buffer, static_cast<std::size_t>(n)}))
+        return end();
+    }
+  }
+  const int target_;
+  const double rate_;
+  int fd_ = -1;
+  int port_ = 0;
+  std::mutex mutex_;
+  double free_at_ = 0;
+};
+
 // A server of a service. Runs `slots` requests at a time and lets `queue` more
 // wait; others are turned away.
 class Server {
