--- a/review/common-3/bodies_to_all_shards.cc
+++ b/review/common-3/bodies_to_all_shards.cc
@@ -1,5 +1,7 @@
 // Clients send bodies within the limits on a route to all shards, many at once.
 
+#include <algorithm>
+
 #include "rig.h"
 
 namespace {
@@ -101,28 +103,47 @@
       }
     });
   }
+  // The platform kills a process that exceeds MemoryMb, and starts it again
+  // after a short delay.
   double most = 0;
-  const double until = rig::Now() + 20000;
-  bool ended = false;
-  for (int k = 0; rig::Now() < until && !ended && most <= kMemoryMb; ++k) {
-    for (const auto& entry : entries) {
-      const double memory = entry->MemoryMb();
+  std::vector<int> ends(kMachines, 0);
+  std::vector<double> start_at(kMachines, 0);
+  const auto machines_with_three = [&ends] {
+    return std::count_if(ends.begin(), ends.end(),
+                         [](int count) { return count >= 3; });
+  };
+  const double until = rig::Now() + (rig::Trouble() ? 90000 : 40000);
+  for (int k = 0; rig::Now() < until && machines_with_three() < 2; ++k) {
+    for (int i = 0; i < kMachines; ++i) {
+      rig::Entry& entry = *entries[i];
+      if (entry.pid <= 0) {
+        if (rig::Now() >= start_at[i])
+          entry.Start();
+        continue;
+      }
+      const double memory = entry.MemoryMb();
       most = std::max(most, memory);
-      ended = ended || entry->Wait(0).has_value();
-      if (k % 10 == 0 || memory > kMemoryMb)
-        RECORD("memory %.0f MB; answered %d, refused %d, other %d in all",
-               memory, answered.load(), refused.load(), other.load());
+      if (memory > kMemoryMb || entry.Wait(0)) {
+        entry.Kill();
+        start_at[i] = rig::Now() + 500;
+        RECORD("machine %d has ended, time %d, with %.0f MB", i + 1, ++ends[i],
+               memory);
+      } else if (k % 100 == 0) {
+        RECORD("machine %d: memory %.0f MB; answered %d, refused %d, other %d "
+               "in all",
+               i + 1, memory, answered.load(), refused.load(), other.load());
+      }
     }
     rig::Sleep(20);
   }
   running = false;
-  // The platform kills a process that exceeds MemoryMb.
   for (const auto& entry : entries)
     entry->Kill();
   for (auto& client : clients)
     client.join();
-  rig::End(ended || most > kMemoryMb,
-           "the process took " + std::to_string(static_cast<int>(most)) +
-               " MB at most, " + std::to_string(static_cast<int>(kMemoryMb)) +
-               " MB is its limit");
+  rig::End(machines_with_three() >= 2,
+           "processes ended " + std::to_string(ends[0]) + ", " +
+               std::to_string(ends[1]) + " and " + std::to_string(ends[2]) +
+               " times; " + std::to_string(static_cast<int>(most)) +
+               " MB at most of " + std::to_string(static_cast<int>(kMemoryMb)));
 }
