--- a/review/common-3/rig.h
+++ b/review/common-3/rig.h
@@ -25,6 +25,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <deque>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -91,9 +92,26 @@
 
 #define RECORD(...) ::rig::Record::Get().Line(__VA_ARGS__)
 
+// The program to test, and the temporary folder.
+inline std::string& Binary() {
+  static std::string binary;
+  return binary;
+}
+inline std::string& Folder() {
+  static std::string folder;
+  return folder;
+}
+
+inline void RemoveFolder() {
+  std::error_code ignored;
+  if (!Folder().empty())
+    std::filesystem::remove_all(Folder(), ignored);
+}
+
 [[noreturn]] inline void CannotRun(const std::string& why) {
   RECORD("the case can't run: %s", why.c_str());
   std::fprintf(stderr, "the case can't run: %s\n", why.c_str());
+  RemoveFolder();
   std::_Exit(2);
 }
 
@@ -905,7 +923,7 @@
                            O_CREAT | O_WRONLY | O_APPEND, 0644);
       dup2(log, 1);
       dup2(log, 2);
-      execl("target/bin/limpetrudder", "limpetrudder", "entry", "--settings",
+      execl(Binary().c_str(), "limpetrudder", "entry", "--settings",
             file.c_str(), static_cast<char*>(nullptr));
       std::_Exit(127);
     }
@@ -1018,17 +1036,23 @@
   return value == nullptr || std::string(value) != "0";
 }
 
-// The case's folder for record.txt, and a temporary one for the rest.
+// Reads the arguments of review/common-2/run_case.sh: the program to test and the
+// path of record.txt. Returns a temporary folder.
 inline std::string Begin(int argc, char** argv) {
   signal(SIGPIPE, SIG_IGN);
   Began();
   if (argc < 3) {
-    std::fprintf(stderr, "usage: %s CASE_FOLDER TEMPORARY_FOLDER\n", argv[0]);
+    std::fprintf(stderr, "usage: %s PROGRAM RECORD\n", argv[0]);
     std::_Exit(2);
   }
-  Record::Get().Open(std::string(argv[1]) + "/record.txt");
+  Binary() = argv[1];
+  Record::Get().Open(argv[2]);
   RECORD("TROUBLE=%d", Trouble() ? 1 : 0);
-  return argv[2];
+  std::string name =
+      (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
+  if (mkdtemp(name.data()) == nullptr)
+    CannotRun("no temporary folder");
+  return Folder() = name;
 }
 
 // Ends the case. Entries have to be killed before.
@@ -1036,6 +1060,7 @@
   RECORD("%s: %s", broken ? "BROKEN" : "held", what.c_str());
   std::printf("%s: %s\n", broken ? "broken" : "held", what.c_str());
   std::fflush(nullptr);
+  RemoveFolder();
   std::_Exit(broken ? 1 : 0);
 }
 
