net: log how a connection ended under an answer

Change: answer_ended_with_connection with the errors of the read and of the write, whether the request was written, and bytes received; at level debug unless the write had failed.

--- a/src/net/target_pool.cc
+++ b/src/net/target_pool.cc
@@ -109,6 +109,7 @@
     connection->foreign_responses = 0;
     connection->start_time = SteadyNow();
     connection->written = false;
+    connection->write_error = asio::error_code();
     connection->sent = false;
     connection->connect_time = Duration(0);
     if (reused)
@@ -172,6 +173,7 @@
     bool used = false;     // It has had a response.
     bool sent = false;     // Bytes of the request may have been sent.
     bool written = false;  // The whole request has been written.
+    asio::error_code write_error;
     bool idle = false;
     bool closed = false;
   };
@@ -302,6 +304,7 @@
           // NOTE After a write error the read ends too, possibly with a
           // response that the server sent before it read the whole body.
           connection->written = !error;
+          connection->write_error = error;
         });
   }
 
@@ -332,6 +335,7 @@
                     const asio::error_code& error) {
     // NOTE Only an orderly close completes a response without a length; after a
     // reset it may be truncated.
+    LogResponseEnd(*connection, error);
     if (error == asio::error::eof) {
       connection->reader.ReadEnd();
       if (connection->reader.state() ==
@@ -349,6 +353,22 @@
                               : AttemptOutcome::kBroken);
   }
 
+  // Logs that the connection ended before the response did, or with it.
+  static void LogResponseEnd(const Connection& connection,
+                             const asio::error_code& read_error) {
+    if (!connection.reader.started())
+      return;
+    Log(connection.write_error ? LogLevel::kInfo : LogLevel::kDebug,
+        "answer_ended_with_connection",
+        {{"server", connection.server},
+         {"status", connection.reader.status()},
+         {"received_bytes", connection.reader.buffered_bytes()},
+         {"request_bytes", connection.request.bytes.size()},
+         {"written", connection.written},
+         {"write_error", connection.write_error.message()},
+         {"read_error", read_error.message()}});
+  }
+
   void OnBytes(const ConnectionPtr& connection, std::size_t size) {
     std::size_t used = 0;
     while (true) {
