net: fail an answer that a reset cuts off under a long request

The caller got the part that had come as a whole answer: 200, the server's signature, 6,000 of 12,000 bytes.

Cause: the kernel reports the failure of a connection to one call only. The pending write took the reset, the read after it found an end of file, and an end of file completes a response without a length. Two paths have the same cause: a time-out of the connection under a pending write (TCP_USER_TIMEOUT), and a new connection that is reset before any answer, which counted as broken, as after a crash, and not as rejected, if the request was long.

Change: ClassifyStreamEnd() decides by the errors of both. The pool writes where it can keep the error before the next read, in the place of asio::async_write, whose handler may run after it. A broken pipe isn't a failure of the stream: it says that the peer's orderly close came before its reset, so that an early answer of a server that closes with unread bytes stays whole (tested).

A time-out was tested in ClassifyStreamEnd() only, not on a link.

--- a/src/net/target_pool.cc
+++ b/src/net/target_pool.cc
@@ -19,6 +19,7 @@
 #include "net/http_text.h"
 #include "net/internal/echo_history.h"
 #include "net/internal/response_reader.h"
+#include "net/internal/stream_end.h"
 
 namespace limpetrudder {
 namespace {
@@ -162,6 +163,8 @@
     // another process may follow.
     std::shared_ptr<detail::EchoHistory> echo_history;
     PoolRequest request;
+    asio::const_buffer unwritten;  // The rest of the request.
+    asio::error_code write_error;  // Why the rest can't be written.
     detail::ResponseReader reader;
     std::array<char, kReadBytes> buffer;
     Time start_time{};
@@ -173,7 +176,6 @@
     bool used = false;     // It has had a response.
     bool sent = false;     // Bytes of the request may have been sent.
     bool written = false;  // The whole request has been written.
-    asio::error_code write_error;
     bool idle = false;
     bool closed = false;
   };
@@ -298,13 +300,34 @@
 
   void Write(const ConnectionPtr& connection) {
     connection->sent = true;
-    asio::async_write(
-        connection->socket, asio::buffer(connection->request.bytes),
-        [this, connection](const asio::error_code& error, std::size_t) {
-          // NOTE After a write error the read ends too, possibly with a
-          // response that the server sent before it read the whole body.
-          connection->written = !error;
-          connection->write_error = error;
+    connection->unwritten = asio::buffer(connection->request.bytes);
+    ContinueWriting(connection);
+  }
+
+  // NOTE Writes are made here and not in the event loop, so that an error is
+  // known before the next read, which won't see it.
+  void ContinueWriting(const ConnectionPtr& connection) {
+    asio::error_code error;
+    connection->unwritten +=
+        connection->socket.write_some(connection->unwritten, error);
+    connection->written = connection->unwritten.size() == 0;
+    if (connection->written)
+      return;
+    if (error && error != asio::error::would_block) {
+      // The read ends too, possibly with a response that the server sent before
+      // it read the whole body.
+      connection->write_error = error;
+      return;
+    }
+    connection->socket.async_wait(
+        Tcp::socket::wait_write,
+        [this, connection](const asio::error_code& wait_error) {
+          if (connection->closed)
+            return;
+          if (wait_error)
+            connection->write_error = wait_error;
+          else
+            ContinueWriting(connection);
         });
   }
 
@@ -333,10 +356,12 @@
 
   void OnReadFailed(const ConnectionPtr& connection,
                     const asio::error_code& error) {
+    const detail::StreamEnd end =
+        detail::ClassifyStreamEnd(error, connection->write_error);
+    LogResponseEnd(*connection, error, end);
     // NOTE Only an orderly close completes a response without a length; after a
     // reset it may be truncated.
-    LogResponseEnd(*connection, error);
-    if (error == asio::error::eof) {
+    if (end == detail::StreamEnd::kOrderly) {
       connection->reader.ReadEnd();
       if (connection->reader.state() ==
           detail::ResponseReader::State::kComplete) {
@@ -346,7 +371,7 @@
                    : Complete(connection, owner, /*extra_bytes=*/false);
       }
     }
-    const bool rejected = error == asio::error::connection_reset &&
+    const bool rejected = end == detail::StreamEnd::kReset &&
                           connection->connect_time > Duration::zero() &&
                           !connection->reader.started();
     Fail(connection, rejected ? AttemptOutcome::kConnectionRejected
@@ -355,12 +380,14 @@
 
   // Logs that the connection ended before the response did, or with it.
   static void LogResponseEnd(const Connection& connection,
-                             const asio::error_code& read_error) {
+                             const asio::error_code& read_error,
+                             detail::StreamEnd end) {
     if (!connection.reader.started())
       return;
     Log(connection.write_error ? LogLevel::kInfo : LogLevel::kDebug,
         "answer_ended_with_connection",
         {{"server", connection.server},
+         {"end", NameOf(detail::kStreamEndNames, end)},
          {"status", connection.reader.status()},
          {"received_bytes", connection.reader.buffered_bytes()},
          {"request_bytes", connection.request.bytes.size()},
--- a/src/net/tests/raw_server.h
+++ b/src/net/tests/raw_server.h
@@ -15,10 +15,14 @@
 // Returned by a behaviour to reset the connection without a response.
 inline constexpr char kResetConnection[] = "\x01reset";
 
-// The first byte of a response after which the connection is closed or reset.
-// This byte isn't sent.
+// The first byte of a response after which the connection ends. This byte isn't
+// sent.
 inline constexpr char kCloseAfterResponse = '\x02';
 inline constexpr char kResetAfterResponse = '\x03';
+// Closes the server's side only and reads nothing more.
+inline constexpr char kShutDownAfterResponse = '\x04';
+// As kShutDownAfterResponse, followed by a reset.
+inline constexpr char kShutDownAndResetAfterResponse = '\x05';
 
 // A TCP server with scripted behaviour. `on_request` gets the number of the
 // request on its connection, counted from 1, and returns the bytes to send. An
@@ -58,6 +62,8 @@
 
   int requests() const { return requests_; }
   int connections() const { return connections_; }
+  // How many connections were closed, reset or shut down.
+  int ended_connections() const { return ended_connections_; }
 
  private:
   struct Connection {
@@ -88,16 +94,9 @@
             return;
           connection->buffer.consume(bytes);
           ++requests_;
-          std::string response = on_request_(++connection->requests);
-          const char first = response.empty() ? '\0' : response.front();
-          const bool reset =
-              response == kResetConnection || first == kResetAfterResponse;
-          if (first == kCloseAfterResponse || first == kResetAfterResponse)
-            asio::write(connection->socket, asio::buffer(response.substr(1)));
-          if (reset)
-            connection->socket.set_option(asio::socket_base::linger(true, 0));
-          if (response.empty() || reset || first == kCloseAfterResponse) {
-            connection->socket.close();
+          const std::string response = on_request_(++connection->requests);
+          if (IsLast(response)) {
+            SendLast(connection, response);
             return;
           }
           asio::write(connection->socket, asio::buffer(response));
@@ -106,12 +105,42 @@
         });
   }
 
+  static bool IsLast(const std::string& response) {
+    return response.empty() || response == kResetConnection ||
+           (response.front() >= kCloseAfterResponse &&
+            response.front() <= kShutDownAndResetAfterResponse);
+  }
+
+  // Sends what is behind the first byte of `response`, and ends the connection.
+  void SendLast(const std::shared_ptr<Connection>& connection,
+                const std::string& response) {
+    asio::ip::tcp::socket& socket = connection->socket;
+    const char first =
+        response.empty() ? kCloseAfterResponse : response.front();
+    if (response != kResetConnection && !response.empty())
+      asio::write(socket, asio::buffer(response.substr(1)));
+    const bool shuts_down = first == kShutDownAfterResponse ||
+                            first == kShutDownAndResetAfterResponse;
+    if (shuts_down)
+      socket.shutdown(asio::ip::tcp::socket::shutdown_send);
+    if (first == kShutDownAfterResponse) {
+      half_closed_ = connection;
+    } else {
+      if (first != kCloseAfterResponse)
+        socket.set_option(asio::socket_base::linger(true, 0));
+      socket.close();
+    }
+    ++ended_connections_;
+  }
+
   const Behaviour on_request_;
   asio::io_context context_{1};
   asio::ip::tcp::acceptor acceptor_;
   std::weak_ptr<Connection> last_connection_;
+  std::shared_ptr<Connection> half_closed_;  // Kept open.
   std::atomic<int> requests_{0};
   std::atomic<int> connections_{0};
+  std::atomic<int> ended_connections_{0};
   std::thread thread_;
 };
 
