net: limit the bytes around the body of a response

Seen in a test (from the report of bytes that are no answer, without end): a server that sends a chunked body of one byte a chunk, each with an extension of 60 KB, was read until its request's deadline: 268 MB for a limit of one, in 5 s of the test. Memory stayed bounded, since extensions aren't kept; the time of the thread that serves all callers didn't.

Cause: heads and bodies were limited by what is kept of them, chunk heads only each by itself (by the parser). Change: ResponseReader counts the bytes that a response doesn't hold, as RequestReader does for those of clients: 64 KB, and 16 for each byte of the body. The result doesn't depend on how the bytes are divided. Tests: ten further kinds of endless bytes; nine passed before (reason phrase, header name, space before a value, chunk size, one extension, trailers, empty lines, no HTTP, bytes behind an answer), the extensions failed. A body in chunks of one byte is still read.

--- a/src/net/internal/response_reader.cc
+++ b/src/net/internal/response_reader.cc
@@ -72,6 +72,7 @@
   keep_alive_ = false;
   status_ = 0;
   max_body_bytes_ = max_body_bytes;
+  received_bytes_ = 0;
   head_bytes_ = 0;
   informational_count_ = 0;
   body_.clear();
@@ -100,9 +101,13 @@
     state_ = State::kMalformed;
     return 0;
   }
+  piece_ = data;
   const std::size_t used =
       http_parser_execute(&parser_, &Callbacks(), data, size);
   const auto error = HTTP_PARSER_ERRNO(&parser_);
+  if (state_ == State::kReading || state_ == State::kComplete)
+    CheckFraming(data + used);
+  received_bytes_ += used;
   if (state_ != State::kReading)
     return used;
   if (message_complete_) {
@@ -155,6 +160,15 @@
   return 0;
 }
 
+int ResponseReader::CheckFraming(const char* end) {
+  const std::size_t received =
+      received_bytes_ + static_cast<std::size_t>(end - piece_);
+  const std::size_t limit =
+      kMaxFramingBytes + kMaxFramingBytesPerByte * body_.size();
+  return received > head_bytes_ + body_.size() + limit ? Stop(State::kTooLarge)
+                                                       : 0;
+}
+
 int ResponseReader::OnField(http_parser* parser,
                             const char* data,
                             std::size_t size) {
@@ -202,6 +216,8 @@
   ResponseReader* reader = ReaderOf(parser);
   if (size > reader->max_body_bytes_ - reader->body_.size())
     return reader->Stop(State::kTooLarge);
+  if (const int stop = reader->CheckFraming(data))
+    return stop;
   reader->body_.append(data, size);
   return 0;
 }
--- a/src/net/internal/response_reader.h
+++ b/src/net/internal/response_reader.h
@@ -66,6 +66,10 @@
   // Counts bytes of the head. Returns the result for the parser's callback: 0
   // to continue.
   int AddHeadBytes(std::size_t size);
+  // Discards the response if the bytes read up to `end`, which is in the piece
+  // that is being parsed, exceed the limit for bytes that it doesn't hold.
+  // Returns the result for the parser's callback.
+  int CheckFraming(const char* end);
   // Discards the response. Returns the result for the parser's callback.
   int Stop(State state);
   // Starts reading a message: the response or an informational one before it.
@@ -84,6 +88,8 @@
   bool keep_alive_ = false;
   int status_ = 0;
   std::size_t max_body_bytes_ = 0;
+  const char* piece_ = nullptr;     // The bytes that are being parsed.
+  std::size_t received_bytes_ = 0;  // Before the piece.
   std::size_t head_bytes_ = 0;  // Including informational responses before it.
   int informational_count_ = 0;
   std::vector<HeaderField> headers_;
--- a/src/net/response_limits.h
+++ b/src/net/response_limits.h
@@ -19,6 +19,12 @@
 inline constexpr std::size_t kMaxHeadBytes = 64 << 10;
 inline constexpr std::size_t kMaxHeadFields = 256;
 
+// Limit on the bytes of a response that its head and body don't hold, such as
+// line ends, reason phrases and chunk extensions: kMaxFramingBytes, and
+// kMaxFramingBytesPerByte for each byte of its body.
+inline constexpr std::size_t kMaxFramingBytes = 64 << 10;
+inline constexpr std::size_t kMaxFramingBytesPerByte = 16;
+
 // Limits on the informational responses and on the responses to other requests
 // that precede a response. A server sends either only occasionally.
 inline constexpr int kMaxInformationalResponses = 8;
--- a/src/net/tests/endless_response_test.cc
+++ b/src/net/tests/endless_response_test.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+#include <array>
 #include <atomic>
 #include <deque>
 #include <future>
@@ -9,6 +11,8 @@
 #include <asio.hpp>
 
 #include "net/http_client.h"
+#include "net/internal/response_reader.h"
+#include "net/response_limits.h"
 #include "net/target_pool.h"
 #include "net/tests/raw_server.h"
 
@@ -174,6 +178,64 @@
     CHECK(ask(server) == AttemptOutcome::kTooLarge);
     CHECK(server.sent() < 4 * kMiB);
   }
+  SUBCASE("with an endless reason phrase") {
+    const EndlessServer server("HTTP/1.1 200 ", "0123456789abcdef");
+    CHECK(ask(server) == AttemptOutcome::kTooLarge);
+    CHECK(server.sent() < 4 * kMiB);
+  }
+  SUBCASE("with an endless header name") {
+    const EndlessServer server("HTTP/1.1 200 OK\r\n", "0123456789abcdef");
+    CHECK(ask(server) == AttemptOutcome::kTooLarge);
+    CHECK(server.sent() < 4 * kMiB);
+  }
+  SUBCASE("with endless space before a header value") {
+    const EndlessServer server("HTTP/1.1 200 OK\r\nA:", " ");
+    CHECK(ask(server) == AttemptOutcome::kTooLarge);
+    CHECK(server.sent() < 4 * kMiB);
+  }
+  SUBCASE("with endless zeros in the size of a chunk") {
+    const EndlessServer server(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "0");
+    CHECK(ask(server) == AttemptOutcome::kTooLarge);
+    CHECK(server.sent() < 4 * kMiB);
+  }
+  SUBCASE("with an endless chunk extension") {
+    const EndlessServer server(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+        "0123456789abcdef");
+    CHECK(ask(server) == AttemptOutcome::kTooLarge);
+    CHECK(server.sent() < 4 * kMiB);
+  }
+  SUBCASE("with an extension to each of its tiny chunks") {
+    const EndlessServer server(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "1;" + std::string(60 << 10, 'x') + "\r\na\r\n");
+    CHECK(ask(server) == AttemptOutcome::kTooLarge);
+    CHECK(server.sent() < 16 * kMiB);
+  }
+  SUBCASE("with endless trailers") {
+    const EndlessServer server(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        "A: b\r\n");
+    CHECK(ask(server) == AttemptOutcome::kTooLarge);
+    CHECK(server.sent() < 4 * kMiB);
+  }
+  SUBCASE("with endless empty lines before it") {
+    const EndlessServer server("\r\n", "\r\n");
+    CHECK(ask(server) == AttemptOutcome::kBroken);
+    CHECK(server.sent() < 4 * kMiB);
+  }
+  SUBCASE("with endless bytes that aren't HTTP") {
+    const EndlessServer server("0123456789", "0123456789abcdef");
+    CHECK(ask(server) == AttemptOutcome::kBroken);
+    CHECK(server.sent() < 4 * kMiB);
+  }
+  SUBCASE("followed by endless bytes") {
+    const EndlessServer server(HttpOkResponse("sound"), "0123456789abcdef");
+    CHECK(ask(server) == AttemptOutcome::kAnswered);
+    caller.Wait(2);  // Runs on, while the server sends.
+    CHECK(server.sent() < 16 * kMiB);
+  }
   SUBCASE("preceded by endless responses to other requests") {
     const std::string other =
         "HTTP/1.1 200 OK\r\nEcho-Id: other\r\nContent-Length: 4\r\n\r\nbody";
@@ -184,6 +246,42 @@
   CHECK(caller.buffered() == 0);
 }
 
+TEST_CASE("ResponseReader limits the bytes around a body") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  // Returns the state after a response that is read in pieces of `piece` bytes.
+  const auto read = [](const std::string& response, std::size_t piece) {
+    detail::ResponseReader reader;
+    for (std::size_t at = 0; at < response.size(); at += piece)
+      reader.Read(response.data() + at, std::min(piece, response.size() - at));
+    return reader.state();
+  };
+  const std::array<std::size_t, 4> pieces{1, 7, 8 << 10, kMiB};
+
+  SUBCASE("and reads a body in chunks of one byte") {
+    std::string response = head;
+    for (int i = 0; i < 100'000; ++i)
+      response += "1\r\nx\r\n";
+    response += "0\r\n\r\n";
+    for (const std::size_t piece : pieces)
+      CHECK(read(response, piece) == detail::ResponseReader::State::kComplete);
+  }
+  SUBCASE("wherever they stand and however they are divided") {
+    const std::string extension(kMaxFramingBytes / 2, 'x');
+    const std::string chunk = "1;" + extension + "\r\na\r\n";
+    const std::string last = "0;" + extension + "\r\n\r\n";
+    for (const std::size_t piece : pieces) {
+      CHECK(read(head + chunk + "0\r\n\r\n", piece) ==
+            detail::ResponseReader::State::kComplete);
+      CHECK(read(head + chunk + last, piece) ==
+            detail::ResponseReader::State::kTooLarge);
+      CHECK(read(head + chunk + chunk + "400\r\n" + std::string(1024, 'a') +
+                     "\r\n0\r\n\r\n",
+                 piece) == detail::ResponseReader::State::kTooLarge);
+    }
+  }
+}
+
 TEST_CASE("TargetPool limits the total size of incomplete responses") {
   // Each response alone is within its own limit.
   constexpr std::size_t kServers = 20;
