--- a/review/stand-ins-3/stand_ins.h
+++ b/review/stand-ins-3/stand_ins.h
@@ -188,6 +188,15 @@
         message.first_line = line;
         continue;
       }
+      // RFC 9112, 5.2: a folded line belongs to the value before it, and the
+      // fold is replaced by a space.
+      if (line[0] == ' ' || line[0] == '\t') {
+        if (!message.headers.empty())
+          message.headers.back().second +=
+              " " + line.substr(std::min(line.find_first_not_of(" \t"),
+                                         line.size()));
+        continue;
+      }
       const auto colon = line.find(':');
       const auto value = line.find_first_not_of(" \t", colon + 1);
       message.headers.emplace_back(
@@ -946,6 +955,8 @@
   std::optional<Message> Receive(std::int64_t timeout_ms) {
     return fd_ < 0 ? std::nullopt : reader_->Next(timeout_ms, true);
   }
+  // Whether the other side has closed or reset the connection.
+  bool ended() const { return reader_ && reader_->ended(); }
   void Close() {
     if (fd_ >= 0)
       close(fd_);
